Add design page, base library, peer frames and build skeleton

Cause: the repository was empty. Conclusion: the libraries can be developed in parallel on this base.

--- /dev/null
+++ b/base/base.h
@@ -0,0 +1,17 @@
+#pragma once
+
+// The public header of the base library: errors, time, hashing, random numbers, logging and JSON access.
+//
+//   Result<Port> parsePort(std::string_view text)
+//   {
+//       if (text.empty())
+//           return Error { ErrorKind::InvalidArgument, "port is empty: give a number from 1 to 65535" };
+//       ...
+//   }
+
+#include "base/error.h"
+#include "base/hash.h"
+#include "base/json.h"
+#include "base/log.h"
+#include "base/random.h"
+#include "base/time.h"
--- /dev/null
+++ b/base/json.cc
@@ -0,0 +1,60 @@
+#include "base/json.h"
+
+namespace briarwharf {
+
+namespace {
+
+    const Json* findField(const Json& value, std::string_view name)
+    {
+        if (!value.is_object())
+            return nullptr;
+        auto field = value.find(std::string(name));
+        return field == value.end() ? nullptr : &*field;
+    }
+
+} // namespace
+
+Result<Json> parseJson(std::string_view text, std::string_view what)
+{
+    Json value = Json::parse(text.begin(), text.end(), nullptr, false);
+    if (value.is_discarded())
+        return Error { ErrorKind::InvalidArgument,
+            std::string(what) + " is not valid JSON: send one JSON value" };
+    return value;
+}
+
+std::string dumpJson(const Json& value) { return value.dump(-1, ' ', false, Json::error_handler_t::replace); }
+
+std::optional<std::string> stringField(const Json& value, std::string_view name)
+{
+    const Json* field = findField(value, name);
+    if (!field || !field->is_string())
+        return std::nullopt;
+    return field->get<std::string>();
+}
+
+std::optional<std::int64_t> integerField(const Json& value, std::string_view name)
+{
+    const Json* field = findField(value, name);
+    if (!field || !field->is_number_integer())
+        return std::nullopt;
+    return field->get<std::int64_t>();
+}
+
+std::optional<double> numberField(const Json& value, std::string_view name)
+{
+    const Json* field = findField(value, name);
+    if (!field || !field->is_number())
+        return std::nullopt;
+    return field->get<double>();
+}
+
+std::optional<bool> booleanField(const Json& value, std::string_view name)
+{
+    const Json* field = findField(value, name);
+    if (!field || !field->is_boolean())
+        return std::nullopt;
+    return field->get<bool>();
+}
+
+} // namespace briarwharf
--- /dev/null
+++ b/base/time.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace briarwharf {
+
+// For intervals, timeouts and leases: never steps back, means nothing outside the process.
+using MonotonicTime = std::chrono::steady_clock::time_point;
+
+// For schedules and values that cross instances; clocks of instances may differ by seconds.
+using WallTime = std::chrono::system_clock::time_point;
+
+using Milliseconds = std::chrono::milliseconds;
+
+inline Milliseconds toMilliseconds(std::chrono::nanoseconds duration)
+{
+    return std::chrono::duration_cast<Milliseconds>(duration);
+}
+
+// Milliseconds since the Unix epoch, the form in which wall time crosses instances.
+inline std::int64_t unixMilliseconds(WallTime time)
+{
+    return toMilliseconds(time.time_since_epoch()).count();
+}
+
+inline WallTime fromUnixMilliseconds(std::int64_t milliseconds)
+{
+    return WallTime(Milliseconds(milliseconds));
+}
+
+} // namespace briarwharf
--- /dev/null
+++ b/coordination/coordination.h
@@ -0,0 +1,6 @@
+#pragma once
+
+// The public header of the coordination library.
+
+#include "coordination/peerframe.h"
+#include "coordination/store.h"
