--- /dev/null
+++ b/connection/upstreamclient.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include "base/error.h"
+#include "base/time.h"
+#include "connection/eventloop.h"
+#include "connection/httpserver.h"
+#include <cstdint>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+struct evbuffer_cb_info;
+
+namespace briarwharf {
+
+struct UpstreamRequest {
+    std::string method = "POST";
+    std::string target; // path and query
+    HttpHeaders headers;
+    std::string body;
+    Milliseconds deadline { 60000 }; // for the whole exchange
+    Milliseconds silence { 10000 }; // longest time without a byte, from the start on
+    // Uses a connection that has carried no other request: the upstream may close an idle connection at any
+    // moment, and a request written at that moment is in doubt. Set for calls that must not be repeated.
+    bool freshConnection = false;
+};
+
+// How an exchange with an upstream ended.
+enum class ExchangeEnd {
+    Complete, // the answer is whole: it had a length or a terminating chunk
+    ConnectFailed, // no connection
+    Truncated, // closed before the answer was whole, or delimited by the close only
+    Silent, // no byte for UpstreamRequest::silence
+    DeadlineExceeded,
+    Invalid, // the answer is not HTTP or exceeds the bounds
+    Cancelled, // by cancel()
+};
+
+std::string_view exchangeEndName(ExchangeEnd);
+
+struct ExchangeResult {
+    ExchangeEnd end = ExchangeEnd::ConnectFailed;
+    bool requestWritten = false; // a byte of the request was handed to the network: it may have run
+};
+
+struct ResponseHead {
+    int status = 0;
+    HttpHeaders headers;
+};
+
+struct ExchangeCallbacks {
+    std::function<void(const ResponseHead&)> onHead;
+    std::function<void(std::string_view)> onData;
+    // Called exactly once unless the exchange was cancelled; the exchange must not be used afterwards.
+    std::function<void(const ExchangeResult&)> onEnd;
+};
+
+struct UpstreamClientOptions {
+    Milliseconds connectTimeout { 1000 };
+    std::size_t maxIdleConnections = 64;
+    std::size_t maxHeaderBytes = 64 * 1024;
+    std::size_t maxChunkBytes = 16 * 1024 * 1024;
+};
+
+class UpstreamClient;
+
+// One request to an upstream and its answer.
+class UpstreamExchange {
+public:
+    ~UpstreamExchange();
+    UpstreamExchange(const UpstreamExchange&) = delete;
+    UpstreamExchange& operator=(const UpstreamExchange&) = delete;
+
+    // Closes the connection; no callback follows. May be called from a callback of this exchange.
+    void cancel();
+
+    // Stops reading from the upstream while the caller is slow; silence does not count meanwhile.
+    void pauseReading();
+    void resumeReading();
+
+    bool requestWritten() const { return m_requestWritten; }
+
+private:
+    friend class UpstreamClient;
+    UpstreamExchange(UpstreamClient*, const UpstreamRequest&, ExchangeCallbacks);
+
+    void start(evhttp_connection*, const UpstreamRequest&);
+    void restartTimer();
+    void timeUp();
+    void finish(ExchangeEnd);
+    bool answerHasEnd(evhttp_request*) const;
+
+    static int headRead(evhttp_request*, void* self);
+    static void dataRead(evhttp_request*, void* self);
+    static void failed(evhttp_request_error, void* self);
+    static void done(evhttp_request*, void* self);
+    static void outputChanged(evbuffer*, const evbuffer_cb_info*, void* self);
+
+    UpstreamClient* m_client;
+    ExchangeCallbacks m_callbacks;
+    evhttp_connection* m_connection = nullptr;
+    Timer m_timer;
+    MonotonicTime m_deadline;
+    MonotonicTime m_lastByte;
+    Milliseconds m_silence;
+    Milliseconds m_connectTimeout;
+    ExchangeEnd m_failure = ExchangeEnd::Truncated;
+    bool m_requestWritten = false;
+    bool m_connected = false;
+    bool m_paused = false;
+    bool m_finished = false;
+};
+
+// HTTP client of one upstream, with a pool of connections that ended cleanly. A connection whose exchange did
+// not end cleanly is closed: a late answer can then reach nobody else.
+//
+//   UpstreamClient client(base, "127.0.0.1", 9001, {});
+//   auto exchange = client.start(request, { onHead, onData, onEnd });
+class UpstreamClient {
+public:
+    UpstreamClient(event_base*, std::string address, std::uint16_t port, UpstreamClientOptions);
+    ~UpstreamClient();
+    UpstreamClient(const UpstreamClient&) = delete;
+    UpstreamClient& operator=(const UpstreamClient&) = delete;
+
+    // The exchange lives until its end or cancel(); keep the pointer to cancel it.
+    std::shared_ptr<UpstreamExchange> start(const UpstreamRequest&, ExchangeCallbacks);
+
+    // Bytes of bodies and targets sent and received, for the control-traffic count.
+    std::uint64_t bytesSent() const { return m_bytesSent; }
+    std::uint64_t bytesReceived() const { return m_bytesReceived; }
+
+    std::size_t idleConnections() const { return m_idle.size(); }
+
+private:
+    friend class UpstreamExchange;
+
+    evhttp_connection* openConnection();
+    void recycle(evhttp_connection*);
+    void closeLater(evhttp_connection*);
+    void release(UpstreamExchange*);
+
+    event_base* m_base;
+    std::string m_address;
+    std::uint16_t m_port;
+    UpstreamClientOptions m_options;
+    std::vector<evhttp_connection*> m_idle;
+    std::unordered_map<UpstreamExchange*, std::shared_ptr<UpstreamExchange>> m_exchanges;
+    std::uint64_t m_bytesSent = 0;
+    std::uint64_t m_bytesReceived = 0;
+};
+
+} // namespace briarwharf
--- /dev/null
+++ b/process/settings.cc
@@ -0,0 +1,359 @@
+#include "process/settings.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <charconv>
+#include <cstring>
+#include <fstream>
+#include <functional>
+#include <ini.h>
+#include <limits>
+#include <set>
+#include <sstream>
+#include <utility>
+
+namespace briarwharf {
+
+namespace {
+
+    // One key of the settings file. `assign` returns a description of what is allowed, or nothing on success.
+    struct Key {
+        std::string_view section;
+        std::string_view name;
+        std::string help;
+        std::string example;
+        bool required;
+        std::function<std::string(Settings&, const std::string&)> assign;
+    };
+
+    using Assign = std::function<std::string(Settings&, const std::string&)>;
+
+    template <typename Number> bool parseNumber(const std::string& text, Number& value)
+    {
+        const char* end = text.data() + text.size();
+        auto result = std::from_chars(text.data(), end, value);
+        return result.ec == std::errc() && result.ptr == end && !text.empty();
+    }
+
+    template <typename Section> using TextMember = std::string Section::*;
+
+    template <typename Section>
+    Assign text(
+        Section Settings::*section, std::string Section::*member, std::size_t minimum, std::size_t maximum)
+    {
+        return [=](Settings& settings, const std::string& value) -> std::string {
+            if (value.size() < minimum || value.size() > maximum)
+                return "a text of " + std::to_string(minimum) + " to " + std::to_string(maximum)
+                    + " characters";
+            settings.*section.*member = value;
+            return {};
+        };
+    }
+
+    template <typename Section> Assign name(Section Settings::*section, std::string Section::*member)
+    {
+        return [=](Settings& settings, const std::string& value) -> std::string {
+            auto allowed = [](char c) {
+                return std::isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' || c == '.';
+            };
+            if (value.empty() || value.size() > 64 || !std::all_of(value.begin(), value.end(), allowed))
+                return "1 to 64 letters, digits, '-', '_' or '.'";
+            settings.*section.*member = value;
+            return {};
+        };
+    }
+
+    template <typename Section> Assign endpoint(Section Settings::*section, Endpoint Section::*member)
+    {
+        return [=](Settings& settings, const std::string& value) -> std::string {
+            auto parsed = parseEndpoint(value);
+            if (!parsed)
+                return "an IP number and a port, such as 127.0.0.1:8080 or [::1]:8080";
+            settings.*section.*member = parsed.value();
+            return {};
+        };
+    }
+
+    template <typename Section>
+    Assign integer(
+        Section Settings::*section, std::int64_t Section::*member, std::int64_t minimum, std::int64_t maximum)
+    {
+        return [=](Settings& settings, const std::string& value) -> std::string {
+            std::int64_t number = 0;
+            if (!parseNumber(value, number) || number < minimum || number > maximum)
+                return "a whole number from " + std::to_string(minimum) + " to " + std::to_string(maximum);
+            settings.*section.*member = number;
+            return {};
+        };
+    }
+
+    template <typename Section>
+    Assign duration(
+        Section Settings::*section, Milliseconds Section::*member, Milliseconds minimum, Milliseconds maximum)
+    {
+        return [=](Settings& settings, const std::string& value) -> std::string {
+            std::int64_t number = 0;
+            if (!parseNumber(value, number) || Milliseconds(number) < minimum
+                || Milliseconds(number) > maximum)
+                return "milliseconds from " + std::to_string(minimum.count()) + " to "
+                    + std::to_string(maximum.count());
+            settings.*section.*member = Milliseconds(number);
+            return {};
+        };
+    }
+
+    std::string assignTokenHash(Settings& settings, const std::string& value)
+    {
+        auto isDigit = [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); };
+        if (value.size() != 64 || !std::all_of(value.begin(), value.end(), isDigit))
+            return "a SHA-256 as 64 lower-case hex digits (printf %s TOKEN | sha256sum)";
+        settings.operators.tokenHash = value;
+        return {};
+    }
+
+    std::string assignCollector(Settings& settings, const std::string& value)
+    {
+        if (!value.empty() && !parseEndpoint(value))
+            return "empty, or an IP number and a port, such as 127.0.0.1:4318";
+        settings.trace.collector = value;
+        return {};
+    }
+
+    std::string assignSampleRatio(Settings& settings, const std::string& value)
+    {
+        double number = 0;
+        if (!parseNumber(value, number) || number < 0 || number > 1)
+            return "a number from 0 to 1";
+        settings.trace.sampleRatio = number;
+        return {};
+    }
+
+    std::string assignLogLevel(Settings& settings, const std::string& value)
+    {
+        static const std::set<std::string> levels { "debug", "info", "warning", "error" };
+        if (!levels.count(value))
+            return "debug, info, warning or error";
+        settings.log.level = value;
+        return {};
+    }
+
+    const std::vector<Key>& keys()
+    {
+        using S = Settings;
+        using Ms = Milliseconds;
+        constexpr std::int64_t mebibyte = 1024 * 1024;
+        constexpr Ms hour { 3600 * 1000 };
+        constexpr const char* exampleHash
+            = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08";
+        static const std::vector<Key> table {
+            { "instance", "id", "Unique name of this instance.", "entry-1", true,
+                name(&S::instance, &S::Instance::id) },
+            { "instance", "region", "Region of this instance.", "local", false,
+                name(&S::instance, &S::Instance::region) },
+            { "instance", "failure_domain", "Failure domain of this instance.", "a", true,
+                name(&S::instance, &S::Instance::failureDomain) },
+            { "listen", "callers", "Address for callers (HTTP).", "127.0.0.1:8080", true,
+                endpoint(&S::listen, &S::Listen::callers) },
+            { "listen", "admin", "Address for operators, health checks and metrics (HTTP).", "127.0.0.1:8081",
+                true, endpoint(&S::listen, &S::Listen::admin) },
+            { "listen", "peers", "Address for the other instances.", "127.0.0.1:8082", true,
+                endpoint(&S::listen, &S::Listen::peers) },
+            { "store", "endpoint", "Address of the platform's object API.", "127.0.0.1:8090", true,
+                endpoint(&S::store, &S::StoreSettings::endpoint) },
+            { "store", "prefix", "First part of the keys of all objects of this fleet.", "briarwharf", false,
+                name(&S::store, &S::StoreSettings::prefix) },
+            { "store", "timeout_ms", "Longest time for one call, 50 to 10000.", "1000", false,
+                duration(&S::store, &S::StoreSettings::timeout, Ms(50), Ms(10000)) },
+            { "operator", "token_hash", "SHA-256 of the operators' token, 64 hex digits.", exampleHash, true,
+                assignTokenHash },
+            { "limits", "max_body_bytes", "Longest request body, 1024 to 67108864.", "4194304", false,
+                integer(&S::limits, &S::Limits::maxBodyBytes, 1024, 64 * mebibyte) },
+            { "limits", "max_header_bytes", "All header lines of a request, 1024 to 262144.", "32768", false,
+                integer(&S::limits, &S::Limits::maxHeaderBytes, 1024, 256 * 1024) },
+            { "limits", "max_connections", "Callers' connections at once, 1 to 100000.", "10000", false,
+                integer(&S::limits, &S::Limits::maxConnections, 1, 100000) },
+            { "limits", "max_answer_bytes", "Longest whole (not streamed) answer, 1024 to 268435456.",
+                "16777216", false, integer(&S::limits, &S::Limits::maxAnswerBytes, 1024, 256 * mebibyte) },
+            { "limits", "stream_buffer_bytes",
+                "Unsent bytes for one slow caller before the upstream is paused, 4096 to 16777216.", "262144",
+                false, integer(&S::limits, &S::Limits::streamBufferBytes, 4096, 16 * mebibyte) },
+            { "limits", "request_deadline_ms",
+                "Time for a request whose caller sets no deadline, 100 to 3600000.", "120000", false,
+                duration(&S::limits, &S::Limits::requestDeadline, Ms(100), hour) },
+            { "limits", "max_request_deadline_ms", "Longest deadline that a caller may set, 100 to 3600000.",
+                "900000", false, duration(&S::limits, &S::Limits::maxRequestDeadline, Ms(100), hour) },
+            { "limits", "upstream_silence_ms",
+                "Longest time without a byte from an upstream's stream, 100 to 600000.", "15000", false,
+                duration(&S::limits, &S::Limits::upstreamSilence, Ms(100), Ms(600000)) },
+            { "limits", "slow_caller_timeout_ms",
+                "Longest time in which a caller may take no byte of a stream, 1000 to 600000.", "60000",
+                false, duration(&S::limits, &S::Limits::slowCallerTimeout, Ms(1000), Ms(600000)) },
+            { "limits", "shutdown_grace_ms", "Time for requests in progress at shutdown, 0 to 3600000.",
+                "30000", false, duration(&S::limits, &S::Limits::shutdownGrace, Ms(0), hour) },
+            { "limits", "max_resumes", "How often one silent stream is resumed, 0 to 100.", "3", false,
+                integer(&S::limits, &S::Limits::maxResumes, 0, 100) },
+            { "hint", "key", "Signs residence hints; equal on all instances, 16 to 256 characters.",
+                "change-me-change-me", true, text(&S::hint, &S::Hint::key, 16, 256) },
+            { "hint", "previous_key", "Also accepted, for a change of keys; empty or up to 256 characters.",
+                "", false, text(&S::hint, &S::Hint::previousKey, 0, 256) },
+            { "trace", "collector", "OTLP/HTTP collector for spans; empty: none are sent.", "", false,
+                assignCollector },
+            { "trace", "sample_ratio", "Share of the traces started here that are sent, 0 to 1.", "1", false,
+                assignSampleRatio },
+            { "log", "level", "debug, info, warning or error.", "info", false, assignLogLevel },
+        };
+        return table;
+    }
+
+    const Key* findKey(std::string_view section, std::string_view name)
+    {
+        for (const auto& key : keys()) {
+            if (key.section == section && key.name == name)
+                return &key;
+        }
+        return nullptr;
+    }
+
+    // State of one parse; `line` is counted by the reader, since inih does not pass it to the handler.
+    struct Parse {
+        std::string_view rest;
+        std::string file;
+        int line = 0;
+        Settings settings;
+        std::set<const Key*> seen;
+        std::vector<std::string> problems;
+
+        void report(const std::string& problem)
+        {
+            problems.push_back(file + ":" + std::to_string(line) + ": " + problem);
+        }
+    };
+
+    char* readLine(char* buffer, int size, void* stream)
+    {
+        auto* parse = static_cast<Parse*>(stream);
+        if (parse->rest.empty())
+            return nullptr;
+        ++parse->line;
+        std::size_t end = parse->rest.find('\n');
+        std::size_t length = end == std::string_view::npos ? parse->rest.size() : end + 1;
+        std::size_t copied = std::min(length, static_cast<std::size_t>(size - 1));
+        if (copied < length)
+            parse->report("line is longer than " + std::to_string(size - 2) + " characters: shorten it");
+        std::memcpy(buffer, parse->rest.data(), copied);
+        buffer[copied] = '\0';
+        parse->rest.remove_prefix(length);
+        return buffer;
+    }
+
+    int takeValue(void* user, const char* section, const char* name, const char* value)
+    {
+        auto* parse = static_cast<Parse*>(user);
+        const Key* key = findKey(section, name);
+        std::string path = "[" + std::string(section) + "] " + name;
+        if (!key) {
+            parse->report("unknown key " + path + ": remove it, or see --print-example for all keys");
+            return 1;
+        }
+        if (!parse->seen.insert(key).second) {
+            parse->report(path + " is set twice: remove one of the lines");
+            return 1;
+        }
+        std::string allowed = key->assign(parse->settings, value);
+        if (!allowed.empty())
+            parse->report(path + " = \"" + value + "\" is not allowed: give " + allowed);
+        return 1;
+    }
+
+    void checkRequiredKeys(Parse& parse)
+    {
+        for (const auto& key : keys()) {
+            if (key.required && !parse.seen.count(&key)) {
+                parse.problems.push_back(parse.file + ": [" + std::string(key.section) + "] "
+                    + std::string(key.name) + " is missing: add a line such as \"" + std::string(key.name)
+                    + " = " + key.example + "\"");
+            }
+        }
+    }
+
+} // namespace
+
+Result<Endpoint> parseEndpoint(std::string_view text)
+{
+    auto invalid = [&] {
+        return Error { ErrorKind::InvalidArgument,
+            "\"" + std::string(text)
+                + "\" is no endpoint: give an IP number and a port, such as 127.0.0.1:8080" };
+    };
+    std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return invalid();
+    std::string address(text.substr(0, colon));
+    if (address.size() > 2 && address.front() == '[' && address.back() == ']')
+        address = address.substr(1, address.size() - 2);
+    in6_addr parsed {};
+    bool isNumber = inet_pton(AF_INET, address.c_str(), &parsed) == 1
+        || inet_pton(AF_INET6, address.c_str(), &parsed) == 1;
+    int port = 0;
+    if (!isNumber || !parseNumber(std::string(text.substr(colon + 1)), port) || port < 0
+        || port > std::numeric_limits<std::uint16_t>::max())
+        return invalid();
+    return Endpoint { address, static_cast<std::uint16_t>(port) };
+}
+
+std::string formatEndpoint(const Endpoint& endpoint)
+{
+    bool isV6 = endpoint.address.find(':') != std::string::npos;
+    return (isV6 ? "[" + endpoint.address + "]" : endpoint.address) + ":" + std::to_string(endpoint.port);
+}
+
+Result<Settings> parseSettings(std::string_view text, const std::string& file)
+{
+    Parse parse;
+    parse.rest = text;
+    parse.file = file;
+    int firstBadLine = ini_parse_stream(&readLine, &parse, &takeValue, &parse);
+    if (firstBadLine > 0) {
+        parse.line = firstBadLine;
+        parse.report("is neither a section, a \"key = value\" nor a comment: correct the line");
+    }
+    checkRequiredKeys(parse);
+    if (parse.problems.empty())
+        return parse.settings;
+    std::string message;
+    for (const auto& problem : parse.problems)
+        message += (message.empty() ? "" : "\n") + problem;
+    return Error { ErrorKind::InvalidArgument, message };
+}
+
+Result<Settings> loadSettings(const std::string& file)
+{
+    std::ifstream stream(file);
+    if (!stream)
+        return Error { ErrorKind::NotFound,
+            "cannot read settings file " + file + ": check the path and its permissions" };
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return parseSettings(text.str(), file);
+}
+
+std::string exampleSettings()
+{
+    std::ostringstream text;
+    text << "# Settings of briarwharfd with every key. Lines without a comment on a default are required.\n";
+    std::string_view section;
+    for (const auto& key : keys()) {
+        if (key.section != section) {
+            section = key.section;
+            text << "\n[" << section << "]\n";
+        }
+        text << "# " << key.help
+             << (key.required ? " Required."
+                              : " Default: " + (key.example.empty() ? "empty" : key.example) + ".")
+             << "\n"
+             << key.name << " = " << key.example << "\n";
+    }
+    return text.str();
+}
+
+} // namespace briarwharf
--- /dev/null
+++ b/process/testing/settings_test.cc
@@ -0,0 +1,42 @@
+#include "process/settings.h"
+#include <doctest/doctest.h>
+
+using namespace briarwharf;
+
+// Guards against an example file that the daemon itself would refuse.
+TEST_CASE("the example settings are valid and hold the defaults")
+{
+    auto parsed = parseSettings(exampleSettings(), "example.ini");
+    REQUIRE_MESSAGE(parsed.has_value(), parsed.error().message);
+    CHECK(parsed.value().instance.id == "entry-1");
+    CHECK(parsed.value().limits.maxBodyBytes == Settings().limits.maxBodyBytes);
+    CHECK(parsed.value().limits.requestDeadline == Settings().limits.requestDeadline);
+    CHECK(parsed.value().limits.upstreamSilence == Settings().limits.upstreamSilence);
+}
+
+// Guards against errors that do not say where the mistake is and how to correct it.
+TEST_CASE("settings errors name file, line, key and remedy")
+{
+    std::string text = exampleSettings() + "\n[log]\nlevle = info\n";
+    auto unknown = parseSettings(text, "node.ini");
+    REQUIRE(unknown.has_error());
+    CHECK(unknown.error().message.find("unknown key [log] levle: remove it") != std::string::npos);
+    CHECK(unknown.error().message.rfind("node.ini:", 0) == 0);
+
+    auto range = parseSettings("[store]\ntimeout_ms = 5\n", "node.ini");
+    REQUIRE(range.has_error());
+    CHECK(range.error().message.find(
+              "node.ini:2: [store] timeout_ms = \"5\" is not allowed: give milliseconds from 50 to 10000")
+        != std::string::npos);
+    CHECK(range.error().message.find("[instance] id is missing") != std::string::npos);
+}
+
+TEST_CASE("endpoints are IP numbers with a port")
+{
+    CHECK(parseEndpoint("127.0.0.1:80").value().port == 80);
+    CHECK(parseEndpoint("[::1]:80").value().address == "::1");
+    CHECK(formatEndpoint(parseEndpoint("[::1]:80").value()) == "[::1]:80");
+    for (const char* wrong :
+        { "", "localhost:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:70000", "127.0.0.1:8x" })
+        CHECK_MESSAGE(parseEndpoint(wrong).has_error(), wrong);
+}
