--- a/connection/eventloop.cc
+++ b/connection/eventloop.cc
@@ -1,6 +1,7 @@
 #include "connection/eventloop.h"
 
 #include <algorithm>
+#include <csignal>
 #include <utility>
 
 namespace briarwharf {
@@ -48,6 +49,8 @@
     m_timer.start(m_interval);
 }
 
+void ignoreBrokenPipes() { std::signal(SIGPIPE, SIG_IGN); }
+
 void runLater(event_base* base, std::function<void()> function)
 {
     auto* holder = new std::function<void()>(std::move(function));
--- a/connection/eventloop.h
+++ b/connection/eventloop.h
@@ -46,6 +46,10 @@
     Timer m_timer;
 };
 
+// A write to a connection that the other side has closed then fails with an error instead of ending the
+// process. Programs call it once before they open connections.
+void ignoreBrokenPipes();
+
 // Runs the function from the loop, after the present callback has returned.
 void runLater(event_base*, std::function<void()>);
 
--- a/connection/httpserver.cc
+++ b/connection/httpserver.cc
@@ -278,7 +278,8 @@
     if (auto exchange = state->exchange)
         exchange->detach();
     --state->server->m_connections;
-    delete state;
+    // The library calls the request's hook after this one, with the same state.
+    runLater(state->server->m_base, [state] { delete state; });
     return EVHTP_RES_OK;
 }
 
