--- a/version/config.h
+++ b/version/config.h
@@ -32,6 +32,8 @@
     std::string keyHash; // SHA-256 of the API key, 64 hex digits
     double weight = 1; // share among the organisations
     double tokensPerSecond = 0; // limit over all instances; 0: none
+
+    bool operator==(const Organisation&) const = default;
 };
 
 // One operation of a plain service.
@@ -39,6 +41,8 @@
     std::string method;
     std::string pathPrefix;
     bool repeatable = false;
+
+    bool operator==(const Operation&) const = default;
 };
 
 struct Pool {
@@ -47,6 +51,8 @@
     std::string model; // engines: the model that callers name
     std::string policy; // name of a Policy; empty: the defaults
     std::vector<Operation> operations; // services
+
+    bool operator==(const Pool&) const = default;
 };
 
 struct Upstream {
@@ -60,6 +66,12 @@
     bool checksFence = true;
     double weight = 1;
     std::uint32_t slots = 64; // requests in progress at once, over all instances
+    bool drainedByPlan = false; // draining until the end of its planned window
+    WallTime drainWindow {}; // start of the last planned window that drained it; the epoch: none
+    std::uint64_t drainRevision = 0; // that began the present or the last drain; 0: never drained
+    bool empty = false; // draining, and reported as holding no request: it may be stopped
+
+    bool operator==(const Upstream&) const = default;
 };
 
 struct Policy {
@@ -68,6 +80,8 @@
     double loadBound = 1.25;
     std::uint32_t shortTokens = 512; // requests up to this estimate are short
     Milliseconds queueDeadline { 5000 };
+
+    bool operator==(const Policy&) const = default;
 };
 
 // A weekly stop for cleaning.
@@ -77,6 +91,19 @@
     std::chrono::minutes start { 0 }; // after midnight, UTC
     std::chrono::minutes length { 60 };
     bool handover = true;
+
+    bool operator==(const DrainPlan&) const = default;
+};
+
+// One accepted change, kept so that a conflicting command can be told what changed.
+struct Change {
+    std::uint64_t revision = 0;
+    WallTime time {}; // at the writer
+    std::string author; // the operator's or the instance's name
+    std::string requestId; // of the operator's request; resolves a lost answer
+    std::string summary; // "ALTER POOL estimators; DRAIN UPSTREAM e1"
+
+    bool operator==(const Change&) const = default;
 };
 
 // Everything that operators set, at one revision. Immutable once in force.
@@ -87,6 +114,14 @@
     std::map<std::string, Upstream> upstreams;
     std::map<std::string, Policy> policies;
     std::map<std::string, DrainPlan> drainPlans; // by upstream
+
+    // Retired names by kind ("upstream/e1"), with the revision that retired them. Hints, claims and cached
+    // chats outlive the object that they name, so a name is not used a second time.
+    std::map<std::string, std::uint64_t> retiredNames;
+    std::vector<Change> history; // the last accepted changes, oldest first
+    std::uint64_t changedRevision = 0; // of the last record that changed anything
+
+    bool operator==(const Config&) const = default;
 };
 
 } // namespace briarwharf
