Add headers of the request library

The daemon can be written against the interfaces of placement, hints, residence, admission, retries and outcomes while their implementations follow.

--- /dev/null
+++ b/request/loadledger.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "base/time.h"
+#include "request/placement.h"
+#include <array>
+#include <cstdint>
+#include <unordered_map>
+
+namespace briarwharf {
+
+// Keeps what this instance sent to each upstream, by time, beside the latest load reports of one pool, and
+// derives the load fields of `UpstreamView`. A report lags; the ledger adds what this instance sent and
+// finished since it was measured, and what the peers are likely to have added: the growth of the whole pool
+// (from successive reports) during the report's age. The pool's growth is used because one upstream's
+// growth over a second is mostly noise, while reports of different ages are comparable only after a surge's
+// growth has been added to the older ones.
+class LoadLedger {
+public:
+    void sent(UpstreamId, std::int64_t tokens, MonotonicTime now);
+
+    // The request ended in any way. `tokens` as given to sent().
+    void finished(UpstreamId, std::int64_t tokens, MonotonicTime now);
+
+    // A report, from the load table or from an upstream's answer. Older ones than the latest are ignored.
+    void report(UpstreamId, std::int64_t tokens, MonotonicTime measuredAt);
+
+    // Sets the load fields of a view whose id is set; leaves id, weight, use and localSlots.
+    void fill(UpstreamView&, MonotonicTime now) const;
+
+    void forget(UpstreamId);
+
+private:
+    static constexpr Milliseconds bucketLength { 100 };
+    static constexpr std::size_t bucketCount = 64; // 6.4 s: older changes are in every report in use
+
+    struct Bucket {
+        std::int64_t slot = -1;
+        std::int64_t tokens = 0;
+    };
+
+    struct Entry {
+        std::int64_t tokens = 0;
+        std::uint32_t requests = 0;
+        bool reported = false;
+        std::int64_t reportedTokens = 0;
+        MonotonicTime measuredAt;
+        std::array<Bucket, bucketCount> changes;
+    };
+
+    static std::int64_t slotOf(MonotonicTime);
+    static void change(Entry&, std::int64_t tokens, MonotonicTime now);
+    static std::int64_t changeSince(const Entry&, MonotonicTime since);
+
+    std::unordered_map<UpstreamId, Entry> m_entries;
+    double m_growth = 0; // tokens per second and upstream, smoothed
+};
+
+} // namespace briarwharf
--- /dev/null
+++ b/request/request.h
@@ -0,0 +1,49 @@
+#pragma once
+
+// The public header of the request library: decisions about one request, without sockets and with the time
+// as an argument.
+//
+// Placing a request of a chat:
+//
+//   HintCheck hint = signer.verify(headerText, organisation, chat, wallNow);
+//   PlacementRequest request;
+//   request.chat = chatKey(organisation, chat);
+//   request.tokens = promptTokens + maxTokens;
+//   request.returning = bodyHasEarlierTurns;
+//   if (hint.verdict == HintVerdict::Valid)
+//       request.hint = hint.upstream;
+//   else
+//       request.directory = directory.find(request.chat, now);
+//   for (UpstreamView& view : views)
+//       ledger.fill(view, now);
+//   PlacementDecision decision = placement->decide(request, views);
+//   if (!decision.upstream)
+//       ... decision.reason is Saturated (admission.requeue) or NoUpstream (reject as "not run")
+//   ledger.sent(*decision.upstream, request.tokens, now);
+//   ... and when the answer has ended:
+//   ledger.finished(*decision.upstream, request.tokens, now);
+//   if (decision.exception)
+//       directory.put(request.chat, *decision.upstream, now);
+//   std::string next = signer.issue(organisation, chat, *decision.upstream, wallNow);
+//
+// Admitting it before:
+//
+//   AdmissionRequest entry { ticket, organisation, weight, classify(promptTokens, maxTokens), tokens };
+//   for (const AdmissionEvent& event : admission.submit(entry, now))
+//       ... Run, Queued, or a rejection with retryAfter; likewise for admission.poll(now)
+//   ... and when it ended: admission.finished(ticket, now); then admission.poll(now)
+//
+// Ending it:
+//
+//   Outcome outcome = deriveOutcome({ bytesWritten, answerComplete, upstreamSaysNotRun });
+//   if (outcome != Outcome::Completed
+//       && budget.tryRetry({ repeatable, outcome, false, deadline }, now) == RetryVerdict::Allowed)
+//       ... place it again, with the upstream that failed marked Unusable in the views
+
+#include "request/admission.h"
+#include "request/hint.h"
+#include "request/loadledger.h"
+#include "request/outcome.h"
+#include "request/placement.h"
+#include "request/residence.h"
+#include "request/retry.h"
