--- /dev/null
+++ b/connection/connection.h
@@ -0,0 +1,14 @@
+#pragma once
+
+// The public header of the connection library: objects with the lifetime of one connection. Everything runs
+// on the owner's event loop and thread.
+//
+//   HttpStore store(base, { .address = "127.0.0.1", .port = 7400 });
+//   store.read("log/config/12", [](Result<std::optional<StoredObject>> object) { ... });
+//
+//   PeerLinks links(base, options, { .up = ..., .down = ..., .frame = ... });
+//   links.listen("10.0.0.1:7500");
+//   links.connect("10.0.0.2:7500");
+
+#include "connection/httpstore.h"
+#include "connection/peerlink.h"
--- /dev/null
+++ b/connection/httpstore.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "coordination/store.h"
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+struct event_base;
+
+namespace briarwharf {
+
+struct HttpStoreOptions {
+    std::string address = "127.0.0.1"; // IP number of the platform's object API
+    std::uint16_t port = 0;
+    Milliseconds callDeadline { 2000 }; // from the call to the callback, time in the queue included
+    std::size_t maxConnections = 8; // for calls other than watches
+    std::size_t maxQueuedCalls = 1024; // waiting for one of these connections
+    std::size_t maxWatches = 64; // each waiting watch has a connection of its own
+    std::size_t maxResponseBytes = std::size_t { 32 } * 1024 * 1024;
+};
+
+// One entry of the platform's list of instances, which lags.
+struct PlatformInstance {
+    std::string id;
+    std::string address; // IP number and peer port
+    std::string failureDomain;
+    bool leaving = false;
+};
+
+// Totals since the start. Bytes are those of HTTP, without the overhead of TCP and IP.
+struct HttpStoreCounters {
+    std::uint64_t reads = 0;
+    std::uint64_t creates = 0;
+    std::uint64_t updates = 0;
+    std::uint64_t removes = 0;
+    std::uint64_t watches = 0;
+    std::uint64_t lists = 0;
+    std::uint64_t instanceLists = 0;
+    std::uint64_t failures = 0; // calls that ended as Unavailable, Unknown or NotSent
+    std::uint64_t bytesSent = 0;
+    std::uint64_t bytesReceived = 0;
+
+    std::uint64_t calls() const
+    {
+        return reads + creates + updates + removes + watches + lists + instanceLists;
+    }
+};
+
+// The platform's object API over HTTP: versions travel as ETag, conditions as If-Match and If-None-Match.
+//
+// A write ends as Unknown once a byte of it has left the process and no answer came; as NotSent when the
+// connection could not be made or the call was never dispatched. Nothing is repeated on its own. A connection
+// whose exchange did not end cleanly is closed, so a late answer never reaches another call.
+//
+// Destroying the adapter drops the calls in progress without calling back.
+class HttpStore final : public Store {
+public:
+    // Errors: Unavailable.
+    using InstancesCallback = std::function<void(Result<std::vector<PlatformInstance>>)>;
+
+    HttpStore(event_base*, HttpStoreOptions);
+    ~HttpStore() override;
+    HttpStore(const HttpStore&) = delete;
+    HttpStore& operator=(const HttpStore&) = delete;
+
+    void read(const std::string& key, ReadCallback) override;
+    void create(const std::string& key, const std::string& value, WriteCallback) override;
+    void update(const std::string& key, ObjectVersion, const std::string& value, WriteCallback) override;
+    void remove(const std::string& key, ObjectVersion, WriteCallback) override;
+
+    // A watch that times out on an object that is present costs one more read, for its value. Its deadline is
+    // `timeout` plus the deadline of a call.
+    void watch(const std::string& key, ObjectVersion known, Milliseconds timeout, ReadCallback) override;
+    void list(const std::string& prefix, const std::string& after, std::size_t limit, ListCallback) override;
+
+    // The platform's list of live and leaving instances.
+    void listInstances(InstancesCallback);
+
+    const HttpStoreCounters& counters() const;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace briarwharf
