Add the store stand-in on libevhtp

Objects with versions, conditional writes, long-poll watches, the lagging list of instances, faults and call counts. The state is a plain object with the time as an argument; the HTTP layer is apart from it.

--- /dev/null
+++ b/standins/httpserver.cc
@@ -0,0 +1,359 @@
+#include "standins/httpserver.h"
+#include <event2/event.h>
+#include <event2/http.h>
+#include <evhtp.h>
+#include <netinet/in.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace briarwharf {
+
+namespace {
+
+    constexpr std::uint64_t maxBodyBytes = std::uint64_t { 64 } * 1024 * 1024;
+    constexpr int listenBacklog = 1024;
+    // Long enough for the loop to give a few chunks to the kernel before the connection is cut.
+    constexpr Milliseconds cutDelay { 20 };
+
+    timeval toTimeval(Milliseconds duration)
+    {
+        constexpr int millisecondsPerSecond = 1000;
+        return { static_cast<time_t>(duration.count() / millisecondsPerSecond),
+            static_cast<suseconds_t>((duration.count() % millisecondsPerSecond) * 1000) };
+    }
+
+    // libevhtp takes hooks of every kind as a function without arguments.
+    template <typename Function> evhtp_hook toHook(Function function)
+    {
+        return reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(function));
+    }
+
+    std::string decode(std::string_view text, bool plusIsSpace)
+    {
+        std::string terminated(text);
+        size_t length = 0;
+        char* decoded = evhttp_uridecode(terminated.c_str(), plusIsSpace ? 1 : 0, &length);
+        if (!decoded)
+            return terminated;
+        std::string result(decoded, length);
+        free(decoded);
+        return result;
+    }
+
+    std::string find(const HttpHeaders& fields, std::string_view name, bool anyCase)
+    {
+        for (const auto& [key, value] : fields) {
+            if (key.size() != name.size())
+                continue;
+            if (anyCase ? strncasecmp(key.data(), name.data(), name.size()) == 0 : key == name)
+                return value;
+        }
+        return "";
+    }
+
+    HttpHeaders parseQuery(std::string_view raw)
+    {
+        HttpHeaders query;
+        while (!raw.empty()) {
+            auto end = raw.find('&');
+            auto pair = raw.substr(0, end);
+            auto equals = pair.find('=');
+            auto name = pair.substr(0, equals);
+            auto value = equals == std::string_view::npos ? std::string_view {} : pair.substr(equals + 1);
+            query.emplace_back(decode(name, true), decode(value, true));
+            raw = end == std::string_view::npos ? std::string_view {} : raw.substr(end + 1);
+        }
+        return query;
+    }
+
+    HttpRequest readRequest(evhtp_request_t* raw)
+    {
+        HttpRequest request;
+        request.method = htparser_get_methodstr_m(evhtp_request_get_method(raw));
+        if (raw->uri->path && raw->uri->path->full)
+            request.path = decode(raw->uri->path->full, false);
+        if (raw->uri->query_raw)
+            request.query = parseQuery(reinterpret_cast<const char*>(raw->uri->query_raw));
+        auto collect = [](evhtp_kv_t* header, void* fields) {
+            static_cast<HttpHeaders*>(fields)->emplace_back(
+                std::string(header->key, header->klen), std::string(header->val, header->vlen));
+            return 0;
+        };
+        evhtp_headers_for_each(raw->headers_in, collect, &request.headers);
+        size_t length = evbuffer_get_length(raw->buffer_in);
+        request.body.resize(length);
+        evbuffer_copyout(raw->buffer_in, request.body.data(), length);
+        return request;
+    }
+
+    struct BufferDeleter {
+        void operator()(evbuffer* buffer) const { evbuffer_free(buffer); }
+    };
+    using Buffer = std::unique_ptr<evbuffer, BufferDeleter>;
+
+    Buffer makeBuffer(std::string_view bytes)
+    {
+        Buffer buffer(evbuffer_new());
+        evbuffer_add(buffer.get(), bytes.data(), bytes.size());
+        return buffer;
+    }
+
+    // State of one connection, shared with its exchanges.
+    struct ConnectionState {
+        bool silent = false;
+    };
+
+    class Exchange final : public HttpExchange, public std::enable_shared_from_this<Exchange> {
+    public:
+        Exchange(event_base* base, evhtp_request_t* request, std::shared_ptr<ConnectionState> connection)
+            : m_base(base)
+            , m_request(request)
+            , m_connection(std::move(connection))
+        {
+        }
+
+        void reply(int status, const std::string& body, const HttpHeaders& headers) override
+        {
+            if (!writable())
+                return;
+            addHeaders(headers);
+            evbuffer_add(m_request->buffer_out, body.data(), body.size());
+            m_complete = true;
+            evhtp_send_reply(m_request, static_cast<evhtp_res>(status));
+        }
+
+        void startStream(const HttpHeaders& headers) override
+        {
+            if (!writable())
+                return;
+            addHeaders(headers);
+            evhtp_send_reply_chunk_start(m_request, EVHTP_RES_OK);
+        }
+
+        void sendChunk(std::string_view bytes) override
+        {
+            if (writable())
+                evhtp_send_reply_chunk(m_request, makeBuffer(bytes).get());
+        }
+
+        void endStream() override
+        {
+            if (!writable())
+                return;
+            m_complete = true;
+            evhtp_send_reply_chunk_end(m_request);
+        }
+
+        void cut() override
+        {
+            // The connection is shut down outside of libevhtp's calls; it then sees an end of file and frees
+            // the connection itself.
+            auto self = shared_from_this();
+            runLater(m_base, cutDelay, [self] {
+                if (self->m_request && !self->m_complete)
+                    shutdown(bufferevent_getfd(evhtp_request_get_bev(self->m_request)), SHUT_RDWR);
+            });
+        }
+
+        bool open() const override { return m_request && !m_complete; }
+
+        std::size_t waitingBytes() const override
+        {
+            if (!m_request)
+                return 0;
+            return evbuffer_get_length(bufferevent_get_output(evhtp_request_get_bev(m_request)));
+        }
+
+        void onGone(std::function<void()> callback) override { m_onGone = std::move(callback); }
+
+        void requestFreed()
+        {
+            m_request = nullptr;
+            auto callback = std::exchange(m_onGone, nullptr);
+            if (callback && !m_complete)
+                callback();
+        }
+
+        const ConnectionState* connection() const { return m_connection.get(); }
+
+    private:
+        bool writable() const { return m_request && !m_complete && !m_connection->silent; }
+
+        void addHeaders(const HttpHeaders& headers)
+        {
+            for (const auto& [name, value] : headers)
+                evhtp_headers_add_header(
+                    m_request->headers_out, evhtp_header_new(name.c_str(), value.c_str(), 1, 1));
+        }
+
+        event_base* m_base;
+        evhtp_request_t* m_request;
+        std::shared_ptr<ConnectionState> m_connection;
+        std::function<void()> m_onGone;
+        bool m_complete = false;
+    };
+
+} // namespace
+
+std::string HttpRequest::header(std::string_view name) const { return find(headers, name, true); }
+
+std::string HttpRequest::argument(std::string_view name) const { return find(query, name, false); }
+
+class HttpServer::Impl {
+public:
+    Impl(event_base* base, HttpHandler handler)
+        : m_base(base)
+        , m_handler(std::move(handler))
+        , m_server(evhtp_new(base, nullptr))
+    {
+        evhtp_set_max_body_size(m_server, maxBodyBytes);
+        evhtp_enable_flag(m_server, EVHTP_FLAG_ENABLE_NODELAY);
+        evhtp_set_gencb(m_server, &Impl::handleRequest, this);
+        evhtp_set_post_accept_cb(m_server, &Impl::handleAccept, this);
+    }
+
+    ~Impl()
+    {
+        while (!m_connections.empty())
+            evhtp_connection_free(m_connections.begin()->first);
+        if (m_server->server)
+            evhtp_unbind_socket(m_server);
+        evhtp_free(m_server);
+    }
+
+    Result<std::uint16_t> listen(std::uint16_t port)
+    {
+        if (evhtp_bind_socket(m_server, "127.0.0.1", port, listenBacklog) != 0)
+            return Error { ErrorKind::Unavailable,
+                "port " + std::to_string(port) + " cannot be bound: choose another one, or 0" };
+        sockaddr_in address {};
+        socklen_t length = sizeof(address);
+        getsockname(evconnlistener_get_fd(m_server->server), reinterpret_cast<sockaddr*>(&address), &length);
+        return ntohs(address.sin_port);
+    }
+
+    void silenceOpenConnections(const ExchangePointer& except)
+    {
+        auto* kept = dynamic_cast<Exchange*>(except.get());
+        for (auto& [connection, state] : m_connections)
+            state->silent = !kept || state.get() != kept->connection();
+    }
+
+    std::size_t openConnections() const { return m_connections.size(); }
+
+private:
+    static evhtp_res handleAccept(evhtp_connection_t* connection, void* self)
+    {
+        auto* impl = static_cast<Impl*>(self);
+        impl->m_connections.emplace(connection, std::make_shared<ConnectionState>());
+        evhtp_connection_set_hook(
+            connection, evhtp_hook_on_connection_fini, toHook(&Impl::handleConnectionFreed), self);
+        return EVHTP_RES_OK;
+    }
+
+    static evhtp_res handleConnectionFreed(evhtp_connection_t* connection, void* self)
+    {
+        static_cast<Impl*>(self)->m_connections.erase(connection);
+        return EVHTP_RES_OK;
+    }
+
+    static void handleRequest(evhtp_request_t* request, void* self)
+    {
+        auto* impl = static_cast<Impl*>(self);
+        auto found = impl->m_connections.find(evhtp_request_get_connection(request));
+        if (found == impl->m_connections.end())
+            return;
+        auto exchange = std::make_shared<Exchange>(impl->m_base, request, found->second);
+        // The request owns a reference, given back when libevhtp frees it.
+        auto* reference = new std::shared_ptr<Exchange>(exchange);
+        evhtp_request_set_hook(
+            request, evhtp_hook_on_request_fini, toHook(&Impl::handleRequestFreed), reference);
+        if (found->second->silent)
+            return;
+        impl->m_handler(readRequest(request), exchange);
+    }
+
+    static evhtp_res handleRequestFreed(evhtp_request_t*, void* argument)
+    {
+        std::unique_ptr<std::shared_ptr<Exchange>> reference(
+            static_cast<std::shared_ptr<Exchange>*>(argument));
+        (*reference)->requestFreed();
+        return EVHTP_RES_OK;
+    }
+
+    event_base* m_base;
+    HttpHandler m_handler;
+    evhtp_t* m_server;
+    std::unordered_map<evhtp_connection_t*, std::shared_ptr<ConnectionState>> m_connections;
+};
+
+HttpServer::HttpServer(event_base* base, HttpHandler handler)
+    : m_impl(std::make_unique<Impl>(base, std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+Result<std::uint16_t> HttpServer::listen(std::uint16_t port) { return m_impl->listen(port); }
+
+void HttpServer::silenceOpenConnections(const ExchangePointer& except)
+{
+    m_impl->silenceOpenConnections(except);
+}
+
+std::size_t HttpServer::openConnections() const { return m_impl->openConnections(); }
+
+void runLater(event_base* base, Milliseconds delay, std::function<void()> callback)
+{
+    auto* owned = new std::function<void()>(std::move(callback));
+    auto run = [](evutil_socket_t, short, void* argument) {
+        std::unique_ptr<std::function<void()>> function(static_cast<std::function<void()>*>(argument));
+        (*function)();
+    };
+    timeval interval = toTimeval(delay);
+    if (event_base_once(base, -1, EV_TIMEOUT, run, owned, &interval) != 0)
+        delete owned;
+}
+
+class Ticker::Impl {
+public:
+    Impl(event_base* base, Milliseconds interval, std::function<void()> callback)
+        : m_callback(std::move(callback))
+        , m_event(event_new(base, -1, EV_PERSIST, &Impl::run, this))
+    {
+        timeval period = toTimeval(interval);
+        event_add(m_event, &period);
+    }
+
+    ~Impl() { event_free(m_event); }
+
+private:
+    static void run(evutil_socket_t, short, void* self) { static_cast<Impl*>(self)->m_callback(); }
+
+    std::function<void()> m_callback;
+    event* m_event;
+};
+
+Ticker::Ticker(event_base* base, Milliseconds interval, std::function<void()> callback)
+    : m_impl(std::make_unique<Impl>(base, interval, std::move(callback)))
+{
+}
+
+Ticker::~Ticker() = default;
+
+void replyJson(const ExchangePointer& exchange, int status, const Json& body, HttpHeaders headers)
+{
+    headers.emplace_back("Content-Type", "application/json");
+    exchange->reply(status, dumpJson(body), headers);
+}
+
+void replyError(const ExchangePointer& exchange, int status, std::string_view type, std::string_view message,
+    HttpHeaders headers)
+{
+    Json error = { { "error", { { "type", type }, { "message", message } } } };
+    replyJson(exchange, status, error, std::move(headers));
+}
+
+} // namespace briarwharf
--- /dev/null
+++ b/standins/httpserver.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "base/base.h"
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+struct event_base;
+
+namespace briarwharf {
+
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+// One request as a stand-in sees it, whole and decoded.
+struct HttpRequest {
+    std::string method; // "GET", ...
+    std::string path; // percent-decoded
+    HttpHeaders headers;
+    HttpHeaders query; // percent-decoded
+    std::string body;
+
+    // Value of the header, without regard to case; "" if absent.
+    std::string header(std::string_view name) const;
+    // Value of the query argument; "" if absent.
+    std::string argument(std::string_view name) const;
+};
+
+// The answer to one request. Shared, because faults and streams answer later than the handler returns; after
+// the connection has gone, every call has no effect.
+class HttpExchange {
+public:
+    virtual ~HttpExchange() = default;
+
+    // A whole answer with its length.
+    virtual void reply(int status, const std::string& body, const HttpHeaders& headers = {}) = 0;
+    // A chunked answer: start, any number of chunks, end.
+    virtual void startStream(const HttpHeaders& headers) = 0;
+    virtual void sendChunk(std::string_view) = 0;
+    virtual void endStream() = 0;
+    // Closes the connection after what was sent before has been given to the kernel; nothing marks an end.
+    virtual void cut() = 0;
+    // Whether the connection still exists.
+    virtual bool open() const = 0;
+    // Bytes that wait for the caller to read.
+    virtual std::size_t waitingBytes() const = 0;
+    // Called once if the connection goes before the answer is complete.
+    virtual void onGone(std::function<void()>) = 0;
+};
+
+using ExchangePointer = std::shared_ptr<HttpExchange>;
+using HttpHandler = std::function<void(const HttpRequest&, const ExchangePointer&)>;
+
+// An HTTP server of a stand-in on 127.0.0.1, on libevhtp.
+class HttpServer {
+public:
+    HttpServer(event_base*, HttpHandler);
+    ~HttpServer();
+    HttpServer(const HttpServer&) = delete;
+    HttpServer& operator=(const HttpServer&) = delete;
+
+    // Port 0 lets the system choose. Returns the port in force. Errors: Unavailable (the port is taken).
+    Result<std::uint16_t> listen(std::uint16_t port);
+
+    // The connections that are open now, apart from the one of `except`, never answer again; new ones work.
+    void silenceOpenConnections(const ExchangePointer& except);
+
+    std::size_t openConnections() const;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+// Runs the function once after the delay; dropped with the event base.
+void runLater(event_base*, Milliseconds delay, std::function<void()>);
+
+// Runs the function at each interval until the object is destroyed.
+class Ticker {
+public:
+    Ticker(event_base*, Milliseconds interval, std::function<void()>);
+    ~Ticker();
+    Ticker(const Ticker&) = delete;
+    Ticker& operator=(const Ticker&) = delete;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+// Shorthand for an answer with a JSON body.
+void replyJson(const ExchangePointer&, int status, const Json&, HttpHeaders headers = {});
+
+// Shorthand for a typed error: {"error": {"type", "message"}}.
+void replyError(const ExchangePointer&, int status, std::string_view type, std::string_view message,
+    HttpHeaders headers = {});
+
+} // namespace briarwharf
--- /dev/null
+++ b/standins/storeserver.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "standins/httpserver.h"
+#include "standins/storemodel.h"
+
+namespace briarwharf {
+
+// Serves a StoreModel over HTTP in the wire form of the platform's object API. `POST /faults`, `GET /stats`
+// and `POST /instances` ({"instances": [...], "lag_ms"}) control the stand-in itself; faults don't touch
+// them.
+//
+//   GET    /objects/{key}                        200 + ETag, 404
+//   GET    /objects/{key}?watch=V&timeout_ms=T   200 + ETag or 404 on change, 304 on timeout
+//   PUT    /objects/{key}                        201/200 + ETag, 404, 412, 413
+//   DELETE /objects/{key}                        200, 404, 412
+//   GET    /objects?prefix=&after=&limit=        {"objects": [{"key", "version", "value": base64}]}
+//   GET    /instances                            {"instances": [{"id", "address", "failure_domain",
+//   "state"}]}
+class StoreServer {
+public:
+    StoreServer(event_base*, StoreModel&);
+
+    Result<std::uint16_t> listen(std::uint16_t port) { return m_server.listen(port); }
+
+private:
+    void handle(const HttpRequest&, const ExchangePointer&);
+    bool handleControl(const HttpRequest&, const ExchangePointer&);
+    void handleObject(const HttpRequest&, const ExchangePointer&, const std::string& key);
+    void handleWatch(const HttpRequest&, const ExchangePointer&, const std::string& key);
+    void handlePut(const HttpRequest&, const ExchangePointer&, const std::string& key);
+    void handleRemove(const HttpRequest&, const ExchangePointer&, const std::string& key);
+    void handleList(const HttpRequest&, const ExchangePointer&);
+    void replyObject(const ExchangePointer&, const std::string& key);
+    void replyWrite(const ExchangePointer&, StoreModel::WriteResult);
+    // Sends after the delay in force.
+    void answer(const ExchangePointer&, int status, std::string body, HttpHeaders headers);
+
+    event_base* m_base;
+    StoreModel& m_model;
+    HttpServer m_server;
+    Ticker m_ticker;
+};
+
+} // namespace briarwharf
