Add headers for membership, relay, load table, rate shares and upstream health

Decision objects without sockets: they take the time as an argument and emit typed messages through an outbox. Heartbeats consist of sections, one per object. peer.fbs gains structs for load reports and usage sums (12 and 8 bytes instead of about 32 as tables) and heartbeat fields for clock bounds, the members' digest, the aggregation tree and coverage; fields are added at the end and the replaced ones are marked deprecated. peer_generated.h is regenerated.

--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -2,5 +2,12 @@
 
 // The public header of the coordination library.
 
+#include "coordination/loadtable.h"
+#include "coordination/member.h"
+#include "coordination/outbox.h"
 #include "coordination/peerframe.h"
+#include "coordination/rateshare.h"
+#include "coordination/relay.h"
 #include "coordination/store.h"
+#include "coordination/tree.h"
+#include "coordination/upstreamhealth.h"
--- a/coordination/peer_generated.h
+++ b/coordination/peer_generated.h
@@ -31,6 +31,12 @@
 struct UsageEntryBuilder;
 struct UsageEntryT;
 
+struct LoadReport;
+
+struct UsageSum;
+
+struct UpstreamEvidence;
+
 struct Heartbeat;
 struct HeartbeatBuilder;
 struct HeartbeatT;
@@ -518,6 +524,113 @@
 bool VerifyPeerBody(flatbuffers::Verifier &verifier, const void *obj, PeerBody type);
 bool VerifyPeerBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<PeerBody> *types);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) LoadReport FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t upstream_;
+  uint32_t tokens_;
+  uint16_t sequence_;
+  uint8_t age_;
+  uint8_t flags_;
+
+ public:
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.LoadReport";
+  }
+  LoadReport()
+      : upstream_(0),
+        tokens_(0),
+        sequence_(0),
+        age_(0),
+        flags_(0) {
+  }
+  LoadReport(uint32_t _upstream, uint32_t _tokens, uint16_t _sequence, uint8_t _age, uint8_t _flags)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        tokens_(flatbuffers::EndianScalar(_tokens)),
+        sequence_(flatbuffers::EndianScalar(_sequence)),
+        age_(flatbuffers::EndianScalar(_age)),
+        flags_(flatbuffers::EndianScalar(_flags)) {
+  }
+  uint32_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint32_t tokens() const {
+    return flatbuffers::EndianScalar(tokens_);
+  }
+  uint16_t sequence() const {
+    return flatbuffers::EndianScalar(sequence_);
+  }
+  uint8_t age() const {
+    return flatbuffers::EndianScalar(age_);
+  }
+  uint8_t flags() const {
+    return flatbuffers::EndianScalar(flags_);
+  }
+};
+FLATBUFFERS_STRUCT_END(LoadReport, 12);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) UsageSum FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t organisation_;
+  uint32_t tokensPerSecond_;
+
+ public:
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.UsageSum";
+  }
+  UsageSum()
+      : organisation_(0),
+        tokensPerSecond_(0) {
+  }
+  UsageSum(uint32_t _organisation, uint32_t _tokensPerSecond)
+      : organisation_(flatbuffers::EndianScalar(_organisation)),
+        tokensPerSecond_(flatbuffers::EndianScalar(_tokensPerSecond)) {
+  }
+  uint32_t organisation() const {
+    return flatbuffers::EndianScalar(organisation_);
+  }
+  uint32_t tokensPerSecond() const {
+    return flatbuffers::EndianScalar(tokensPerSecond_);
+  }
+};
+FLATBUFFERS_STRUCT_END(UsageSum, 8);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) UpstreamEvidence FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t upstream_;
+  uint16_t penalty_;
+  uint8_t bad_;
+  int8_t padding0__;
+
+ public:
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.UpstreamEvidence";
+  }
+  UpstreamEvidence()
+      : upstream_(0),
+        penalty_(0),
+        bad_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  UpstreamEvidence(uint32_t _upstream, uint16_t _penalty, bool _bad)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        penalty_(flatbuffers::EndianScalar(_penalty)),
+        bad_(flatbuffers::EndianScalar(static_cast<uint8_t>(_bad))),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint32_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint16_t penalty() const {
+    return flatbuffers::EndianScalar(penalty_);
+  }
+  bool bad() const {
+    return flatbuffers::EndianScalar(bad_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(UpstreamEvidence, 8);
+
 struct MemberT : public flatbuffers::NativeTable {
   typedef Member TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
@@ -897,9 +1010,17 @@
   uint64_t revision = 0;
   uint32_t headConfirmedMs = 0;
   std::vector<std::unique_ptr<briarwharf::MemberT>> members{};
-  std::vector<std::unique_ptr<briarwharf::LoadEntryT>> loads{};
-  std::vector<std::unique_ptr<briarwharf::UsageEntryT>> usage{};
-  std::string usageOrigin{};
+  uint32_t sentMs = 0;
+  int32_t leastDelayMs = 0;
+  bool leastDelayKnown = false;
+  uint32_t membersDigest = 0;
+  bool parent = false;
+  std::vector<briarwharf::LoadReport> loadReports{};
+  std::vector<briarwharf::UsageSum> usageSums{};
+  std::vector<briarwharf::UpstreamEvidence> evidence{};
+  uint32_t covered = 0;
+  uint32_t coveredOldestMs = 0;
+  uint64_t coveredRevision = 0;
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -918,9 +1039,17 @@
     VT_REVISION = 8,
     VT_HEADCONFIRMEDMS = 10,
     VT_MEMBERS = 12,
-    VT_LOADS = 14,
-    VT_USAGE = 16,
-    VT_USAGEORIGIN = 18
+    VT_SENTMS = 20,
+    VT_LEASTDELAYMS = 22,
+    VT_LEASTDELAYKNOWN = 24,
+    VT_MEMBERSDIGEST = 26,
+    VT_PARENT = 28,
+    VT_LOADREPORTS = 30,
+    VT_USAGESUMS = 32,
+    VT_EVIDENCE = 34,
+    VT_COVERED = 36,
+    VT_COVEREDOLDESTMS = 38,
+    VT_COVEREDREVISION = 40
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -937,14 +1066,38 @@
   const flatbuffers::Vector<flatbuffers::Offset<briarwharf::Member>> *members() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<briarwharf::Member>> *>(VT_MEMBERS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<briarwharf::LoadEntry>> *loads() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<briarwharf::LoadEntry>> *>(VT_LOADS);
+  uint32_t sentMs() const {
+    return GetField<uint32_t>(VT_SENTMS, 0);
+  }
+  int32_t leastDelayMs() const {
+    return GetField<int32_t>(VT_LEASTDELAYMS, 0);
+  }
+  bool leastDelayKnown() const {
+    return GetField<uint8_t>(VT_LEASTDELAYKNOWN, 0) != 0;
+  }
+  uint32_t membersDigest() const {
+    return GetField<uint32_t>(VT_MEMBERSDIGEST, 0);
+  }
+  bool parent() const {
+    return GetField<uint8_t>(VT_PARENT, 0) != 0;
   }
-  const flatbuffers::Vector<flatbuffers::Offset<briarwharf::UsageEntry>> *usage() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<briarwharf::UsageEntry>> *>(VT_USAGE);
+  const flatbuffers::Vector<const briarwharf::LoadReport *> *loadReports() const {
+    return GetPointer<const flatbuffers::Vector<const briarwharf::LoadReport *> *>(VT_LOADREPORTS);
   }
-  const flatbuffers::String *usageOrigin() const {
-    return GetPointer<const flatbuffers::String *>(VT_USAGEORIGIN);
+  const flatbuffers::Vector<const briarwharf::UsageSum *> *usageSums() const {
+    return GetPointer<const flatbuffers::Vector<const briarwharf::UsageSum *> *>(VT_USAGESUMS);
+  }
+  const flatbuffers::Vector<const briarwharf::UpstreamEvidence *> *evidence() const {
+    return GetPointer<const flatbuffers::Vector<const briarwharf::UpstreamEvidence *> *>(VT_EVIDENCE);
+  }
+  uint32_t covered() const {
+    return GetField<uint32_t>(VT_COVERED, 0);
+  }
+  uint32_t coveredOldestMs() const {
+    return GetField<uint32_t>(VT_COVEREDOLDESTMS, 0);
+  }
+  uint64_t coveredRevision() const {
+    return GetField<uint64_t>(VT_COVEREDREVISION, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -955,14 +1108,20 @@
            VerifyOffset(verifier, VT_MEMBERS) &&
            verifier.VerifyVector(members()) &&
            verifier.VerifyVectorOfTables(members()) &&
-           VerifyOffset(verifier, VT_LOADS) &&
-           verifier.VerifyVector(loads()) &&
-           verifier.VerifyVectorOfTables(loads()) &&
-           VerifyOffset(verifier, VT_USAGE) &&
-           verifier.VerifyVector(usage()) &&
-           verifier.VerifyVectorOfTables(usage()) &&
-           VerifyOffset(verifier, VT_USAGEORIGIN) &&
-           verifier.VerifyString(usageOrigin()) &&
+           VerifyField<uint32_t>(verifier, VT_SENTMS, 4) &&
+           VerifyField<int32_t>(verifier, VT_LEASTDELAYMS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_LEASTDELAYKNOWN, 1) &&
+           VerifyField<uint32_t>(verifier, VT_MEMBERSDIGEST, 4) &&
+           VerifyField<uint8_t>(verifier, VT_PARENT, 1) &&
+           VerifyOffset(verifier, VT_LOADREPORTS) &&
+           verifier.VerifyVector(loadReports()) &&
+           VerifyOffset(verifier, VT_USAGESUMS) &&
+           verifier.VerifyVector(usageSums()) &&
+           VerifyOffset(verifier, VT_EVIDENCE) &&
+           verifier.VerifyVector(evidence()) &&
+           VerifyField<uint32_t>(verifier, VT_COVERED, 4) &&
+           VerifyField<uint32_t>(verifier, VT_COVEREDOLDESTMS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_COVEREDREVISION, 8) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -989,14 +1148,38 @@
   void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::Member>>> members) {
     fbb_.AddOffset(Heartbeat::VT_MEMBERS, members);
   }
-  void add_loads(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::LoadEntry>>> loads) {
-    fbb_.AddOffset(Heartbeat::VT_LOADS, loads);
+  void add_sentMs(uint32_t sentMs) {
+    fbb_.AddElement<uint32_t>(Heartbeat::VT_SENTMS, sentMs, 0);
+  }
+  void add_leastDelayMs(int32_t leastDelayMs) {
+    fbb_.AddElement<int32_t>(Heartbeat::VT_LEASTDELAYMS, leastDelayMs, 0);
+  }
+  void add_leastDelayKnown(bool leastDelayKnown) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_LEASTDELAYKNOWN, static_cast<uint8_t>(leastDelayKnown), 0);
+  }
+  void add_membersDigest(uint32_t membersDigest) {
+    fbb_.AddElement<uint32_t>(Heartbeat::VT_MEMBERSDIGEST, membersDigest, 0);
+  }
+  void add_parent(bool parent) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_PARENT, static_cast<uint8_t>(parent), 0);
+  }
+  void add_loadReports(flatbuffers::Offset<flatbuffers::Vector<const briarwharf::LoadReport *>> loadReports) {
+    fbb_.AddOffset(Heartbeat::VT_LOADREPORTS, loadReports);
+  }
+  void add_usageSums(flatbuffers::Offset<flatbuffers::Vector<const briarwharf::UsageSum *>> usageSums) {
+    fbb_.AddOffset(Heartbeat::VT_USAGESUMS, usageSums);
+  }
+  void add_evidence(flatbuffers::Offset<flatbuffers::Vector<const briarwharf::UpstreamEvidence *>> evidence) {
+    fbb_.AddOffset(Heartbeat::VT_EVIDENCE, evidence);
+  }
+  void add_covered(uint32_t covered) {
+    fbb_.AddElement<uint32_t>(Heartbeat::VT_COVERED, covered, 0);
   }
-  void add_usage(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::UsageEntry>>> usage) {
-    fbb_.AddOffset(Heartbeat::VT_USAGE, usage);
+  void add_coveredOldestMs(uint32_t coveredOldestMs) {
+    fbb_.AddElement<uint32_t>(Heartbeat::VT_COVEREDOLDESTMS, coveredOldestMs, 0);
   }
-  void add_usageOrigin(flatbuffers::Offset<flatbuffers::String> usageOrigin) {
-    fbb_.AddOffset(Heartbeat::VT_USAGEORIGIN, usageOrigin);
+  void add_coveredRevision(uint64_t coveredRevision) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_COVEREDREVISION, coveredRevision, 0);
   }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1016,18 +1199,34 @@
     uint64_t revision = 0,
     uint32_t headConfirmedMs = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::Member>>> members = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::LoadEntry>>> loads = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::UsageEntry>>> usage = 0,
-    flatbuffers::Offset<flatbuffers::String> usageOrigin = 0) {
+    uint32_t sentMs = 0,
+    int32_t leastDelayMs = 0,
+    bool leastDelayKnown = false,
+    uint32_t membersDigest = 0,
+    bool parent = false,
+    flatbuffers::Offset<flatbuffers::Vector<const briarwharf::LoadReport *>> loadReports = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const briarwharf::UsageSum *>> usageSums = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const briarwharf::UpstreamEvidence *>> evidence = 0,
+    uint32_t covered = 0,
+    uint32_t coveredOldestMs = 0,
+    uint64_t coveredRevision = 0) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_coveredRevision(coveredRevision);
   builder_.add_revision(revision);
   builder_.add_acknowledged(acknowledged);
   builder_.add_sequence(sequence);
-  builder_.add_usageOrigin(usageOrigin);
-  builder_.add_usage(usage);
-  builder_.add_loads(loads);
+  builder_.add_coveredOldestMs(coveredOldestMs);
+  builder_.add_covered(covered);
+  builder_.add_evidence(evidence);
+  builder_.add_usageSums(usageSums);
+  builder_.add_loadReports(loadReports);
+  builder_.add_membersDigest(membersDigest);
+  builder_.add_leastDelayMs(leastDelayMs);
+  builder_.add_sentMs(sentMs);
   builder_.add_members(members);
   builder_.add_headConfirmedMs(headConfirmedMs);
+  builder_.add_parent(parent);
+  builder_.add_leastDelayKnown(leastDelayKnown);
   return builder_.Finish();
 }
 
@@ -1038,13 +1237,21 @@
     uint64_t revision = 0,
     uint32_t headConfirmedMs = 0,
     const std::vector<flatbuffers::Offset<briarwharf::Member>> *members = nullptr,
-    const std::vector<flatbuffers::Offset<briarwharf::LoadEntry>> *loads = nullptr,
-    const std::vector<flatbuffers::Offset<briarwharf::UsageEntry>> *usage = nullptr,
-    const char *usageOrigin = nullptr) {
+    uint32_t sentMs = 0,
+    int32_t leastDelayMs = 0,
+    bool leastDelayKnown = false,
+    uint32_t membersDigest = 0,
+    bool parent = false,
+    const std::vector<briarwharf::LoadReport> *loadReports = nullptr,
+    const std::vector<briarwharf::UsageSum> *usageSums = nullptr,
+    const std::vector<briarwharf::UpstreamEvidence> *evidence = nullptr,
+    uint32_t covered = 0,
+    uint32_t coveredOldestMs = 0,
+    uint64_t coveredRevision = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::Member>>(*members) : 0;
-  auto loads__ = loads ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::LoadEntry>>(*loads) : 0;
-  auto usage__ = usage ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::UsageEntry>>(*usage) : 0;
-  auto usageOrigin__ = usageOrigin ? _fbb.CreateString(usageOrigin) : 0;
+  auto loadReports__ = loadReports ? _fbb.CreateVectorOfStructs<briarwharf::LoadReport>(*loadReports) : 0;
+  auto usageSums__ = usageSums ? _fbb.CreateVectorOfStructs<briarwharf::UsageSum>(*usageSums) : 0;
+  auto evidence__ = evidence ? _fbb.CreateVectorOfStructs<briarwharf::UpstreamEvidence>(*evidence) : 0;
   return briarwharf::CreateHeartbeat(
       _fbb,
       sequence,
@@ -1052,9 +1259,17 @@
       revision,
       headConfirmedMs,
       members__,
-      loads__,
-      usage__,
-      usageOrigin__);
+      sentMs,
+      leastDelayMs,
+      leastDelayKnown,
+      membersDigest,
+      parent,
+      loadReports__,
+      usageSums__,
+      evidence__,
+      covered,
+      coveredOldestMs,
+      coveredRevision);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2641,13 +2856,19 @@
         acknowledged(o.acknowledged),
         revision(o.revision),
         headConfirmedMs(o.headConfirmedMs),
-        usageOrigin(o.usageOrigin) {
+        sentMs(o.sentMs),
+        leastDelayMs(o.leastDelayMs),
+        leastDelayKnown(o.leastDelayKnown),
+        membersDigest(o.membersDigest),
+        parent(o.parent),
+        loadReports(o.loadReports),
+        usageSums(o.usageSums),
+        evidence(o.evidence),
+        covered(o.covered),
+        coveredOldestMs(o.coveredOldestMs),
+        coveredRevision(o.coveredRevision) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new briarwharf::MemberT(*members_) : nullptr); }
-  loads.reserve(o.loads.size());
-  for (const auto &loads_ : o.loads) { loads.emplace_back((loads_) ? new briarwharf::LoadEntryT(*loads_) : nullptr); }
-  usage.reserve(o.usage.size());
-  for (const auto &usage_ : o.usage) { usage.emplace_back((usage_) ? new briarwharf::UsageEntryT(*usage_) : nullptr); }
 }
 
 inline HeartbeatT &HeartbeatT::operator=(HeartbeatT o) FLATBUFFERS_NOEXCEPT {
@@ -2656,9 +2877,17 @@
   std::swap(revision, o.revision);
   std::swap(headConfirmedMs, o.headConfirmedMs);
   std::swap(members, o.members);
-  std::swap(loads, o.loads);
-  std::swap(usage, o.usage);
-  std::swap(usageOrigin, o.usageOrigin);
+  std::swap(sentMs, o.sentMs);
+  std::swap(leastDelayMs, o.leastDelayMs);
+  std::swap(leastDelayKnown, o.leastDelayKnown);
+  std::swap(membersDigest, o.membersDigest);
+  std::swap(parent, o.parent);
+  std::swap(loadReports, o.loadReports);
+  std::swap(usageSums, o.usageSums);
+  std::swap(evidence, o.evidence);
+  std::swap(covered, o.covered);
+  std::swap(coveredOldestMs, o.coveredOldestMs);
+  std::swap(coveredRevision, o.coveredRevision);
   return *this;
 }
 
@@ -2676,9 +2905,17 @@
   { auto _e = revision(); _o->revision = _e; }
   { auto _e = headConfirmedMs(); _o->headConfirmedMs = _e; }
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<briarwharf::MemberT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = std::unique_ptr<briarwharf::LoadEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = usage(); if (_e) { _o->usage.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->usage[_i] = std::unique_ptr<briarwharf::UsageEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = usageOrigin(); if (_e) _o->usageOrigin = _e->str(); }
+  { auto _e = sentMs(); _o->sentMs = _e; }
+  { auto _e = leastDelayMs(); _o->leastDelayMs = _e; }
+  { auto _e = leastDelayKnown(); _o->leastDelayKnown = _e; }
+  { auto _e = membersDigest(); _o->membersDigest = _e; }
+  { auto _e = parent(); _o->parent = _e; }
+  { auto _e = loadReports(); if (_e) { _o->loadReports.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loadReports[_i] = *_e->Get(_i); } } }
+  { auto _e = usageSums(); if (_e) { _o->usageSums.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->usageSums[_i] = *_e->Get(_i); } } }
+  { auto _e = evidence(); if (_e) { _o->evidence.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evidence[_i] = *_e->Get(_i); } } }
+  { auto _e = covered(); _o->covered = _e; }
+  { auto _e = coveredOldestMs(); _o->coveredOldestMs = _e; }
+  { auto _e = coveredRevision(); _o->coveredRevision = _e; }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2694,9 +2931,17 @@
   auto _revision = _o->revision;
   auto _headConfirmedMs = _o->headConfirmedMs;
   auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::Member>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateMember(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _loads = _o->loads.size() ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::LoadEntry>> (_o->loads.size(), [](size_t i, _VectorArgs *__va) { return CreateLoadEntry(*__va->__fbb, __va->__o->loads[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _usage = _o->usage.size() ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::UsageEntry>> (_o->usage.size(), [](size_t i, _VectorArgs *__va) { return CreateUsageEntry(*__va->__fbb, __va->__o->usage[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _usageOrigin = _o->usageOrigin.empty() ? 0 : _fbb.CreateString(_o->usageOrigin);
+  auto _sentMs = _o->sentMs;
+  auto _leastDelayMs = _o->leastDelayMs;
+  auto _leastDelayKnown = _o->leastDelayKnown;
+  auto _membersDigest = _o->membersDigest;
+  auto _parent = _o->parent;
+  auto _loadReports = _o->loadReports.size() ? _fbb.CreateVectorOfStructs(_o->loadReports) : 0;
+  auto _usageSums = _o->usageSums.size() ? _fbb.CreateVectorOfStructs(_o->usageSums) : 0;
+  auto _evidence = _o->evidence.size() ? _fbb.CreateVectorOfStructs(_o->evidence) : 0;
+  auto _covered = _o->covered;
+  auto _coveredOldestMs = _o->coveredOldestMs;
+  auto _coveredRevision = _o->coveredRevision;
   return briarwharf::CreateHeartbeat(
       _fbb,
       _sequence,
@@ -2704,9 +2949,17 @@
       _revision,
       _headConfirmedMs,
       _members,
-      _loads,
-      _usage,
-      _usageOrigin);
+      _sentMs,
+      _leastDelayMs,
+      _leastDelayKnown,
+      _membersDigest,
+      _parent,
+      _loadReports,
+      _usageSums,
+      _evidence,
+      _covered,
+      _coveredOldestMs,
+      _coveredRevision);
 }
 
 inline PingRequestT *PingRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- /dev/null
+++ b/coordination/rateshare.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "coordination/member.h"
+#include <unordered_map>
+
+namespace briarwharf {
+
+struct OrganisationLimit {
+    std::uint32_t organisation = 0; // nameHash of its name
+    double tokensPerSecond = 0; // limit over all instances
+    double weight = 1; // positive; share of the capacity when it is scarce
+};
+
+struct RateShareOptions {
+    double capacity = 0; // tokens per second over all organisations; 0: only the organisations' limits count
+    Milliseconds demandWindow { 2000 }; // time constant of the demand estimate
+    Milliseconds riseTime { 2000 }; // time constant of a rising allowance; a falling one applies at once
+    Milliseconds burst { 2000 }; // an idle bucket holds this much of the allowance
+    Milliseconds keepLostLink { 3000 }; // sums of a lost link count this long
+    Milliseconds refreshAfter { 10000 }; // unchanged sums are repeated
+    double significantChange = 0.05; // relative change of a sum that is worth sending
+    double urgentChange = 0.5; // relative change that does not wait for the next heartbeat
+    double evenPart = 0.1; // part of a share that is split evenly, for instances without demand so far
+    std::size_t entriesPerHeartbeat = 256;
+};
+
+// Weighted, work-conserving shares of organisations without a central counter.
+//
+// Each instance sums the demand per organisation over the aggregation tree: it sends on each tree link the
+// sum of its own demand and of what the other tree links sent. The tree has no cycles, so every demand counts
+// once. The organisation's entitlement is its limit, or less when the fleet's capacity is scarce (weighted
+// max-min); this instance's allowance is the part of it that corresponds to its part of the demand, and fills
+// a token bucket.
+//
+// The links also carry how many instances a sum covers. While some of the expected instances are not covered,
+// the covered ones use only their part of the limit; an instance that hears nobody uses limit / instances.
+class RateShare : public HeartbeatSection {
+public:
+    RateShare(const Membership&, RateShareOptions);
+
+    // Organisations of the configuration in force. Buckets of known organisations are kept.
+    void setLimits(const std::vector<OrganisationLimit>&, MonotonicTime now);
+
+    // Counts the demand and takes `tokens` from the bucket. True while the bucket is above zero; a large
+    // request may take it below, and later ones wait for it. Unknown organisations: false.
+    bool admit(std::uint32_t organisation, double tokens, MonotonicTime now);
+
+    // Time until the bucket is above zero again, for Retry-After.
+    Milliseconds retryAfter(std::uint32_t organisation, MonotonicTime now) const;
+
+    // Adapts the allowances; call it about every 100 ms.
+    void tick(MonotonicTime now);
+
+    // Tokens per second that this instance may use now; 0 for unknown organisations.
+    double allowance(std::uint32_t organisation) const;
+    // Demand over all instances that are covered, tokens per second.
+    double totalDemand(std::uint32_t organisation) const;
+    std::size_t covered() const { return m_covered; }
+
+    void fill(const LinkView&, HeartbeatT&, MonotonicTime now) override;
+    void accept(const LinkView&, const HeartbeatT&, MonotonicTime now) override;
+    bool urgent(const LinkView&, MonotonicTime now) const override;
+    void linkUp(const std::string& peer, MonotonicTime now) override;
+    void linkDown(const std::string& peer, MonotonicTime now) override;
+
+private:
+    struct Share {
+        std::uint32_t organisation = 0;
+        double limit = 0;
+        double weight = 1;
+        double arrived = 0; // tokens since the last tick
+        double demand = 0; // tokens per second, smoothed
+        double total = 0; // with the sums of all tree links
+        double allowance = 0; // tokens per second
+        double balance = 0; // tokens
+    };
+    struct Sent {
+        std::uint32_t value = 0;
+        MonotonicTime at;
+        bool any = false;
+    };
+    struct LinkState {
+        std::vector<double> received; // by index of the organisation
+        std::vector<Sent> sent;
+        std::size_t covered = 0;
+        bool tree = false;
+        std::size_t cursor = 0;
+        std::optional<MonotonicTime> lostAt;
+    };
+
+    void refreshTotals(MonotonicTime now);
+    double entitlementLevel() const;
+    double entitlement(const Share&, double level) const;
+    double outgoing(std::size_t index, const LinkState*) const;
+    bool significant(const Sent&, double value, MonotonicTime now) const;
+
+    const Membership& m_membership;
+    RateShareOptions m_options;
+    std::unordered_map<std::uint32_t, std::size_t> m_indexes;
+    std::vector<Share> m_shares;
+    std::map<std::string, LinkState, std::less<>> m_links;
+    std::optional<MonotonicTime> m_lastTick;
+    std::size_t m_covered = 1;
+};
+
+} // namespace briarwharf
