--- a/process/settings.cc
+++ b/process/settings.cc
@@ -1,7 +1,6 @@
 #include "process/settings.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <charconv>
 #include <cstring>
 #include <fstream>
@@ -278,35 +277,6 @@
 
 } // namespace
 
-Result<Endpoint> parseEndpoint(std::string_view text)
-{
-    auto invalid = [&] {
-        return Error { ErrorKind::InvalidArgument,
-            "\"" + std::string(text)
-                + "\" is no endpoint: give an IP number and a port, such as 127.0.0.1:8080" };
-    };
-    std::size_t colon = text.rfind(':');
-    if (colon == std::string_view::npos)
-        return invalid();
-    std::string address(text.substr(0, colon));
-    if (address.size() > 2 && address.front() == '[' && address.back() == ']')
-        address = address.substr(1, address.size() - 2);
-    in6_addr parsed {};
-    bool isNumber = inet_pton(AF_INET, address.c_str(), &parsed) == 1
-        || inet_pton(AF_INET6, address.c_str(), &parsed) == 1;
-    int port = 0;
-    if (!isNumber || !parseNumber(std::string(text.substr(colon + 1)), port) || port < 0
-        || port > std::numeric_limits<std::uint16_t>::max())
-        return invalid();
-    return Endpoint { address, static_cast<std::uint16_t>(port) };
-}
-
-std::string formatEndpoint(const Endpoint& endpoint)
-{
-    bool isV6 = endpoint.address.find(':') != std::string::npos;
-    return (isV6 ? "[" + endpoint.address + "]" : endpoint.address) + ":" + std::to_string(endpoint.port);
-}
-
 Result<Settings> parseSettings(std::string_view text, const std::string& file)
 {
     Parse parse;
--- a/process/settings.h
+++ b/process/settings.h
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "base/time.h"
+#include "version/version.h"
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -9,16 +10,6 @@
 
 namespace briarwharf {
 
-// IP number and port.
-struct Endpoint {
-    std::string address;
-    std::uint16_t port = 0;
-};
-
-// "127.0.0.1:8080" or "[::1]:8080". Errors: InvalidArgument.
-Result<Endpoint> parseEndpoint(std::string_view text);
-std::string formatEndpoint(const Endpoint&);
-
 // What a process learns from its settings file; docs/settings.md lists every key.
 struct Settings {
     struct Instance {
--- a/process/testing/settings_test.cc
+++ b/process/testing/settings_test.cc
@@ -30,13 +30,3 @@
         != std::string::npos);
     CHECK(range.error().message.find("[instance] id is missing") != std::string::npos);
 }
-
-TEST_CASE("endpoints are IP numbers with a port")
-{
-    CHECK(parseEndpoint("127.0.0.1:80").value().port == 80);
-    CHECK(parseEndpoint("[::1]:80").value().address == "::1");
-    CHECK(formatEndpoint(parseEndpoint("[::1]:80").value()) == "[::1]:80");
-    for (const char* wrong :
-        { "", "localhost:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:70000", "127.0.0.1:8x" })
-        CHECK_MESSAGE(parseEndpoint(wrong).has_error(), wrong);
-}
--- /dev/null
+++ b/process/upstreams.cc
@@ -0,0 +1,104 @@
+#include "process/upstreams.h"
+
+#include "base/base.h"
+#include <utility>
+
+namespace briarwharf {
+
+namespace {
+
+    constexpr Milliseconds pollDeadline { 900 };
+
+    // Typical size of a poll's request line and headers on the wire, and of the answer's headers.
+    constexpr std::uint64_t pollHeaderBytes = 220;
+
+} // namespace
+
+UpstreamSet::UpstreamSet(event_base* base, PollCallback onPolled)
+    : m_base(base)
+    , m_onPolled(std::move(onPolled))
+{
+}
+
+void UpstreamSet::apply(const ConfigIndex& index)
+{
+    std::map<std::string, std::shared_ptr<UpstreamRuntime>> next;
+    for (const auto& [name, settings] : index.config().upstreams) {
+        if (settings.state == UpstreamState::Removed)
+            continue;
+        auto known = m_upstreams.find(name);
+        std::shared_ptr<UpstreamRuntime> runtime;
+        if (known != m_upstreams.end() && known->second->settings.address == settings.address
+            && known->second->settings.port == settings.port) {
+            runtime = known->second;
+        } else {
+            runtime = std::make_shared<UpstreamRuntime>();
+            runtime->id = upstreamId(name);
+            runtime->shortId = nameHash(name);
+            runtime->client = std::make_unique<UpstreamClient>(
+                m_base, settings.address, settings.port, UpstreamClientOptions {});
+        }
+        runtime->settings = settings;
+        next.emplace(name, std::move(runtime));
+    }
+    m_upstreams = std::move(next);
+    m_byId.clear();
+    for (const auto& [name, runtime] : m_upstreams)
+        m_byId.emplace(runtime->id, runtime.get());
+}
+
+UpstreamRuntime* UpstreamSet::find(const std::string& name)
+{
+    auto found = m_upstreams.find(name);
+    return found == m_upstreams.end() ? nullptr : found->second.get();
+}
+
+UpstreamRuntime* UpstreamSet::find(UpstreamId id)
+{
+    auto found = m_byId.find(id);
+    return found == m_byId.end() ? nullptr : found->second;
+}
+
+void UpstreamSet::poll(UpstreamRuntime& runtime)
+{
+    if (runtime.polling)
+        return;
+    runtime.polling = true;
+    UpstreamRequest request;
+    request.method = "GET";
+    request.target = "/load";
+    request.deadline = pollDeadline;
+    request.silence = pollDeadline;
+    auto body = std::make_shared<std::string>();
+    auto status = std::make_shared<int>(0);
+    std::string name = runtime.settings.name;
+    runtime.client->start(request,
+        { [status](const ResponseHead& head) { *status = head.status; },
+            [body](std::string_view data) { body->append(data); },
+            [this, name, body, status](const ExchangeResult& result) {
+                pollEnded(name, result.end == ExchangeEnd::Complete && *status == 200, *body);
+            } });
+}
+
+void UpstreamSet::pollEnded(const std::string& name, bool reached, const std::string& body)
+{
+    m_pollBytes += body.size() + pollHeaderBytes;
+    UpstreamRuntime* runtime = find(name);
+    if (!runtime)
+        return;
+    runtime->polling = false;
+    std::uint32_t tokens = 0;
+    if (reached) {
+        auto report = parseJson(body, "load report");
+        auto inProgress = report ? integerField(report.value(), "tokens_in_progress") : std::nullopt;
+        reached = inProgress.has_value();
+        if (reached) {
+            tokens = static_cast<std::uint32_t>(std::max<std::int64_t>(0, *inProgress));
+            runtime->pollSaysServing = stringField(report.value(), "role").value_or("serving") == "serving";
+            runtime->polledAt = std::chrono::steady_clock::now();
+        }
+    }
+    m_onPolled(*runtime, reached, tokens);
+}
+
+} // namespace briarwharf
