--- a/standins/httpserver.cc
+++ b/standins/httpserver.cc
@@ -146,6 +146,12 @@
             evhtp_send_reply_chunk_end(m_request);
         }
 
+        void sendRaw(std::string_view bytes) override
+        {
+            if (writable())
+                bufferevent_write(evhtp_request_get_bev(m_request), bytes.data(), bytes.size());
+        }
+
         void cut() override
         {
             // The connection is shut down outside of libevhtp's calls; it then sees an end of file and frees
--- a/standins/httpserver.h
+++ b/standins/httpserver.h
@@ -40,6 +40,8 @@
     virtual void startStream(const HttpHeaders& headers) = 0;
     virtual void sendChunk(std::string_view) = 0;
     virtual void endStream() = 0;
+    // Bytes as they are, in place of an answer; follow it with cut().
+    virtual void sendRaw(std::string_view) = 0;
     // Closes the connection after what was sent before has been given to the kernel; nothing marks an end.
     virtual void cut() = 0;
     // Whether the connection still exists.
