--- a/request/admission.h
+++ b/request/admission.h
@@ -74,8 +74,9 @@
     Milliseconds retryAfter { 0 }; // for rejections
 };
 
-// Decides which waiting request of a pool runs next. Short requests go before long ones, except that long
-// ones get their guaranteed share of the work while both wait. Within a class, organisations share by
+// Decides which waiting request of a pool runs next. Short requests go before long ones, but each short one
+// that does earns the waiting long class a credit in proportion to its share; once the credit covers the next
+// long request, that one runs. Within a class, organisations share by
 // weight (start-time fair queueing in tokens), so one that surges waits behind itself. When the class's
 // queue is full, the newest request of the organisation with the longest queue for its weight is rejected,
 // not the newcomer of a quiet organisation.
@@ -118,11 +119,6 @@
         double startTag = 0; // virtual time, tokens for unit weight
     };
 
-    struct Running {
-        Waiting waiting;
-        MonotonicTime since;
-    };
-
     struct Flow {
         double weight = 1;
         double finishTag = 0;
@@ -134,7 +130,6 @@
         std::size_t waiting = 0;
         std::size_t running = 0;
         double virtualTime = 0;
-        double dispatched = 0; // tokens while the other class waited too
         double finishedPerSecond = 0; // smoothed, for Retry-After
         MonotonicTime lastFinish;
     };
@@ -148,19 +143,24 @@
         return m_classes[static_cast<std::size_t>(requestClass)];
     }
 
+    static constexpr std::array<RequestClass, 2> classes { RequestClass::Short, RequestClass::Long };
+
     bool slotFree(RequestClass) const;
-    std::optional<RequestClass> nextClass() const;
-    void enqueue(Waiting&&, bool atHead);
-    Waiting takeNext(ClassQueue&);
-    void start(Waiting&&, MonotonicTime now);
+    std::optional<RequestClass> nextClass();
+    void enqueue(Waiting&&);
+    static Flow* nextFlow(ClassQueue&);
+    AdmissionEvent dispatch(RequestClass);
+    void settleLongCredit(RequestClass dispatched, std::int64_t tokens);
     void expire(ClassQueue&, MonotonicTime now, std::vector<AdmissionEvent>&);
-    std::optional<AdmissionEvent> pushOut(ClassQueue&, std::string_view newcomer, double newcomerWeight);
-    Milliseconds retryAfter(const ClassQueue&) const;
+    bool makeRoom(ClassQueue&, const AdmissionRequest&, std::vector<AdmissionEvent>&);
+    AdmissionEvent rejection(const ClassQueue&, AdmissionTicket, AdmissionOutcome) const;
+    static void dropEmptyFlows(ClassQueue&);
 
     AdmissionSettings m_settings;
     RateAllowance* m_allowance;
     std::array<ClassQueue, 2> m_classes;
-    std::unordered_map<AdmissionTicket, Running> m_running;
+    std::unordered_map<AdmissionTicket, Waiting> m_running;
+    double m_longCredit = 0; // tokens that the long class has earned while it waited for short requests
 };
 
 } // namespace briarwharf
--- /dev/null
+++ b/request/loadledger.cc
@@ -0,0 +1,116 @@
+#include "request/loadledger.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace briarwharf {
+
+namespace {
+
+    // Successive reports that are closer say more about single requests than about growth.
+    constexpr Milliseconds shortestGrowthInterval { 200 };
+
+    // The growth is averaged over about this many reports of each upstream.
+    constexpr double growthReports = 2;
+
+    double seconds(std::chrono::nanoseconds duration)
+    {
+        return std::chrono::duration<double>(duration).count();
+    }
+
+} // namespace
+
+void LoadLedger::sent(UpstreamId upstream, std::int64_t tokens, MonotonicTime now)
+{
+    Entry& entry = m_entries[upstream];
+    ++entry.requests;
+    change(entry, tokens, now);
+}
+
+void LoadLedger::finished(UpstreamId upstream, std::int64_t tokens, MonotonicTime now)
+{
+    auto found = m_entries.find(upstream);
+    if (found == m_entries.end() || found->second.requests == 0)
+        return;
+    --found->second.requests;
+    change(found->second, -tokens, now);
+}
+
+void LoadLedger::report(UpstreamId upstream, std::int64_t tokens, MonotonicTime measuredAt)
+{
+    Entry& entry = m_entries[upstream];
+    if (entry.reported && measuredAt <= entry.measuredAt)
+        return;
+    if (entry.reported)
+        learnGrowth(entry, tokens, measuredAt);
+    entry.reported = true;
+    entry.reportedTokens = std::max<std::int64_t>(0, tokens);
+    entry.measuredAt = measuredAt;
+}
+
+void LoadLedger::fill(UpstreamView& view, MonotonicTime now) const
+{
+    auto found = m_entries.find(view.id);
+    if (found == m_entries.end()) {
+        view.reportAge.reset();
+        view.reportedTokens = view.localTokens = view.localTokensSinceReport = view.peerTokensSinceReport = 0;
+        view.localRequests = 0;
+        return;
+    }
+    const Entry& entry = found->second;
+    view.localTokens = entry.tokens;
+    view.localRequests = entry.requests;
+    view.reportAge.reset();
+    if (!entry.reported)
+        return;
+    auto age = std::max(MonotonicTime::duration::zero(), now - entry.measuredAt);
+    view.reportAge = toMilliseconds(age);
+    view.reportedTokens = entry.reportedTokens;
+    view.localTokensSinceReport = changeSince(entry, entry.measuredAt);
+    auto peers = static_cast<std::int64_t>(std::llround(m_growth * seconds(age)));
+    view.peerTokensSinceReport = std::clamp(peers, -entry.reportedTokens, entry.reportedTokens);
+}
+
+void LoadLedger::forget(UpstreamId upstream) { m_entries.erase(upstream); }
+
+std::int64_t LoadLedger::slotOf(MonotonicTime time)
+{
+    return time.time_since_epoch() / std::chrono::nanoseconds(bucketLength);
+}
+
+void LoadLedger::change(Entry& entry, std::int64_t tokens, MonotonicTime now)
+{
+    entry.tokens += tokens;
+    std::int64_t slot = slotOf(now);
+    if (!entry.changes.empty() && entry.changes.back().slot >= slot) {
+        entry.changes.back().tokens += tokens;
+        return;
+    }
+    if (entry.changes.size() >= maxBuckets)
+        entry.changes.erase(entry.changes.begin(), entry.changes.begin() + maxBuckets / 2);
+    entry.changes.push_back({ slot, tokens });
+}
+
+std::int64_t LoadLedger::changeSince(const Entry& entry, MonotonicTime since)
+{
+    // The slot that contains `since` counts if more than half of it lies after.
+    std::int64_t firstSlot = slotOf(since + bucketLength / 2);
+    std::int64_t sum = 0;
+    for (auto bucket = entry.changes.rbegin(); bucket != entry.changes.rend() && bucket->slot >= firstSlot;
+         ++bucket)
+        sum += bucket->tokens;
+    return sum;
+}
+
+void LoadLedger::learnGrowth(const Entry& entry, std::int64_t tokens, MonotonicTime measuredAt)
+{
+    auto interval = measuredAt - entry.measuredAt;
+    if (interval < shortestGrowthInterval)
+        return;
+    std::int64_t local = changeSince(entry, entry.measuredAt) - changeSince(entry, measuredAt);
+    double sample = static_cast<double>(tokens - entry.reportedTokens - local) / seconds(interval);
+    double share = 1 / (1 + growthReports * static_cast<double>(m_entries.size()));
+    m_growth += share * (sample - m_growth);
+}
+
+} // namespace briarwharf
--- a/request/loadledger.h
+++ b/request/loadledger.h
@@ -2,9 +2,9 @@
 
 #include "base/time.h"
 #include "request/placement.h"
-#include <array>
 #include <cstdint>
 #include <unordered_map>
+#include <vector>
 
 namespace briarwharf {
 
@@ -31,10 +31,10 @@
 
 private:
     static constexpr Milliseconds bucketLength { 100 };
-    static constexpr std::size_t bucketCount = 64; // 6.4 s: older changes are in every report in use
+    static constexpr std::size_t maxBuckets = 64; // for each upstream; 6.4 s, older than reports in use
 
     struct Bucket {
-        std::int64_t slot = -1;
+        std::int64_t slot = 0;
         std::int64_t tokens = 0;
     };
 
@@ -44,10 +44,11 @@
         bool reported = false;
         std::int64_t reportedTokens = 0;
         MonotonicTime measuredAt;
-        std::array<Bucket, bucketCount> changes;
+        std::vector<Bucket> changes; // oldest first; only slots with a change
     };
 
     static std::int64_t slotOf(MonotonicTime);
+    void learnGrowth(const Entry&, std::int64_t tokens, MonotonicTime measuredAt);
     static void change(Entry&, std::int64_t tokens, MonotonicTime now);
     static std::int64_t changeSince(const Entry&, MonotonicTime since);
 
--- a/request/outcome.h
+++ b/request/outcome.h
@@ -20,14 +20,14 @@
 
 // What is known about a request when it ends.
 struct OutcomeFacts {
-    std::size_t bytesWritten = 0; // handed to the kernel for an upstream, over all attempts
+    std::size_t bytesWritten = 0; // handed to the kernel for the upstream in the last attempt
     bool answerComplete = false; // by length, last chunk or end marker, and with this request's identifier
     bool upstreamSaysNotRun = false; // a complete answer that states it for the last attempt
     bool earlierAttemptUnknown = false; // an attempt before the last one may have run
 };
 
-// Completed only for a complete answer, NotRun only if no byte left or the upstream itself says so about
-// every attempt that sent bytes, otherwise Unknown.
+// Completed only for a complete answer; NotRun only if, for every attempt, no byte left or the upstream
+// itself says so; otherwise Unknown.
 constexpr Outcome deriveOutcome(const OutcomeFacts& facts)
 {
     bool lastNotRun = facts.answerComplete && facts.upstreamSaysNotRun;
--- /dev/null
+++ b/request/testing/hint_test.cc
@@ -0,0 +1,132 @@
+#include "base/base.h"
+#include "request/request.h"
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace briarwharf;
+
+namespace {
+
+const std::string key = "0123456789abcdef";
+const std::string otherKey = "fedcba9876543210";
+constexpr WallTime noon { std::chrono::hours(480000) };
+
+HintSigner signer(const std::string& current = key, const std::string& previous = "")
+{
+    return HintSigner::create({ current, previous }).value();
+}
+
+} // namespace
+
+TEST_CASE("a hint gives back its upstream to the same chat and organisation only")
+{
+    std::string text = signer().issue("saqib", "chat-1", 42, noon);
+    CHECK(text.size() == hintTextBytes);
+    CHECK(text.find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_")
+        == std::string::npos);
+    HintCheck check = signer().verify(text, "saqib", "chat-1", noon);
+    CHECK(check.verdict == HintVerdict::Valid);
+    CHECK(check.upstream == 42);
+    CHECK(signer().verify(text, "hallsberg", "chat-1", noon).verdict == HintVerdict::ForeignOrganisation);
+    CHECK(signer().verify(text, "saqib", "chat-2", noon).verdict == HintVerdict::ForeignChat);
+    CHECK(signer().verify("", "saqib", "chat-1", noon).verdict == HintVerdict::Absent);
+    CHECK(signer().verify(text + "A", "saqib", "chat-1", noon).verdict == HintVerdict::Malformed);
+}
+
+TEST_CASE("hints expire and may not come from the future")
+{
+    std::string text = signer().issue("saqib", "chat-1", 42, noon);
+    CHECK(signer().verify(text, "saqib", "chat-1", noon + std::chrono::hours(24 * 8)).verdict
+        == HintVerdict::Expired);
+    CHECK(signer().verify(text, "saqib", "chat-1", noon - std::chrono::seconds(30)).verdict
+        == HintVerdict::Valid);
+    CHECK(signer().verify(text, "saqib", "chat-1", noon - std::chrono::hours(1)).verdict
+        == HintVerdict::FromFuture);
+}
+
+// Guards against losing every chat's residence when the key is rotated.
+TEST_CASE("hints signed with the previous key are accepted, with any older key refused")
+{
+    std::string text = signer(key).issue("saqib", "chat-1", 42, noon);
+    CHECK(signer(otherKey, key).verify(text, "saqib", "chat-1", noon).verdict == HintVerdict::Valid);
+    CHECK(signer(otherKey).verify(text, "saqib", "chat-1", noon).verdict == HintVerdict::Forged);
+    CHECK(HintSigner::create({ "short" }).has_error());
+    CHECK(HintSigner::create({ key, "short" }).has_error());
+}
+
+// Guards against accepting changed bytes anywhere in a hint, and against a crash on arbitrary text.
+TEST_CASE("no changed or arbitrary text is valid")
+{
+    CHECK(rc::check("changed letter", [] {
+        std::string text = signer().issue("saqib", "chat-1", 42, noon);
+        auto index = static_cast<std::size_t>(*rc::gen::inRange(0, 64));
+        char letter = *rc::gen::arbitrary<char>();
+        RC_PRE(letter != text[index]);
+        text[index] = letter;
+        RC_ASSERT(signer().verify(text, "saqib", "chat-1", noon).verdict != HintVerdict::Valid);
+    }));
+    CHECK(rc::check("arbitrary text", [](const std::string& text) {
+        RC_ASSERT(signer().verify(text, "saqib", "chat-1", noon).verdict != HintVerdict::Valid);
+    }));
+}
+
+// Guards against one organisation steering another's chats (or its own into a bad place) with copied hints.
+TEST_CASE("a foreign hint has no effect on the decision")
+{
+    CHECK(rc::check("foreign hint", [](std::uint64_t upstream, const std::string& chat) {
+        std::vector<UpstreamView> views(5);
+        for (std::size_t index = 0; index < views.size(); ++index)
+            views[index].id = index + 1;
+        std::string text = signer().issue("other", chat, upstream % 5 + 1, noon);
+        HintCheck check = signer().verify(text, "saqib", chat, noon);
+        RC_ASSERT(check.verdict == HintVerdict::ForeignOrganisation);
+        PlacementRequest plain { chatKey("saqib", chat), 1000 };
+        PlacementRequest hinted = plain;
+        if (check.verdict == HintVerdict::Valid)
+            hinted.hint = check.upstream;
+        auto placement = makePlacement(PlacementKind::BoundedRendezvous, placementSettings("reuse").value());
+        RC_ASSERT(placement->decide(plain, views).upstream == placement->decide(hinted, views).upstream);
+    }));
+}
+
+TEST_CASE("the directory keeps the entries used last within its bytes")
+{
+    MonotonicTime now { std::chrono::hours(1) };
+    ResidenceDirectory directory(3 * ResidenceDirectory::entryBytes, std::chrono::seconds(60));
+    for (ChatKey chat = 1; chat <= 3; ++chat)
+        directory.put(chat, chat * 10, now);
+    CHECK(directory.find(1, now) == 10);
+    directory.put(4, 40, now);
+    CHECK(directory.size() == 3);
+    CHECK(directory.bytes() <= 3 * ResidenceDirectory::entryBytes);
+    CHECK_FALSE(directory.find(2, now).has_value());
+    CHECK(directory.find(1, now) == 10);
+    directory.eraseUpstream(10);
+    CHECK_FALSE(directory.find(1, now).has_value());
+    CHECK_FALSE(directory.find(4, now + std::chrono::seconds(61)).has_value());
+    CHECK(ResidenceDirectory(0).find(1, now) == std::nullopt);
+}
+
+TEST_CASE("the handover order starts with the chat that spoke last and stays within its bytes")
+{
+    MonotonicTime now { std::chrono::hours(1) };
+    ResidentChats chats(1 << 20);
+    for (int index = 0; index < 5; ++index)
+        chats.spoke("saqib", "c" + std::to_string(index), 7, 100, now + std::chrono::seconds(index));
+    chats.spoke("saqib", "c1", 7, 200, now + std::chrono::seconds(9));
+    chats.spoke("saqib", "c2", 8, 200, now + std::chrono::seconds(9));
+    auto order = chats.handoverOrder(7, now + std::chrono::seconds(1), 10);
+    REQUIRE(order.size() == 3);
+    CHECK(order[0].chat == "c1");
+    CHECK(order[0].tokens == 200);
+    CHECK(order[1].chat == "c4");
+    CHECK(chats.handoverOrder(7, now, 1).size() == 1);
+    chats.forgetUpstream(7);
+    CHECK(chats.size() == 1);
+
+    ResidentChats small(1000);
+    for (int index = 0; index < 100; ++index)
+        small.spoke("saqib", std::to_string(index), 7, 100, now + std::chrono::seconds(index));
+    CHECK(small.bytes() <= 1000);
+    CHECK(small.handoverOrder(7, now, 1).front().chat == "99");
+}
