Add the shared log on create-only writes

Durable state needs one order of commands that survives lost answers, paused writers and outages without a consensus group. Each record number is created once; a lost answer is settled by the writer's token; the manifest is read after each record, so that a removed number that a paused writer creates again never counts.

--- /dev/null
+++ b/coordination/log.cc
@@ -0,0 +1,925 @@
+#include "coordination/log.h"
+
+#include "base/hash.h"
+#include "base/log.h"
+#include "coordination/stored.h"
+#include <algorithm>
+#include <cstdio>
+
+namespace briarwharf {
+
+namespace {
+
+    constexpr std::string_view logPart = "log";
+
+    // Objects of one list call; bounds the memory of a reply at 64 times the record size.
+    constexpr std::size_t listLimit = 64;
+
+    // An idle watch confirms the head without a new read of the manifest for this long. Records go no sooner
+    // than removalDelay after the manifest that covers them, which leaves a factor of three for clock rates.
+    constexpr Milliseconds manifestTrust { 5000 };
+    constexpr Milliseconds removalDelay { 15000 };
+
+    // Fixed width, so that the order of the keys is that of the numbers.
+    std::string numberText(std::uint64_t number)
+    {
+        std::array<char, 24> text {};
+        std::snprintf(text.data(), text.size(), "%020llu", static_cast<unsigned long long>(number));
+        return text.data();
+    }
+
+    std::uint64_t numberOfKey(const std::string& key)
+    {
+        return std::strtoull(key.c_str() + key.rfind('/') + 1, nullptr, 10);
+    }
+
+    // The token of record `number`, or empty where the manifest does not reach back to it.
+    std::string tokenIn(
+        const std::vector<std::string>& recentTokens, std::uint64_t last, std::uint64_t number)
+    {
+        if (number > last || last - number >= recentTokens.size())
+            return {};
+        return recentTokens[recentTokens.size() - 1 - (last - number)];
+    }
+
+} // namespace
+
+// A snapshot on its way to the store.
+struct Log::SnapshotJob {
+    Manifest base; // the manifest that it replaces
+    Manifest next;
+    std::vector<std::pair<std::size_t, std::string>> pages; // still to write: index in next.pages, content
+    std::size_t written = 0;
+    bool waiting = false; // for the backoff
+    bool settling = false; // the manifest's write has no definite answer yet
+};
+
+Log::Log(LogOptions options, Store& store, LogStateMachine& machine, MonotonicClock clock)
+    : m_options(std::move(options))
+    , m_store(store)
+    , m_machine(machine)
+    , m_clock(std::move(clock))
+    , m_random(hash64(m_options.writer))
+    , m_self(std::make_shared<Log*>(this))
+{
+}
+
+Log::~Log() = default;
+
+template <typename Callback> auto Log::guarded(Callback callback)
+{
+    return [self = std::weak_ptr<Log*>(m_self), callback = std::move(callback)](auto answer) mutable {
+        if (!self.expired())
+            callback(std::move(answer));
+    };
+}
+
+std::string Log::recordKey(std::uint64_t number) const { return recordPrefix() + numberText(number); }
+
+std::string Log::recordPrefix() const { return "log/" + m_options.name + "/record/"; }
+
+std::string Log::manifestKey() const { return "log/" + m_options.name + "/manifest"; }
+
+std::string Log::encodeRecord(const std::string& token, const std::vector<Pending>& commands)
+{
+    StoredRecordT record;
+    record.token = token;
+    for (const auto& pending : commands) {
+        record.commands.push_back(std::make_unique<StoredBytesT>());
+        record.commands.back()->bytes = toBytes(pending.command);
+    }
+    return packStored<StoredRecord>(record);
+}
+
+Result<Log::Record> Log::decodeRecord(std::string value)
+{
+    auto stored = unpackStored<StoredRecord>(value, "log record");
+    if (!stored)
+        return stored.error();
+    Record record { stored.value().token, std::move(value), {} };
+    for (const auto& command : stored.value().commands)
+        record.commands.push_back(fromBytes(command->bytes));
+    return record;
+}
+
+std::string Log::encodeManifest(const Manifest& manifest)
+{
+    StoredManifestT stored;
+    stored.number = manifest.number;
+    stored.token = manifest.token;
+    stored.recentTokens = manifest.recentTokens;
+    for (const auto& page : manifest.pages) {
+        stored.pages.push_back(std::make_unique<StoredPageT>());
+        stored.pages.back()->key = page.key;
+        stored.pages.back()->digest = page.digest;
+        stored.pages.back()->version = page.version;
+    }
+    return packStored<StoredManifest>(stored);
+}
+
+Result<Log::Manifest> Log::decodeManifest(const StoredObject& object)
+{
+    auto stored = unpackStored<StoredManifest>(object.value, "log manifest");
+    if (!stored)
+        return stored.error();
+    Manifest manifest;
+    manifest.number = stored.value().number;
+    manifest.token = stored.value().token;
+    manifest.recentTokens = std::move(stored.value().recentTokens);
+    manifest.version = object.version;
+    for (const auto& page : stored.value().pages)
+        manifest.pages.push_back({ page->key, page->digest, page->version });
+    return manifest;
+}
+
+// A log without a snapshot has the manifest number 0.
+void Log::readManifest(ManifestCallback callback)
+{
+    MonotonicTime issuedAt = m_clock();
+    auto answered
+        = [this, issuedAt, callback = std::move(callback)](Result<std::optional<StoredObject>> read) {
+              if (!read)
+                  return callback(read.error());
+              Result<Manifest> manifest
+                  = read.value() ? decodeManifest(*read.value()) : Result<Manifest>(Manifest {});
+              if (manifest && manifest.value().number >= m_manifest.number) {
+                  m_manifest = manifest.value();
+                  m_manifestReadAt = issuedAt;
+              }
+              callback(std::move(manifest));
+          };
+    m_store.read(manifestKey(), guarded(std::move(answered)));
+}
+
+void Log::backOff(Backoff& backoff)
+{
+    backoff.delay = backoff.delay.count() == 0 ? m_options.retryDelay
+                                               : std::min(2 * backoff.delay, m_options.longestRetryDelay);
+    // Half of the wait is random, so that instances that failed together do not retry together.
+    auto half = backoff.delay.count() / 2;
+    backoff.until = m_clock()
+        + Milliseconds(half + static_cast<Milliseconds::rep>(m_random.unit() * static_cast<double>(half)));
+}
+
+void Log::start()
+{
+    m_started = true;
+    sync();
+}
+
+void Log::follow(LogFollow follow)
+{
+    m_follow = follow;
+    m_nextPoll = m_clock() + m_options.pollInterval;
+    watchNext();
+}
+
+void Log::tick()
+{
+    MonotonicTime now = m_clock();
+    auto refused = std::move(m_refused);
+    m_refused.clear();
+    for (auto& [callback, error] : refused)
+        callback(error);
+    expire();
+    if (m_started && m_follow == LogFollow::Poll && now >= m_nextPoll) {
+        m_nextPoll = now + m_options.pollInterval;
+        m_syncWanted = true;
+    }
+    if (m_syncWanted && !m_syncing && now >= m_syncBackoff.until)
+        sync();
+    if (m_attempt && m_attempt->waiting && now >= m_commitBackoff.until) {
+        m_attempt->waiting = false;
+        runAttempt();
+    }
+    if (m_snapshot && m_snapshot->waiting && now >= m_snapshotBackoff.until) {
+        m_snapshot->waiting = false;
+        m_snapshot->settling ? settleManifest() : writePage();
+    }
+    if (!m_cleaning && m_cleanAt && now >= *m_cleanAt)
+        cleanRecords();
+    commit();
+}
+
+// Reading ------------------------------------------------------------------------------------------------
+
+void Log::sync()
+{
+    m_syncWanted = true;
+    if (m_syncing)
+        return;
+    m_syncing = true;
+    m_syncWanted = false;
+    if (m_loaded)
+        return syncRecords();
+    readManifest([this](Result<Manifest> manifest) {
+        if (!manifest)
+            return syncFailed();
+        if (manifest.value().number > m_head)
+            return loadSnapshot(std::move(manifest.value()));
+        syncRecords();
+    });
+}
+
+void Log::syncFailed()
+{
+    m_syncing = false;
+    m_syncWanted = true;
+    backOff(m_syncBackoff);
+}
+
+void Log::syncRecords()
+{
+    auto listed = [this, issuedAt = m_clock()](Result<std::vector<StoredObject>> records) {
+        if (!records)
+            return syncFailed();
+        bool complete = records.value().size() < listLimit;
+        syncVerify(std::move(records.value()), complete, issuedAt);
+    };
+    m_store.list(recordPrefix(), recordKey(m_head), listLimit, guarded(std::move(listed)));
+}
+
+// Records count only if the manifest, read after them, is not above them: otherwise they may be numbers that
+// were removed and created again by a paused writer.
+void Log::syncVerify(
+    std::vector<StoredObject> records, bool complete, std::optional<MonotonicTime> confirmedAt)
+{
+    readManifest([this, records = std::move(records), complete, confirmedAt](Result<Manifest> manifest) {
+        if (!manifest)
+            return syncFailed();
+        if (manifest.value().number > m_head)
+            return loadSnapshot(std::move(manifest.value()));
+        if (!applyStored(records))
+            return syncFailed();
+        if (!complete)
+            return syncRecords();
+        syncDone(confirmedAt);
+    });
+}
+
+void Log::loadSnapshot(Manifest manifest)
+{
+    loadPages(std::make_shared<Manifest>(std::move(manifest)), std::make_shared<std::vector<std::string>>());
+}
+
+void Log::loadPages(
+    const std::shared_ptr<Manifest>& manifest, const std::shared_ptr<std::vector<std::string>>& pages)
+{
+    if (pages->size() == manifest->pages.size())
+        return restoreSnapshot(*manifest, *pages);
+    const Page& page = manifest->pages[pages->size()];
+    auto read = [this, manifest, pages](Result<std::optional<StoredObject>> object) {
+        // A page is absent when a newer snapshot has replaced it; the retry reads the newer manifest.
+        if (!object || !object.value())
+            return syncFailed();
+        if (sha256Hex(object.value()->value) != manifest->pages[pages->size()].digest) {
+            BW_LOG(ERROR, logPart) << m_options.name << ": page " << object.value()->key
+                                   << " does not match its digest";
+            return syncFailed();
+        }
+        pages->push_back(std::move(object.value()->value));
+        loadPages(manifest, pages);
+    };
+    m_store.read(page.key, guarded(std::move(read)));
+}
+
+void Log::restoreSnapshot(const Manifest& manifest, const std::vector<std::string>& pages)
+{
+    if (manifest.number > m_head) {
+        Status restored = m_machine.restore(manifest.number, pages);
+        if (!restored) {
+            BW_LOG(ERROR, logPart) << m_options.name << ": " << restored.error().message;
+            return syncFailed();
+        }
+        m_head = manifest.number;
+        m_recent.clear();
+        m_recentBytes = 0;
+        for (std::uint64_t back = 0; back < manifest.recentTokens.size() && back < manifest.number; ++back)
+            m_recent[manifest.number - back].token = tokenIn(manifest.recentTokens, m_head, m_head - back);
+        settleBySnapshot(manifest);
+    }
+    syncRecords();
+}
+
+void Log::syncDone(std::optional<MonotonicTime> confirmedAt)
+{
+    m_syncing = false;
+    m_loaded = true;
+    m_syncBackoff = {};
+    if (confirmedAt)
+        confirmHead(*confirmedAt);
+    if (m_syncWanted)
+        return sync();
+    watchNext();
+    commit();
+}
+
+bool Log::applyStored(const std::vector<StoredObject>& records)
+{
+    for (const auto& object : records) {
+        std::uint64_t number = numberOfKey(object.key);
+        if (number <= m_head)
+            continue;
+        if (number != m_head + 1) {
+            BW_LOG(WARNING, logPart) << m_options.name << ": record " << m_head + 1 << " is missing before "
+                                     << number;
+            return false;
+        }
+        auto record = decodeRecord(object.value);
+        if (!record) {
+            BW_LOG(ERROR, logPart) << m_options.name << ": record " << number << ": "
+                                   << record.error().message;
+            return false;
+        }
+        applyRecord(number, std::move(record.value()));
+    }
+    return true;
+}
+
+// Applies the next record and settles the attempt for its number, if there is one.
+void Log::applyRecord(std::uint64_t number, Record record)
+{
+    std::vector<Status> results;
+    for (std::size_t index = 0; index < record.commands.size(); ++index)
+        results.push_back(m_machine.apply({ number, index }, record.commands[index]));
+    m_machine.recordApplied(number);
+    m_head = number;
+    bool own = m_attempt && m_attempt->number == number;
+    bool accepted = own && m_attempt->token == record.token;
+    remember(number, std::move(record.token), std::move(record.value));
+    if (accepted)
+        attemptAccepted(results);
+    else if (own)
+        attemptLost();
+}
+
+void Log::remember(std::uint64_t number, std::string token, std::string value)
+{
+    m_recentBytes += value.size();
+    m_recent[number] = { std::move(token), std::move(value) };
+    for (auto oldest = m_recent.begin(); m_recentBytes > m_options.relayedBytes && oldest != m_recent.end();
+         ++oldest) {
+        m_recentBytes -= oldest->second.value.size();
+        std::string().swap(oldest->second.value);
+    }
+    while (m_recent.size() > m_options.keptRecords && m_recent.begin()->second.value.empty())
+        m_recent.erase(m_recent.begin());
+}
+
+void Log::confirmHead(MonotonicTime at)
+{
+    if (!m_headConfirmedAt || *m_headConfirmedAt < at)
+        m_headConfirmedAt = at;
+}
+
+void Log::peerConfirmed(std::uint64_t number, MonotonicTime at)
+{
+    if (m_loaded && m_head >= number)
+        confirmHead(at);
+}
+
+void Log::watchNext()
+{
+    if (m_follow != LogFollow::Watch || m_watching || m_syncing || m_syncWanted || !m_loaded)
+        return;
+    m_watching = true;
+    auto answered
+        = [this, issuedAt = m_clock(), number = m_head + 1](Result<std::optional<StoredObject>> object) {
+              m_watching = false;
+              if (!m_syncing)
+                  watched(issuedAt, number, std::move(object));
+          };
+    m_store.watch(recordKey(m_head + 1), 0, m_options.watchTimeout, guarded(std::move(answered)));
+}
+
+void Log::watched(MonotonicTime issuedAt, std::uint64_t number, Result<std::optional<StoredObject>> object)
+{
+    if (!object)
+        return syncFailed();
+    if (number != m_head + 1)
+        return watchNext();
+    MonotonicTime now = m_clock();
+    if (object.value()) {
+        m_syncing = true;
+        return syncVerify({ std::move(*object.value()) }, true, std::nullopt);
+    }
+    // The store answered at the end of the timeout, unless the answer came early.
+    MonotonicTime seenAt = std::min(issuedAt + m_options.watchTimeout, now);
+    if (now < issuedAt + m_options.watchTimeout)
+        seenAt = issuedAt;
+    if (m_manifestReadAt && m_manifest.number <= m_head && now - *m_manifestReadAt < manifestTrust) {
+        confirmHead(seenAt);
+        return watchNext();
+    }
+    m_syncing = true;
+    syncVerify({}, true, seenAt);
+}
+
+// Peers -------------------------------------------------------------------------------------------------
+
+LogPushT Log::offer(std::uint64_t after, std::size_t maxBytes) const
+{
+    LogPushT push;
+    push.log = m_options.name;
+    if (!m_loaded || after >= m_head)
+        return push;
+    auto next = m_recent.find(after + 1);
+    if (next == m_recent.end() || next->second.value.empty()) {
+        StoredPagesT pages;
+        for (auto& page : m_machine.snapshot()) {
+            pages.pages.push_back(std::make_unique<StoredBytesT>());
+            pages.pages.back()->bytes = toBytes(page);
+        }
+        std::string bytes = packStored<StoredPages>(pages);
+        if (bytes.size() > maxBytes)
+            return push;
+        push.snapshotNumber = m_head;
+        push.snapshot = toBytes(bytes);
+        return push;
+    }
+    std::size_t bytes = 0;
+    for (; next != m_recent.end(); ++next) {
+        bytes += next->second.value.size();
+        if (bytes > maxBytes && !push.records.empty())
+            break;
+        push.records.push_back(std::make_unique<LogRecordT>());
+        push.records.back()->number = next->first;
+        push.records.back()->token = next->second.token;
+        push.records.back()->payload = toBytes(next->second.value);
+    }
+    return push;
+}
+
+Status Log::accept(const LogPushT& push)
+{
+    if (push.snapshotNumber > m_head) {
+        auto stored = unpackStored<StoredPages>(fromBytes(push.snapshot), "log snapshot of a peer");
+        if (!stored)
+            return stored.error();
+        std::vector<std::string> pages;
+        for (const auto& page : stored.value().pages)
+            pages.push_back(fromBytes(page->bytes));
+        BOOST_OUTCOME_TRY(m_machine.restore(push.snapshotNumber, pages));
+        m_head = push.snapshotNumber;
+        m_loaded = true;
+        m_recent.clear();
+        m_recentBytes = 0;
+    }
+    for (const auto& pushed : push.records) {
+        if (pushed->number <= m_head)
+            continue;
+        if (pushed->number != m_head + 1)
+            break;
+        auto record = decodeRecord(fromBytes(pushed->payload));
+        if (!record)
+            return record.error();
+        m_loaded = true;
+        applyRecord(pushed->number, std::move(record.value()));
+    }
+    commit();
+    return ok();
+}
+
+// Appending ---------------------------------------------------------------------------------------------
+
+void Log::append(std::string command, MonotonicTime deadline, AppendCallback callback)
+{
+    if (command.size() > m_options.maxRecordBytes) {
+        m_refused.emplace_back(std::move(callback),
+            Error { ErrorKind::TooLarge,
+                "a command of " + std::to_string(command.size()) + " bytes is over the log's bound of "
+                    + std::to_string(m_options.maxRecordBytes) + ": split it" });
+        return;
+    }
+    if (m_queuedBytes + command.size() > m_options.maxQueuedBytes) {
+        m_refused.emplace_back(std::move(callback),
+            Error { ErrorKind::Overloaded,
+                "log " + m_options.name + " has too many commands waiting: retry later" });
+        return;
+    }
+    m_queuedBytes += command.size();
+    m_queue.push_back({ std::move(command), deadline, std::move(callback) });
+    commit();
+}
+
+void Log::commit()
+{
+    MonotonicTime now = m_clock();
+    bool busy = m_attempt || m_syncing || m_syncWanted;
+    if (!m_loaded || busy || m_queue.empty() || now < m_nextCommit || now < m_commitBackoff.until)
+        return;
+    m_attempt.emplace(m_head + 1, m_options.writer + "-" + std::to_string(++m_attemptSerial));
+    std::size_t bytes = 0;
+    while (!m_queue.empty() && bytes + m_queue.front().command.size() <= m_options.maxRecordBytes) {
+        bytes += m_queue.front().command.size();
+        m_attempt->commands.push_back(std::move(m_queue.front()));
+        m_queue.pop_front();
+    }
+    m_queuedBytes -= bytes;
+    m_attempt->value = encodeRecord(m_attempt->token, m_attempt->commands);
+    m_nextCommit = now + m_options.commitInterval;
+    createRecord();
+}
+
+// Answers to an attempt that has been settled in the meantime are dropped.
+template <typename Callback> auto Log::forAttempt(Callback callback)
+{
+    return guarded([this, serial = m_attemptSerial, callback = std::move(callback)](auto answer) mutable {
+        if (m_attempt && m_attemptSerial == serial)
+            callback(std::move(answer));
+    });
+}
+
+void Log::runAttempt()
+{
+    switch (m_attempt->phase) {
+    case Phase::Create:
+        return createRecord();
+    case Phase::ReadBack:
+        return readBack();
+    case Phase::Verify:
+        return verify();
+    }
+}
+
+void Log::createRecord()
+{
+    m_attempt->phase = Phase::Create;
+    m_attempt->issuedAt = m_clock();
+    m_store.create(recordKey(m_attempt->number), m_attempt->value,
+        forAttempt([this](WriteResult result) { recordCreated(result); }));
+}
+
+void Log::recordCreated(WriteResult result)
+{
+    switch (result.outcome) {
+    case WriteOutcome::Done:
+        m_attempt->created = true;
+        m_attempt->confirmsHead = true;
+        return verify();
+    case WriteOutcome::Unknown:
+        m_attempt->maySucceed = true;
+        return readBack();
+    case WriteOutcome::Conflict:
+        return readBack();
+    case WriteOutcome::NotSent:
+        if (m_attempt->maySucceed)
+            return retryAttempt(Phase::Create);
+        backOff(m_commitBackoff);
+        return requeueAttempt();
+    }
+}
+
+void Log::readBack()
+{
+    m_attempt->phase = Phase::ReadBack;
+    auto read = [this](Result<std::optional<StoredObject>> object) {
+        if (!object)
+            return retryAttempt(Phase::ReadBack);
+        if (object.value()) {
+            auto record = decodeRecord(object.value()->value);
+            m_attempt->created = record && record.value().token == m_attempt->token;
+            m_attempt->taken = !m_attempt->created;
+            if (m_attempt->taken && !m_attempt->maySucceed)
+                return attemptLost();
+        }
+        verify();
+    };
+    m_store.read(recordKey(m_attempt->number), forAttempt(std::move(read)));
+}
+
+void Log::verify()
+{
+    m_attempt->phase = Phase::Verify;
+    readManifest([this, serial = m_attemptSerial](Result<Manifest> manifest) {
+        if (!m_attempt || m_attemptSerial != serial)
+            return;
+        if (!manifest)
+            return retryAttempt(Phase::Verify);
+        verified(manifest.value());
+    });
+}
+
+void Log::verified(const Manifest& manifest)
+{
+    if (manifest.number >= m_attempt->number)
+        return settleBySnapshot(manifest);
+    if (m_attempt->taken)
+        return attemptLost();
+    // Absent after a conflict or a lost answer: an earlier create may still take effect, so the same bytes
+    // are offered again until the number has an owner.
+    if (!m_attempt->created)
+        return retryAttempt(Phase::Create);
+    if (m_attempt->confirmsHead)
+        confirmHead(m_attempt->issuedAt);
+    if (m_head >= m_attempt->number)
+        return attemptAccepted(std::vector<Status>(m_attempt->commands.size(), ok()));
+    auto record = decodeRecord(m_attempt->value);
+    applyRecord(m_attempt->number, std::move(record.value()));
+}
+
+void Log::retryAttempt(Phase phase)
+{
+    m_attempt->phase = phase;
+    m_attempt->waiting = true;
+    backOff(m_commitBackoff);
+}
+
+// A snapshot contains the attempt's number: its token tells whose record that was.
+void Log::settleBySnapshot(const Manifest& manifest)
+{
+    if (!m_attempt || m_attempt->number > manifest.number)
+        return;
+    // Before the callbacks, which may append: the next number is above the snapshot.
+    m_syncWanted = m_syncWanted || manifest.number > m_head;
+    std::string token = tokenIn(manifest.recentTokens, manifest.number, m_attempt->number);
+    if (token.empty())
+        attemptUnknown();
+    else if (token == m_attempt->token)
+        attemptAccepted(std::vector<Status>(m_attempt->commands.size(), ok()));
+    else
+        attemptLost();
+    if (m_syncWanted)
+        sync();
+}
+
+// Puts the attempt's commands back to the front of the queue, for another number. A command whose caller was
+// told Unknown is dropped: nobody waits for it.
+void Log::requeueAttempt()
+{
+    auto commands = std::move(m_attempt->commands);
+    m_attempt.reset();
+    for (auto pending = commands.rbegin(); pending != commands.rend(); ++pending) {
+        if (!pending->callback)
+            continue;
+        m_queuedBytes += pending->command.size();
+        m_queue.push_front(std::move(*pending));
+    }
+}
+
+// Another writer's record has the number; this writer's has no effect and never will.
+void Log::attemptLost()
+{
+    ++m_statistics.lostRaces;
+    bool behind = m_head < m_attempt->number;
+    requeueAttempt();
+    if (behind)
+        sync();
+}
+
+void Log::attemptUnknown()
+{
+    auto commands = std::move(m_attempt->commands);
+    m_attempt.reset();
+    for (auto& pending : commands)
+        fail(pending, ErrorKind::Unknown,
+            "log " + m_options.name + " moved on while this writer was paused: read the state again");
+}
+
+void Log::attemptAccepted(const std::vector<Status>& results)
+{
+    ++m_statistics.commits;
+    if (m_attempt->maySucceed)
+        ++m_statistics.settledAnswers;
+    std::uint64_t number = m_attempt->number;
+    auto commands = std::move(m_attempt->commands);
+    m_attempt.reset();
+    m_commitBackoff = {};
+    for (std::size_t index = 0; index < commands.size(); ++index) {
+        if (!commands[index].callback)
+            continue;
+        if (results[index])
+            commands[index].callback(LogPosition { number, index });
+        else
+            commands[index].callback(results[index].error());
+    }
+    snapshotIfDue();
+    watchNext();
+    commit();
+}
+
+void Log::fail(Pending& pending, ErrorKind kind, std::string message)
+{
+    auto callback = std::move(pending.callback);
+    pending.callback = nullptr;
+    if (callback)
+        callback(Error { kind, std::move(message) });
+}
+
+void Log::expire()
+{
+    MonotonicTime now = m_clock();
+    std::vector<Pending> expired;
+    for (auto pending = m_queue.begin(); pending != m_queue.end();) {
+        if (pending->deadline > now) {
+            ++pending;
+            continue;
+        }
+        m_queuedBytes -= pending->command.size();
+        expired.push_back(std::move(*pending));
+        pending = m_queue.erase(pending);
+    }
+    std::vector<Pending> undecided;
+    if (m_attempt) {
+        for (auto& pending : m_attempt->commands) {
+            if (pending.deadline > now || !pending.callback)
+                continue;
+            undecided.push_back({ {}, pending.deadline, std::move(pending.callback) });
+            pending.callback = nullptr;
+        }
+    }
+    for (auto& pending : expired)
+        fail(pending, ErrorKind::Unavailable,
+            "log " + m_options.name
+                + ": the store was down or slow until the deadline, nothing was written: "
+                  "retry later");
+    for (auto& pending : undecided)
+        fail(pending, ErrorKind::Unknown,
+            "log " + m_options.name + ": the store gave no answer until the deadline: read the state again");
+}
+
+// Snapshots ---------------------------------------------------------------------------------------------
+
+void Log::snapshotIfDue()
+{
+    if (m_snapshot || m_head < m_manifest.number + m_options.snapshotInterval)
+        return;
+    m_snapshot = std::make_shared<SnapshotJob>();
+    Manifest& next = m_snapshot->next;
+    m_snapshot->base = m_manifest;
+    next.number = m_head;
+    next.token = m_options.writer + "-snapshot-" + std::to_string(m_head);
+    std::uint64_t oldest = m_head - std::min(m_head, m_options.keptRecords);
+    for (std::uint64_t number = oldest + 1; number <= m_head; ++number) {
+        auto recent = m_recent.find(number);
+        next.recentTokens.push_back(recent == m_recent.end() ? std::string() : recent->second.token);
+    }
+    for (auto& content : m_machine.snapshot()) {
+        std::string digest = sha256Hex(content);
+        const auto& old = m_snapshot->base.pages;
+        auto same = std::find_if(
+            old.begin(), old.end(), [&digest](const Page& page) { return page.digest == digest; });
+        if (same != old.end()) {
+            next.pages.push_back(*same);
+            continue;
+        }
+        m_snapshot->pages.emplace_back(next.pages.size(), std::move(content));
+        next.pages.push_back({ "log/" + m_options.name + "/page/" + numberText(next.number) + "-" + next.token
+                + "-" + std::to_string(next.pages.size()),
+            digest, 0 });
+    }
+    writePage();
+}
+
+template <typename Callback> auto Log::forSnapshot(Callback callback)
+{
+    return guarded(
+        [job = std::weak_ptr<SnapshotJob>(m_snapshot), callback = std::move(callback)](auto answer) mutable {
+            if (!job.expired())
+                callback(std::move(answer));
+        });
+}
+
+void Log::writePage()
+{
+    if (m_snapshot->written == m_snapshot->pages.size())
+        return writeManifest();
+    const auto& [index, content] = m_snapshot->pages[m_snapshot->written];
+    m_store.create(m_snapshot->next.pages[index].key, content,
+        forSnapshot([this](WriteResult result) { pageWritten(result); }));
+}
+
+// The key is this writer's own, so a conflict means that an earlier create took effect after all. The
+// version stays 0 then, and the page is left behind when it is replaced.
+void Log::pageWritten(WriteResult result)
+{
+    if (result.outcome == WriteOutcome::Unknown || result.outcome == WriteOutcome::NotSent)
+        return retrySnapshot();
+    m_snapshot->next.pages[m_snapshot->pages[m_snapshot->written].first].version = result.version;
+    ++m_snapshot->written;
+    writePage();
+}
+
+void Log::retrySnapshot()
+{
+    m_snapshot->waiting = true;
+    backOff(m_snapshotBackoff);
+}
+
+void Log::writeManifest()
+{
+    std::string value = encodeManifest(m_snapshot->next);
+    auto written = forSnapshot([this](WriteResult result) { manifestWritten(result); });
+    if (m_snapshot->base.version == 0)
+        m_store.create(manifestKey(), value, written);
+    else
+        m_store.update(manifestKey(), m_snapshot->base.version, value, written);
+}
+
+void Log::manifestWritten(WriteResult result)
+{
+    if (result.outcome == WriteOutcome::NotSent)
+        return retrySnapshot();
+    if (result.outcome != WriteOutcome::Done) {
+        m_snapshot->settling = true;
+        return settleManifest();
+    }
+    m_snapshot->next.version = result.version;
+    snapshotDone();
+}
+
+void Log::settleManifest()
+{
+    readManifest([this, job = std::weak_ptr<SnapshotJob>(m_snapshot)](Result<Manifest> manifest) {
+        if (job.expired())
+            return;
+        if (!manifest)
+            return retrySnapshot();
+        m_snapshot->settling = false;
+        if (manifest.value().token == m_snapshot->next.token) {
+            m_snapshot->next.version = manifest.value().version;
+            return snapshotDone();
+        }
+        // Still the old manifest: the same update is repeated, it can take effect only once.
+        if (manifest.value().version == m_snapshot->base.version)
+            return retrySnapshot();
+        snapshotAbandoned();
+    });
+}
+
+void Log::snapshotDone()
+{
+    ++m_statistics.snapshots;
+    m_snapshotBackoff = {};
+    auto job = std::move(m_snapshot);
+    m_snapshot = nullptr;
+    for (const auto& old : job->base.pages) {
+        auto kept = std::any_of(job->next.pages.begin(), job->next.pages.end(),
+            [&old](const Page& page) { return page.key == old.key; });
+        if (!kept)
+            m_stalePages.push_back(old);
+    }
+    if (m_manifest.number <= job->next.number)
+        m_manifest = std::move(job->next);
+    m_cleanFloor = m_manifest.number - std::min(m_manifest.number, m_options.keptRecords);
+    m_cleanAt = m_clock() + removalDelay;
+}
+
+// Another writer's manifest replaced the base, so this one's can no longer take effect.
+void Log::snapshotAbandoned()
+{
+    for (const auto& [index, content] : m_snapshot->pages)
+        m_stalePages.push_back(m_snapshot->next.pages[index]);
+    m_snapshot = nullptr;
+    m_cleanAt = m_clock() + removalDelay;
+}
+
+// Removes records well below the snapshot, oldest first, one call at a time.
+void Log::cleanRecords()
+{
+    m_cleaning = true;
+    auto listed = [this](Result<std::vector<StoredObject>> records) {
+        if (!records)
+            return cleaningDone();
+        m_removals.clear();
+        for (const auto& record : records.value())
+            if (numberOfKey(record.key) <= m_cleanFloor)
+                m_removals.push_back({ record.key, {}, record.version });
+        m_moreToClean = m_removals.size() == listLimit;
+        m_cleaningRecords = true;
+        removeNext();
+    };
+    m_store.list(recordPrefix(), {}, listLimit, guarded(std::move(listed)));
+}
+
+void Log::removeNext()
+{
+    if (m_removals.empty() && m_cleaningRecords) {
+        if (m_moreToClean)
+            return cleanRecords();
+        m_cleaningRecords = false;
+        m_removals = std::exchange(m_stalePages, {});
+    }
+    if (m_removals.empty())
+        return cleaningDone();
+    Page page = std::move(m_removals.back());
+    m_removals.pop_back();
+    auto removed = [this](WriteResult result) {
+        if (result.outcome == WriteOutcome::NotSent)
+            return cleaningDone();
+        if (m_cleaningRecords && result.outcome == WriteOutcome::Done)
+            ++m_statistics.removedRecords;
+        removeNext();
+    };
+    m_store.remove(page.key, page.version, guarded(std::move(removed)));
+}
+
+// What an error left behind goes with the next snapshot.
+void Log::cleaningDone()
+{
+    m_cleaning = false;
+    m_removals.clear();
+    m_cleanAt.reset();
+}
+
+} // namespace briarwharf
--- a/coordination/log.h
+++ b/coordination/log.h
@@ -123,7 +123,8 @@
     //   Unavailable  not written and never will be (the store was down or slow until the deadline)
     //   Unknown      may have been written, or may yet be
     //   TooLarge     longer than maxRecordBytes;  Overloaded: over maxQueuedBytes;  both not written
-    //   others       from LogStateMachine::apply(): written, without an effect
+    //   others       from LogStateMachine::apply(): written, without an effect. A record that this instance
+    //                received inside a snapshot reports success for each command, as apply() did not run here
     using AppendCallback = std::function<void(Result<LogPosition>)>;
 
     Log(LogOptions, Store&, LogStateMachine&, MonotonicClock);
@@ -176,7 +177,13 @@
     };
     // The record that this writer is appending.
     struct Attempt {
-        std::uint64_t number = 0;
+        Attempt(std::uint64_t number, std::string token)
+            : number(number)
+            , token(std::move(token))
+        {
+        }
+
+        std::uint64_t number;
         std::string token;
         std::string value;
         std::vector<Pending> commands;
@@ -184,6 +191,8 @@
         MonotonicTime issuedAt;
         bool maySucceed = false; // a create without a definite answer is under way
         bool created = false; // the record was seen in the store
+        bool taken = false; // another writer's record was seen under the number
+        bool confirmsHead = false; // the create answered, so the store had no later record
         bool waiting = false; // for retryAt
     };
     struct Record {
@@ -203,6 +212,10 @@
         std::vector<std::string> recentTokens; // of the records up to `number`
         ObjectVersion version = 0;
     };
+    struct RecentRecord {
+        std::string token;
+        std::string value; // empty: no longer kept for peers
+    };
     struct SnapshotJob;
     struct Backoff {
         Milliseconds delay { 0 };
@@ -210,6 +223,7 @@
     };
     using ManifestCallback = std::function<void(Result<Manifest>)>;
 
+    std::string recordPrefix() const;
     std::string recordKey(std::uint64_t number) const;
     std::string manifestKey() const;
     static std::string encodeRecord(const std::string& token, const std::vector<Pending>& commands);
@@ -218,14 +232,18 @@
     static Result<Manifest> decodeManifest(const StoredObject&);
     void readManifest(ManifestCallback);
     template <typename Callback> auto guarded(Callback callback);
+    template <typename Callback> auto forAttempt(Callback callback);
+    template <typename Callback> auto forSnapshot(Callback callback);
     void backOff(Backoff&);
 
     void sync();
     void syncFailed();
     void syncRecords();
-    void syncVerify(std::vector<StoredObject> records, bool complete, MonotonicTime issuedAt);
+    void syncVerify(
+        std::vector<StoredObject> records, bool complete, std::optional<MonotonicTime> confirmedAt);
     void loadSnapshot(Manifest);
-    void loadPages(std::shared_ptr<Manifest>, std::shared_ptr<std::vector<std::string>> pages);
+    void loadPages(const std::shared_ptr<Manifest>&, const std::shared_ptr<std::vector<std::string>>& pages);
+    void restoreSnapshot(const Manifest&, const std::vector<std::string>& pages);
     void syncDone(std::optional<MonotonicTime> confirmedAt);
     bool applyStored(const std::vector<StoredObject>&);
     void confirmHead(MonotonicTime);
@@ -241,16 +259,18 @@
     void verify();
     void verified(const Manifest&);
     void retryAttempt(Phase);
+    void requeueAttempt();
     void attemptLost();
     void attemptUnknown();
     void attemptAccepted(const std::vector<Status>& results);
     void expire();
     void fail(Pending&, ErrorKind, std::string message);
-    std::vector<Status> applyRecord(std::uint64_t number, Record);
+    void applyRecord(std::uint64_t number, Record);
     void remember(std::uint64_t number, std::string token, std::string value);
     void settleBySnapshot(const Manifest&);
 
     void snapshotIfDue();
+    void retrySnapshot();
     void writePage();
     void pageWritten(WriteResult);
     void writeManifest();
@@ -260,6 +280,7 @@
     void snapshotAbandoned();
     void cleanRecords();
     void removeNext();
+    void cleaningDone();
 
     LogOptions m_options;
     Store& m_store;
@@ -273,7 +294,8 @@
     std::uint64_t m_head = 0;
     std::optional<MonotonicTime> m_headConfirmedAt;
     Manifest m_manifest;
-    std::map<std::uint64_t, std::pair<std::string, std::string>> m_recent; // token and value by number
+    std::optional<MonotonicTime> m_manifestReadAt;
+    std::map<std::uint64_t, RecentRecord> m_recent; // by number
     std::size_t m_recentBytes = 0;
 
     bool m_started = false;
@@ -293,6 +315,14 @@
 
     std::shared_ptr<SnapshotJob> m_snapshot;
     Backoff m_snapshotBackoff;
+
+    bool m_cleaning = false;
+    bool m_cleaningRecords = false;
+    bool m_moreToClean = false;
+    std::optional<MonotonicTime> m_cleanAt;
+    std::uint64_t m_cleanFloor = 0; // records up to this one may go
+    std::vector<Page> m_stalePages;
+    std::vector<Page> m_removals;
     LogStatistics m_statistics;
 };
 
--- a/coordination/testing/fakestore.cc
+++ b/coordination/testing/fakestore.cc
@@ -231,6 +231,10 @@
             return;
         ReadCallback taken = std::move(*waiting);
         *waiting = nullptr;
+        if (m_down) {
+            answer(m_latency, [taken = std::move(taken)] { taken(unavailable()); });
+            return;
+        }
         auto object = objects->find(key);
         answer(m_latency, [taken = std::move(taken), object = std::move(object)] { taken(object); });
     };
