--- /dev/null
+++ b/coordination/loadtable.cc
@@ -0,0 +1,218 @@
+#include "coordination/loadtable.h"
+
+#include "base/hash.h"
+#include <algorithm>
+#include <cmath>
+
+namespace briarwharf {
+
+namespace {
+
+    constexpr std::uint8_t servingFlag = 1;
+    constexpr std::uint8_t reachableFlag = 2;
+    constexpr Milliseconds ageUnit { 250 };
+    constexpr std::uint8_t oldestAge = 255;
+
+    // Priorities: an entry is sent from 1 on. A change counts at most this much, so that a waiting entry
+    // overtakes any changing one after a bounded number of refresh times.
+    constexpr double maxChangePriority = 4;
+    constexpr double newEntryPriority = 4;
+    constexpr double flagPriority = 8;
+
+    double inUnits(std::chrono::nanoseconds duration, Milliseconds unit)
+    {
+        return std::chrono::duration<double>(duration) / std::chrono::duration<double>(unit);
+    }
+
+} // namespace
+
+std::uint32_t nameHash(std::string_view name) { return static_cast<std::uint32_t>(hash64(name) >> 32); }
+
+LoadTable::LoadTable(const Membership& membership, LoadTableOptions options)
+    : m_membership(membership)
+    , m_options(options)
+{
+}
+
+void LoadTable::setUpstreams(const std::vector<std::uint32_t>& upstreams)
+{
+    std::unordered_map<std::uint32_t, std::size_t> indexes;
+    std::vector<Entry> entries;
+    std::vector<std::size_t> sources; // index before, or the old size for a new upstream
+    std::vector<std::uint32_t> kept;
+    for (std::uint32_t upstream : upstreams) {
+        if (!indexes.emplace(upstream, entries.size()).second)
+            continue;
+        auto known = m_indexes.find(upstream);
+        sources.push_back(known == m_indexes.end() ? m_entries.size() : known->second);
+        entries.push_back(known == m_indexes.end() ? Entry {} : m_entries[known->second]);
+        kept.push_back(upstream);
+    }
+    for (auto& [peer, state] : m_links) {
+        std::vector<Sent> sent(entries.size());
+        for (std::size_t i = 0; i < entries.size(); ++i)
+            if (sources[i] < state.sent.size())
+                sent[i] = state.sent[sources[i]];
+        state.sent = std::move(sent);
+    }
+    m_indexes = std::move(indexes);
+    m_entries = std::move(entries);
+    m_upstreams = std::move(kept);
+    m_ownedEpoch = ~m_membership.epoch();
+}
+
+void LoadTable::updateOwned() const
+{
+    if (m_ownedEpoch == m_membership.epoch())
+        return;
+    m_ownedEpoch = m_membership.epoch();
+    m_owned.clear();
+    m_isOwned.assign(m_upstreams.size(), false);
+    for (std::size_t i = 0; i < m_upstreams.size(); ++i) {
+        if (m_membership.leaving() || !m_membership.owns(m_upstreams[i]))
+            continue;
+        m_owned.push_back(m_upstreams[i]);
+        m_isOwned[i] = true;
+    }
+}
+
+const std::vector<std::uint32_t>& LoadTable::owned() const
+{
+    updateOwned();
+    return m_owned;
+}
+
+void LoadTable::report(
+    std::uint32_t upstream, std::uint32_t tokens, bool serving, bool reachable, MonotonicTime now)
+{
+    updateOwned();
+    auto index = m_indexes.find(upstream);
+    if (index == m_indexes.end() || !m_isOwned[index->second])
+        return;
+    Entry& entry = m_entries[index->second];
+    auto flags = static_cast<std::uint8_t>((serving ? servingFlag : 0) | (reachable ? reachableFlag : 0));
+    if (entry.known && entry.flags != flags)
+        flagsChanged({});
+    entry.known = true;
+    entry.tokens = tokens;
+    entry.flags = flags;
+    entry.polled = now;
+    ++entry.sequence;
+}
+
+std::optional<UpstreamLoad> LoadTable::load(std::uint32_t upstream, MonotonicTime now) const
+{
+    auto index = m_indexes.find(upstream);
+    if (index == m_indexes.end())
+        return std::nullopt;
+    const Entry& entry = m_entries[index->second];
+    if (!entry.known || now - entry.polled > m_options.expireAfter)
+        return std::nullopt;
+    UpstreamLoad load;
+    load.tokens = entry.tokens;
+    load.age = toMilliseconds(now - entry.polled);
+    load.serving = (entry.flags & servingFlag) != 0;
+    load.reachable = (entry.flags & reachableFlag) != 0;
+    return load;
+}
+
+// An expired entry gives way to any sequence number: its owner may have started again from a low one.
+bool LoadTable::newer(const Entry& entry, std::uint16_t sequence, MonotonicTime now) const
+{
+    bool expired = now - entry.polled > m_options.expireAfter;
+    auto difference = static_cast<std::int16_t>(static_cast<std::uint16_t>(sequence - entry.sequence));
+    return !entry.known || expired || difference > 0;
+}
+
+double LoadTable::priority(const Entry& entry, const Sent& sent, MonotonicTime now) const
+{
+    if (!sent.any)
+        return newEntryPriority;
+    if (sent.sequence == entry.sequence)
+        return 0;
+    double difference = std::abs(static_cast<double>(entry.tokens) - static_cast<double>(sent.tokens));
+    double significant = std::max<double>(
+        m_options.significantTokens, m_options.significantChange * static_cast<double>(sent.tokens));
+    double priority = std::min(difference / significant, maxChangePriority);
+    priority += inUnits(now - sent.at, m_options.refreshAfter);
+    return entry.flags == sent.flags ? priority : priority + flagPriority;
+}
+
+LoadReport LoadTable::toReport(std::size_t index, MonotonicTime now) const
+{
+    const Entry& entry = m_entries[index];
+    auto units = static_cast<std::int64_t>(std::ceil(inUnits(now - entry.polled, ageUnit)));
+    auto age = static_cast<std::uint8_t>(std::clamp<std::int64_t>(units, 0, oldestAge));
+    return { m_upstreams[index], entry.tokens, entry.sequence, age, entry.flags };
+}
+
+void LoadTable::fill(const LinkView& link, HeartbeatT& heartbeat, MonotonicTime now)
+{
+    LinkState& state = m_links[link.peer];
+    state.sent.resize(m_entries.size());
+    if (!link.tree)
+        return;
+    state.flagsChanged = false;
+    std::vector<std::pair<double, std::size_t>> waiting;
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+        const Entry& entry = m_entries[i];
+        if (!entry.known || now - entry.polled > m_options.expireAfter)
+            continue;
+        double value = priority(entry, state.sent[i], now);
+        if (value >= 1)
+            waiting.emplace_back(value, i);
+    }
+    std::size_t links = std::max<std::size_t>(link.treeLinks, 1);
+    std::size_t bound = std::max<std::size_t>(m_options.bytesPerHeartbeat / links / sizeof(LoadReport), 1);
+    if (waiting.size() > bound) {
+        auto middle = waiting.begin() + static_cast<std::ptrdiff_t>(bound);
+        std::nth_element(waiting.begin(), middle, waiting.end(), std::greater<>());
+        waiting.resize(bound);
+    }
+    for (const auto& [value, index] : waiting) {
+        const Entry& entry = m_entries[index];
+        heartbeat.loadReports.push_back(toReport(index, now));
+        state.sent[index] = { entry.tokens, entry.sequence, entry.flags, true, now };
+    }
+}
+
+void LoadTable::accept(const LinkView& link, const HeartbeatT& heartbeat, MonotonicTime now)
+{
+    LinkState& state = m_links[link.peer];
+    state.sent.resize(m_entries.size());
+    for (const LoadReport& report : heartbeat.loadReports) {
+        auto index = m_indexes.find(report.upstream());
+        if (index == m_indexes.end() || report.age() == oldestAge)
+            continue;
+        Entry& entry = m_entries[index->second];
+        state.sent[index->second] = { report.tokens(), report.sequence(), report.flags(), true, now };
+        if (!newer(entry, report.sequence(), now))
+            continue;
+        if (entry.known && entry.flags != report.flags())
+            flagsChanged(link.peer);
+        entry.known = true;
+        entry.tokens = report.tokens();
+        entry.sequence = report.sequence();
+        entry.flags = report.flags();
+        entry.polled = now - ageUnit * report.age() - link.transit.value_or(Milliseconds(0));
+    }
+}
+
+void LoadTable::flagsChanged(const std::string& source)
+{
+    for (auto& [peer, state] : m_links)
+        if (peer != source)
+            state.flagsChanged = true;
+}
+
+bool LoadTable::urgent(const LinkView& link, MonotonicTime /* now */) const
+{
+    auto state = m_links.find(link.peer);
+    return link.tree && state != m_links.end() && state->second.flagsChanged;
+}
+
+void LoadTable::linkUp(const std::string& peer, MonotonicTime /* now */) { m_links[peer] = {}; }
+
+void LoadTable::linkDown(const std::string& peer, MonotonicTime /* now */) { m_links.erase(peer); }
+
+} // namespace briarwharf
--- a/coordination/loadtable.h
+++ b/coordination/loadtable.h
@@ -37,8 +37,8 @@
     // Upstreams that this instance polls. Changes with the members' epoch.
     const std::vector<std::uint32_t>& owned() const;
 
-    // Result of an own poll. Reports for upstreams owned by others are used locally until a newer entry
-    // comes, but not relayed.
+    // Result of an own poll. Ignored for upstreams that another instance owns: a sequence number has one
+    // writer.
     void report(
         std::uint32_t upstream, std::uint32_t tokens, bool serving, bool reachable, MonotonicTime now);
 
@@ -66,17 +66,18 @@
         std::uint16_t sequence = 0;
         std::uint8_t flags = 0;
         bool any = false;
-        bool fromPeer = false; // the peer sent this sequence itself
         MonotonicTime at;
     };
     struct LinkState {
-        std::vector<Sent> sent; // by index of the upstream
+        std::vector<Sent> sent; // what the peer knows, by index of the upstream
         bool flagsChanged = false;
     };
 
-    bool newer(const Entry&, std::uint16_t sequence) const;
+    bool newer(const Entry&, std::uint16_t sequence, MonotonicTime now) const;
     double priority(const Entry&, const Sent&, MonotonicTime now) const;
-    void store(std::size_t index, const LoadReport&, MonotonicTime polled, MonotonicTime now);
+    void flagsChanged(const std::string& source);
+    void updateOwned() const;
+    LoadReport toReport(std::size_t index, MonotonicTime now) const;
 
     const Membership& m_membership;
     LoadTableOptions m_options;
--- /dev/null
+++ b/coordination/member.cc
@@ -0,0 +1,806 @@
+#include "coordination/member.h"
+
+#include "base/hash.h"
+#include "base/log.h"
+#include "coordination/tree.h"
+#include <algorithm>
+
+namespace briarwharf {
+
+namespace {
+
+    constexpr std::uint32_t protocolVersion = 1;
+
+    // Heartbeats in a row with another digest after which the whole table is sent: changes on their way
+    // explain fewer than this.
+    constexpr int digestMismatchLimit = 5;
+    constexpr int digestCooldown = -20;
+
+    // The window of the least delay between two clocks. Over two windows, clocks that differ by 200 parts per
+    // million drift 12 ms apart; the margin covers this and the rounding to milliseconds.
+    constexpr Milliseconds delayWindow { 30000 };
+    constexpr Milliseconds driftMargin { 20 };
+
+    // A helper that heard the target within this many tenths of an interval answers a probe at once.
+    constexpr int freshTenths = 16;
+
+    // Order of states of the same incarnation: the higher one wins.
+    int precedence(MemberState state)
+    {
+        switch (state) {
+        case MemberState::Alive:
+            return 0;
+        case MemberState::Leaving:
+            return 1;
+        case MemberState::Suspect:
+            return 2;
+        case MemberState::Dead:
+            return 3;
+        }
+        return 3;
+    }
+
+    bool isUsable(MemberState state) { return state == MemberState::Alive || state == MemberState::Suspect; }
+
+    bool isKnownState(MemberState state) { return state <= MemberState::MAX; }
+
+    std::uint32_t clockMilliseconds(MonotonicTime now)
+    {
+        return static_cast<std::uint32_t>(toMilliseconds(now.time_since_epoch()).count());
+    }
+
+    std::int32_t wrappedDifference(std::uint32_t later, std::uint32_t earlier)
+    {
+        return static_cast<std::int32_t>(later - earlier);
+    }
+
+    bool wrappedLess(std::int32_t left, std::int32_t right)
+    {
+        return wrappedDifference(static_cast<std::uint32_t>(left), static_cast<std::uint32_t>(right)) < 0;
+    }
+
+} // namespace
+
+Membership::Membership(InstanceIdentity self, MembershipOptions options, Outbox& outbox, std::uint64_t seed)
+    : m_self(std::move(self))
+    , m_selfHash(hash64(m_self.id))
+    , m_options(options)
+    , m_outbox(outbox)
+    , m_random(seed)
+{
+    toggleDigest(m_self.id, m_self.incarnation, MemberState::Alive);
+    updateUsable();
+}
+
+void Membership::addSection(HeartbeatSection& section) { m_sections.push_back(&section); }
+
+void Membership::seed(const std::vector<ListedInstance>& list, MonotonicTime now)
+{
+    m_listed.clear();
+    for (const ListedInstance& listed : list) {
+        if (listed.id == m_self.id)
+            continue;
+        m_listed.insert(listed.id);
+        if (m_views.count(listed.id) > 0)
+            continue;
+        MemberView view;
+        view.address = listed.address;
+        view.failureDomain = listed.failureDomain;
+        add(listed.id, view, now);
+    }
+    for (auto& [id, record] : m_records) {
+        bool dead = m_views.at(id).state == MemberState::Dead;
+        if (dead && m_listed.count(id) == 0 && now - record.diedAt >= m_options.listLag)
+            record.confirmedGone = true;
+    }
+}
+
+void Membership::add(const std::string& id, MemberView view, MonotonicTime now)
+{
+    if (m_views.size() >= m_options.maxMembers)
+        return;
+    view.hash = hash64(id);
+    toggleDigest(id, view.incarnation, view.state);
+    Record record;
+    record.lastHeard = now;
+    record.lastReached = now;
+    record.suspectedAt = now;
+    m_records[id] = record;
+    m_views[id] = std::move(view);
+    updateUsable();
+}
+
+// Members known from the list only have incarnation 0; they and dead ones do not count, because instances
+// forget them at different times.
+void Membership::toggleDigest(const std::string& id, std::uint64_t incarnation, MemberState state)
+{
+    if (incarnation == 0 || state == MemberState::Dead)
+        return;
+    std::uint64_t hash = combineHashes(hash64(id, incarnation), static_cast<std::uint64_t>(state));
+    m_digest ^= static_cast<std::uint32_t>(hash);
+}
+
+void Membership::updateUsable()
+{
+    m_usable.clear();
+    m_usableHashes.clear();
+    for (const auto& [id, view] : m_views)
+        if (isUsable(view.state))
+            m_usable.push_back(id);
+    if (!m_leaving || m_usable.empty())
+        m_usable.insert(std::lower_bound(m_usable.begin(), m_usable.end(), m_self.id), m_self.id);
+    for (const std::string& id : m_usable)
+        m_usableHashes.push_back(id == m_self.id ? m_selfHash : m_views.at(id).hash);
+    m_linksOutdated = true;
+    ++m_epoch;
+}
+
+const std::string& Membership::owner(std::uint64_t keyHash) const
+{
+    // The order of rendezvousScore with equal weights, without its logarithm.
+    std::size_t best = 0;
+    std::uint64_t bestScore = 0;
+    for (std::size_t i = 0; i < m_usable.size(); ++i) {
+        std::uint64_t score = combineHashes(keyHash, m_usableHashes[i]);
+        if (i > 0 && score <= bestScore)
+            continue;
+        best = i;
+        bestScore = score;
+    }
+    return m_usable[best];
+}
+
+std::size_t Membership::expectedInstances() const
+{
+    std::size_t gone = 0;
+    for (const auto& [id, record] : m_records)
+        gone += record.confirmedGone ? 1 : 0;
+    return m_records.size() - gone + 1;
+}
+
+std::vector<std::string> Membership::expectedPeers() const
+{
+    std::vector<std::string> peers;
+    for (const auto& [id, record] : m_records)
+        if (!record.confirmedGone)
+            peers.push_back(id);
+    return peers;
+}
+
+std::vector<std::string> Membership::linkedPeers() const
+{
+    std::vector<std::string> peers;
+    for (const auto& [id, link] : m_links)
+        peers.push_back(id);
+    return peers;
+}
+
+std::size_t Membership::treeLinkCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_links.begin(), m_links.end(),
+        [this](const auto& entry) { return entry.second.peerIsChild || entry.first == m_parent; }));
+}
+
+bool Membership::isolated(MonotonicTime now) const
+{
+    return std::none_of(m_links.begin(), m_links.end(),
+        [this, now](const auto& entry) { return now - entry.second.lastHeard <= m_options.silentAfter; });
+}
+
+void Membership::linkUp(const std::string& peer, MonotonicTime now)
+{
+    if (m_links.count(peer) > 0)
+        linkDown(peer, now);
+    Link link;
+    link.lastHeard = now;
+    link.upSince = now;
+    link.windowStarted = now;
+    // Links that come up together send at different times, so that their heartbeats do not form a burst.
+    auto interval = static_cast<std::uint64_t>(m_options.heartbeatInterval.count());
+    link.lastSent = now - Milliseconds(m_random.below(interval));
+    auto record = m_records.find(peer);
+    if (record != m_records.end() && m_chosen.count(peer) == 0)
+        record->second.lastReached = now; // not watched so far, so its silence meant nothing
+    auto view = m_views.find(peer);
+    if (view != m_views.end() && view->second.state != MemberState::Alive)
+        link.pending[peer] = m_options.changeRepeats;
+    m_links[peer] = std::move(link);
+    HelloT hello;
+    hello.member = std::make_unique<MemberT>(toMessage(m_self.id));
+    hello.protocolVersion = protocolVersion;
+    m_outbox.send(peer, std::move(hello));
+    for (HeartbeatSection* section : m_sections)
+        section->linkUp(peer, now);
+}
+
+void Membership::linkDown(const std::string& peer, MonotonicTime now)
+{
+    if (m_links.erase(peer) == 0)
+        return;
+    if (m_parent == peer)
+        m_parent.clear();
+    for (HeartbeatSection* section : m_sections)
+        section->linkDown(peer, now);
+}
+
+bool Membership::receive(const PeerFrameT& frame, MonotonicTime now)
+{
+    auto link = m_links.find(frame.sender);
+    if (link == m_links.end())
+        return frame.sender != m_self.id;
+    auto view = m_views.find(frame.sender);
+    if (view != m_views.end() && frame.incarnation < view->second.incarnation) {
+        // A replacement whose clock is behind learns here which incarnation it has to exceed.
+        link->second.pending[frame.sender] = m_options.changeRepeats;
+        link->second.urgent = true;
+        return now - link->second.upSince <= m_options.silentAfter;
+    }
+    link->second.lastHeard = now;
+    link->second.reportedSilent = false;
+    if (view != m_views.end()) {
+        Record& record = m_records[frame.sender];
+        record.lastHeard = now;
+        record.probeStarted.reset();
+        if (frame.incarnation > view->second.incarnation)
+            setState(frame.sender, MemberState::Alive, frame.incarnation, {}, now);
+        else if (precedence(view->second.state) >= precedence(MemberState::Suspect))
+            link->second.pending[frame.sender] = m_options.changeRepeats;
+    }
+    handleBody(frame, now);
+    answerProbes(frame.sender, now);
+    return true;
+}
+
+void Membership::handleBody(const PeerFrameT& frame, MonotonicTime now)
+{
+    if (const HelloT* hello = frame.body.AsHello())
+        handleHello(*hello, frame.sender, now);
+    else if (const HeartbeatT* heartbeat = frame.body.AsHeartbeat())
+        handleHeartbeat(*heartbeat, frame.sender, now);
+    else if (const PingRequestT* request = frame.body.AsPingRequest())
+        handlePingRequest(*request, frame.sender, now);
+    else if (const PingResponseT* response = frame.body.AsPingResponse())
+        handlePingResponse(*response, now);
+}
+
+void Membership::handleHello(const HelloT& hello, const std::string& sender, MonotonicTime now)
+{
+    if (hello.member && hello.member->id == sender)
+        applyMember(*hello.member, sender, now);
+}
+
+void Membership::handleHeartbeat(const HeartbeatT& heartbeat, const std::string& sender, MonotonicTime now)
+{
+    Link& link = m_links.at(sender);
+    if (heartbeat.sequence <= link.received)
+        return; // reordered: what it says is older than what is known
+    link.received = heartbeat.sequence;
+    std::optional<Milliseconds> transit = transitBound(link, heartbeat, now);
+    for (const auto& member : heartbeat.members)
+        if (member)
+            applyMember(*member, sender, now);
+    link.peerIsChild = heartbeat.parent && treeRank(sender) > treeRank(m_self.id);
+    link.digestMismatches = heartbeat.membersDigest == m_digest ? 0 : link.digestMismatches + 1;
+    if (link.digestMismatches >= digestMismatchLimit) {
+        queueAllMembers(link);
+        link.digestMismatches = digestCooldown;
+    }
+    LinkView linkView = view(sender, link);
+    linkView.transit = transit;
+    for (HeartbeatSection* section : m_sections)
+        section->accept(linkView, heartbeat, now);
+}
+
+// The heartbeat left at a time t on the peer's clock and arrived at r on this one: r - t = offset + transit.
+// The peer has seen heartbeats of ours with a least (received - sent) of d = -offset + transit' >= -offset,
+// so transit <= r - t + d. This holds whatever the delays are; only the clocks' drift needs a margin.
+std::optional<Milliseconds> Membership::transitBound(
+    Link& link, const HeartbeatT& heartbeat, MonotonicTime now)
+{
+    std::int32_t delay = wrappedDifference(clockMilliseconds(now), heartbeat.sentMs);
+    if (now - link.windowStarted > delayWindow) {
+        link.previousLeastDelay = link.leastDelay;
+        link.leastDelay.reset();
+        link.windowStarted = now;
+    }
+    if (!link.leastDelay || wrappedLess(delay, *link.leastDelay))
+        link.leastDelay = delay;
+    if (!heartbeat.leastDelayKnown)
+        return std::nullopt;
+    auto bound = static_cast<std::int32_t>(
+        static_cast<std::uint32_t>(delay) + static_cast<std::uint32_t>(heartbeat.leastDelayMs));
+    return std::max(Milliseconds(bound), Milliseconds(0)) + driftMargin;
+}
+
+void Membership::queueAllMembers(Link& link)
+{
+    for (const auto& [id, view] : m_views)
+        if (view.incarnation > 0)
+            link.pending.emplace(id, 1);
+    link.pending.emplace(m_self.id, 1);
+}
+
+void Membership::handlePingRequest(const PingRequestT& request, const std::string& sender, MonotonicTime now)
+{
+    Milliseconds freshness = m_options.heartbeatInterval * freshTenths / 10;
+    if (request.target == m_self.id
+        || (linked(request.target) && heardWithin(request.target, freshness, now))) {
+        PingResponseT response;
+        response.target = request.target;
+        response.nonce = request.nonce;
+        response.reached = true;
+        m_outbox.send(sender, std::move(response));
+        return;
+    }
+    if (m_views.count(request.target) == 0 || m_probes.size() >= m_options.maxMembers)
+        return;
+    m_probes.push_back({ sender, request.target, request.nonce, now + m_options.probeTimeout });
+    if (!linked(request.target))
+        return; // peersToHold() names the target, so that a new connection is tried
+    PingRequestT direct;
+    direct.target = request.target;
+    direct.nonce = m_nextNonce++;
+    m_outbox.send(request.target, std::move(direct));
+}
+
+void Membership::answerProbes(const std::string& target, MonotonicTime now)
+{
+    for (const PendingProbe& probe : m_probes) {
+        if (probe.target != target || now > probe.deadline)
+            continue;
+        PingResponseT response;
+        response.target = target;
+        response.nonce = probe.nonce;
+        response.reached = true;
+        m_outbox.send(probe.requester, std::move(response));
+    }
+    std::erase_if(m_probes, [&target](const PendingProbe& probe) { return probe.target == target; });
+}
+
+void Membership::expireProbes(MonotonicTime now)
+{
+    std::erase_if(m_probes, [now](const PendingProbe& probe) { return now > probe.deadline; });
+}
+
+void Membership::handlePingResponse(const PingResponseT& response, MonotonicTime now)
+{
+    auto record = m_records.find(response.target);
+    if (record == m_records.end() || !response.reached || response.nonce != record->second.probeNonce)
+        return;
+    record->second.lastReached = now;
+    record->second.probeStarted.reset();
+}
+
+void Membership::applyMember(const MemberT& message, const std::string& source, MonotonicTime now)
+{
+    if (message.id.empty() || !isKnownState(message.state))
+        return;
+    if (message.id == m_self.id) {
+        heardOfSelf(message);
+        return;
+    }
+    auto found = m_views.find(message.id);
+    if (found == m_views.end()) {
+        if (message.state == MemberState::Dead)
+            return;
+        add(message.id, { message.address, message.failureDomain, message.incarnation, message.state }, now);
+        spread(message.id, source);
+        ++m_changes;
+        return;
+    }
+    MemberView& known = found->second;
+    bool newer = message.incarnation > known.incarnation
+        || (message.incarnation == known.incarnation && precedence(message.state) > precedence(known.state));
+    if (!newer)
+        return;
+    if (!message.address.empty()) {
+        known.address = message.address;
+        known.failureDomain = message.failureDomain;
+    }
+    setState(message.id, message.state, message.incarnation, source, now);
+}
+
+void Membership::heardOfSelf(const MemberT& message)
+{
+    bool newer = message.incarnation > m_self.incarnation;
+    if (newer && message.state != MemberState::Dead && !message.address.empty()
+        && message.address != m_self.address) {
+        m_superseded = true;
+        return;
+    }
+    MemberState own = m_leaving ? MemberState::Leaving : MemberState::Alive;
+    bool wrong = newer || (message.incarnation == m_self.incarnation && message.state != own);
+    if (!wrong || (message.incarnation == m_self.incarnation && message.state == MemberState::Alive))
+        return;
+    toggleDigest(m_self.id, m_self.incarnation, own);
+    m_self.incarnation = message.incarnation + 1;
+    toggleDigest(m_self.id, m_self.incarnation, own);
+    spread(m_self.id, {});
+}
+
+void Membership::setState(const std::string& id, MemberState state, std::uint64_t incarnation,
+    const std::string& source, MonotonicTime now)
+{
+    MemberView& view = m_views.at(id);
+    Record& record = m_records.at(id);
+    bool wasUsable = isUsable(view.state);
+    if (state == view.state && incarnation == view.incarnation)
+        return;
+    toggleDigest(id, view.incarnation, view.state);
+    view.state = state;
+    view.incarnation = incarnation;
+    toggleDigest(id, incarnation, state);
+    if (state == MemberState::Suspect)
+        record.suspectedAt = now;
+    if (state == MemberState::Dead)
+        record.diedAt = now;
+    else
+        record.confirmedGone = false;
+    if (state == MemberState::Alive || state == MemberState::Leaving)
+        record.lastReached = now; // the member itself has announced this
+    ++m_changes;
+    spread(id, source);
+    if (isUsable(state) != wasUsable)
+        updateUsable();
+}
+
+void Membership::spread(const std::string& id, const std::string& source)
+{
+    for (auto& [peer, link] : m_links) {
+        if (peer == source)
+            continue;
+        link.pending[id] = m_options.changeRepeats;
+        link.urgent = true;
+    }
+}
+
+void Membership::leave(MonotonicTime now)
+{
+    if (m_leaving)
+        return;
+    toggleDigest(m_self.id, m_self.incarnation, MemberState::Alive);
+    m_leaving = true;
+    toggleDigest(m_self.id, m_self.incarnation, MemberState::Leaving);
+    updateUsable();
+    spread(m_self.id, {});
+    sendDueHeartbeats(now);
+}
+
+MemberT Membership::toMessage(const std::string& id) const
+{
+    MemberT message;
+    message.id = id;
+    if (id == m_self.id) {
+        message.address = m_self.address;
+        message.failureDomain = m_self.failureDomain;
+        message.incarnation = m_self.incarnation;
+        message.state = m_leaving ? MemberState::Leaving : MemberState::Alive;
+        return message;
+    }
+    const MemberView& view = m_views.find(id)->second;
+    message.address = view.address;
+    message.failureDomain = view.failureDomain;
+    message.incarnation = view.incarnation;
+    message.state = view.state;
+    return message;
+}
+
+PeerFrameT Membership::frame(OutgoingMessage message) const
+{
+    PeerFrameT frame;
+    frame.sender = m_self.id;
+    frame.incarnation = m_self.incarnation;
+    frame.body = std::move(message.body);
+    return frame;
+}
+
+std::vector<std::string> Membership::peersToHold() const
+{
+    std::set<std::string> peers = m_chosen;
+    for (const PendingProbe& probe : m_probes)
+        if (m_views.count(probe.target) > 0)
+            peers.insert(probe.target);
+    if (m_rescued && m_views.count(*m_rescued) > 0)
+        peers.insert(*m_rescued);
+    return { peers.begin(), peers.end() };
+}
+
+std::vector<std::string> Membership::takeSilentLinks() { return std::exchange(m_silent, {}); }
+
+void Membership::tick(MonotonicTime now)
+{
+    forgivePause(now);
+    if (m_linksOutdated)
+        chooseLinks(now);
+    chooseParent(now);
+    checkSilentLinks(now);
+    checkMembers(now);
+    expireProbes(now);
+    rescue(now);
+    sendDueHeartbeats(now);
+}
+
+// After a pause of this instance, all peers seem silent. The time in which nothing could be received does not
+// count against them.
+void Membership::forgivePause(MonotonicTime now)
+{
+    MonotonicTime last = std::exchange(m_lastTick, now).value_or(now);
+    if (now - last <= m_options.pauseThreshold)
+        return;
+    auto shift = [last, now](MonotonicTime& time) {
+        if (time <= last)
+            time += now - last;
+    };
+    for (auto& [id, link] : m_links)
+        shift(link.lastHeard);
+    for (auto& [id, record] : m_records) {
+        shift(record.lastHeard);
+        shift(record.lastReached);
+        shift(record.suspectedAt);
+        record.probeStarted.reset();
+    }
+}
+
+void Membership::chooseLinks(MonotonicTime now)
+{
+    m_linksOutdated = false;
+    std::set<std::string> before = std::exchange(m_chosen, {});
+    m_designatedParent.clear();
+    std::vector<std::string> ids = m_usable;
+    if (m_leaving && !std::binary_search(ids.begin(), ids.end(), m_self.id))
+        ids.insert(std::lower_bound(ids.begin(), ids.end(), m_self.id), m_self.id);
+    std::vector<std::size_t> parents = treeParents(ids);
+    for (std::size_t i = 0; i < ids.size(); ++i)
+        if (ids[i] == m_self.id && parents[i] < ids.size())
+            m_designatedParent = ids[parents[i]];
+    std::erase(ids, m_self.id);
+    if (ids.size() < m_options.fullMeshLimit)
+        m_chosen.insert(ids.begin(), ids.end());
+    else
+        choosePartialMesh(ids);
+    if (!m_designatedParent.empty())
+        m_chosen.insert(m_designatedParent);
+    for (const std::string& peer : m_chosen)
+        if (before.count(peer) == 0 && !linked(peer))
+            m_records.at(peer).lastReached = now; // not watched so far, so its silence meant nothing
+}
+
+void Membership::choosePartialMesh(const std::vector<std::string>& peers)
+{
+    using Scored = std::pair<std::uint64_t, const std::string*>;
+    std::vector<Scored> within;
+    std::vector<Scored> across;
+    for (const std::string& peer : peers) {
+        const MemberView& view = m_views.at(peer);
+        std::vector<Scored>& group = view.failureDomain == m_self.failureDomain ? within : across;
+        group.emplace_back(combineHashes(m_selfHash, view.hash), &peer);
+    }
+    auto choose = [this](std::vector<Scored>& group, std::size_t count) {
+        count = std::min(count, group.size());
+        std::partial_sort(
+            group.begin(), group.begin() + static_cast<std::ptrdiff_t>(count), group.end(), std::greater<>());
+        for (std::size_t i = 0; i < count; ++i)
+            m_chosen.insert(*group[i].second);
+    };
+    choose(within, m_options.linksWithin);
+    choose(across, m_options.linksAcross);
+}
+
+// The designated parent while its link carries heartbeats, otherwise another linked peer of lower rank.
+void Membership::chooseParent(MonotonicTime now)
+{
+    auto lives = [this, now](const std::string& peer) {
+        auto link = m_links.find(peer);
+        return link != m_links.end() && now - link->second.lastHeard <= m_options.silentAfter;
+    };
+    std::string chosen;
+    if (lives(m_designatedParent)) {
+        chosen = m_designatedParent;
+    } else {
+        std::uint64_t ownRank = treeRank(m_self.id);
+        std::uint64_t bestScore = 0;
+        for (const auto& [peer, link] : m_links) {
+            auto view = m_views.find(peer);
+            if (view == m_views.end() || !isUsable(view->second.state) || !lives(peer)
+                || treeRank(peer) >= ownRank)
+                continue;
+            std::uint64_t score = combineHashes(m_selfHash, view->second.hash);
+            if (chosen.empty() || score > bestScore) {
+                chosen = peer;
+                bestScore = score;
+            }
+        }
+    }
+    if (chosen == m_parent)
+        return;
+    for (const std::string& peer : { m_parent, chosen }) {
+        auto link = m_links.find(peer);
+        if (link != m_links.end())
+            link->second.urgent = true;
+    }
+    m_parent = chosen;
+}
+
+void Membership::checkSilentLinks(MonotonicTime now)
+{
+    for (auto& [peer, link] : m_links) {
+        if (link.reportedSilent || now - link.lastHeard <= m_options.silentAfter)
+            continue;
+        link.reportedSilent = true;
+        m_silent.push_back(peer);
+    }
+}
+
+void Membership::checkMembers(MonotonicTime now)
+{
+    std::set<std::string> monitored = m_chosen;
+    for (const auto& [peer, link] : m_links)
+        monitored.insert(peer);
+    for (const std::string& id : monitored)
+        if (m_views.count(id) > 0)
+            checkReachability(id, now);
+
+    std::vector<std::string> suspects;
+    for (const auto& [id, view] : m_views)
+        if (view.state == MemberState::Suspect)
+            suspects.push_back(id);
+    for (const std::string& id : suspects)
+        expireSuspicion(id, now);
+
+    for (auto record = m_records.begin(); record != m_records.end();) {
+        bool forget = record->second.confirmedGone && now - record->second.diedAt > m_options.forgetAfter
+            && !linked(record->first);
+        if (forget)
+            m_views.erase(record->first);
+        record = forget ? m_records.erase(record) : std::next(record);
+    }
+}
+
+void Membership::checkReachability(const std::string& id, MonotonicTime now)
+{
+    MemberState state = m_views.at(id).state;
+    if (state == MemberState::Dead || state == MemberState::Suspect)
+        return;
+    Record& record = m_records.at(id);
+    MonotonicTime evidence = std::max(record.lastHeard, record.lastReached);
+    if (now - evidence <= m_options.silentAfter) {
+        record.probeStarted.reset();
+        return;
+    }
+    if (isolated(now)) {
+        // Nobody can be asked, and more likely this instance is cut off than all others dead.
+        if (now - evidence > m_options.isolatedSuspicionAfter)
+            suspect(id, now);
+        return;
+    }
+    if (!record.probeStarted) {
+        record.probeStarted = now;
+        record.probeNonce = m_nextNonce++;
+        record.probeRepeated = false;
+        sendProbes(id, now);
+        return;
+    }
+    if (!record.probeRepeated && now - *record.probeStarted > m_options.probeTimeout / 2) {
+        record.probeRepeated = true;
+        sendProbes(id, now);
+    }
+    if (now - *record.probeStarted > m_options.probeTimeout)
+        suspect(id, now);
+}
+
+void Membership::sendProbes(const std::string& id, MonotonicTime now)
+{
+    std::vector<std::string> helpers;
+    for (const auto& [peer, link] : m_links)
+        if (peer != id && now - link.lastHeard <= m_options.silentAfter)
+            helpers.push_back(peer);
+    for (std::size_t i = 0; i < m_options.probeHelpers && !helpers.empty(); ++i) {
+        std::size_t chosen = m_random.below(helpers.size());
+        PingRequestT request;
+        request.target = id;
+        request.nonce = m_records.at(id).probeNonce;
+        m_outbox.send(helpers[chosen], std::move(request));
+        helpers.erase(helpers.begin() + static_cast<std::ptrdiff_t>(chosen));
+    }
+}
+
+void Membership::suspect(const std::string& id, MonotonicTime now)
+{
+    m_records.at(id).probeStarted.reset();
+    BW_LOG(DEBUG, "member") << m_self.id << " suspects " << id;
+    setState(id, MemberState::Suspect, m_views.at(id).incarnation, {}, now);
+}
+
+void Membership::expireSuspicion(const std::string& id, MonotonicTime now)
+{
+    Record& record = m_records.at(id);
+    if (now - record.suspectedAt <= m_options.suspicionTimeout)
+        return;
+    // A suspect that is heard here has yet to learn of the suspicion; an isolated instance gives more time.
+    bool wait = heardWithin(id, m_options.silentAfter, now)
+        || (isolated(now) && now - record.suspectedAt <= m_options.isolatedSuspicionAfter);
+    if (!wait)
+        setState(id, MemberState::Dead, m_views.at(id).incarnation, {}, now);
+}
+
+bool Membership::heardWithin(const std::string& id, Milliseconds limit, MonotonicTime now) const
+{
+    auto link = m_links.find(id);
+    return link != m_links.end() && now - link->second.lastHeard <= limit;
+}
+
+void Membership::rescue(MonotonicTime now)
+{
+    if (now - m_rescueStarted < m_options.rescueInterval)
+        return;
+    m_rescueStarted = now;
+    m_rescued.reset();
+    std::vector<std::string> dead;
+    for (const auto& [id, view] : m_views)
+        if (view.state == MemberState::Dead && !m_records.at(id).confirmedGone)
+            dead.push_back(id);
+    if (!dead.empty())
+        m_rescued = dead[m_random.below(dead.size())];
+}
+
+LinkView Membership::view(const std::string& peer, const Link& link) const
+{
+    LinkView linkView { peer };
+    linkView.parent = peer == m_parent;
+    linkView.tree = linkView.parent || link.peerIsChild;
+    linkView.treeLinks = treeLinkCount();
+    return linkView;
+}
+
+void Membership::sendDueHeartbeats(MonotonicTime now)
+{
+    for (auto& [peer, link] : m_links) {
+        auto age = now - link.lastSent;
+        if (age < m_options.earlyHeartbeatGap)
+            continue;
+        bool due = age >= m_options.heartbeatInterval || link.urgent;
+        if (!due) {
+            LinkView linkView = view(peer, link);
+            due = std::any_of(m_sections.begin(), m_sections.end(),
+                [&](const HeartbeatSection* section) { return section->urgent(linkView, now); });
+        }
+        if (due)
+            sendHeartbeat(peer, link, now);
+    }
+}
+
+void Membership::sendHeartbeat(const std::string& peer, Link& link, MonotonicTime now)
+{
+    HeartbeatT heartbeat;
+    heartbeat.sequence = ++link.sent;
+    heartbeat.acknowledged = link.received;
+    heartbeat.sentMs = clockMilliseconds(now);
+    std::optional<std::int32_t> least = link.leastDelay;
+    if (link.previousLeastDelay && (!least || wrappedLess(*link.previousLeastDelay, *least)))
+        least = link.previousLeastDelay;
+    heartbeat.leastDelayKnown = least.has_value();
+    heartbeat.leastDelayMs = least.value_or(0);
+    heartbeat.membersDigest = m_digest;
+    heartbeat.parent = peer == m_parent;
+    addPendingMembers(link, heartbeat);
+    LinkView linkView = view(peer, link);
+    for (HeartbeatSection* section : m_sections)
+        section->fill(linkView, heartbeat, now);
+    link.lastSent = now;
+    link.urgent = false;
+    m_outbox.send(peer, std::move(heartbeat));
+}
+
+void Membership::addPendingMembers(Link& link, HeartbeatT& heartbeat)
+{
+    for (auto entry = link.pending.begin();
+         entry != link.pending.end() && heartbeat.members.size() < m_options.changesPerHeartbeat;) {
+        if (entry->first == m_self.id || m_views.count(entry->first) > 0)
+            heartbeat.members.push_back(std::make_unique<MemberT>(toMessage(entry->first)));
+        else
+            entry->second = 1; // forgotten meanwhile
+        entry = --entry->second == 0 ? link.pending.erase(entry) : std::next(entry);
+    }
+}
+
+} // namespace briarwharf
--- a/coordination/member.h
+++ b/coordination/member.h
@@ -120,7 +120,8 @@
     // The frame for a message from the outbox.
     PeerFrameT frame(OutgoingMessage) const;
 
-    // Peers to dial and hold a link to, in order of id; links dialled by others are accepted as well.
+    // Peers to dial and hold a link to, in order of id; links dialled by others are accepted as well. Of two
+    // links between the same pair, both keep the one that the smaller id dialled.
     std::vector<std::string> peersToHold() const;
 
     // Links that carried nothing for `silentAfter`, each reported once: close and dial again.
@@ -154,6 +155,10 @@
     std::size_t treeLinkCount() const;
     std::size_t memberChanges() const { return m_changes; }
 
+    // Whether another process with this id and a newer incarnation runs at another address: this one must
+    // stop.
+    bool superseded() const { return m_superseded; }
+
     // Whether no peer has been heard for `silentAfter`. True for an instance that knows no other.
     bool isolated(MonotonicTime now) const;
 
@@ -165,7 +170,7 @@
         MonotonicTime diedAt;
         std::optional<MonotonicTime> probeStarted;
         std::uint64_t probeNonce = 0;
-        bool everHeard = false;
+        bool probeRepeated = false;
         bool confirmedGone = false;
     };
     struct Link {
@@ -173,12 +178,15 @@
         MonotonicTime lastSent;
         std::uint64_t sent = 0; // sequence of the last heartbeat
         std::uint64_t received = 0;
+        MonotonicTime upSince;
         bool reportedSilent = false;
         bool peerIsChild = false;
+        bool urgent = false; // a change should not wait for the interval
         // Least (received - sent) of the peer's heartbeats in the present and the previous window.
-        std::optional<std::int64_t> leastDelay;
-        std::optional<std::int64_t> previousLeastDelay;
-        std::optional<std::int64_t> reverseLeastDelay; // as the peer reports it of our heartbeats
+        // Milliseconds modulo 2^32: the clocks of two instances have no common origin.
+        std::optional<std::int32_t> leastDelay;
+        std::optional<std::int32_t> previousLeastDelay;
+        std::optional<std::int32_t> reverseLeastDelay; // as the peer reports it of our heartbeats
         MonotonicTime windowStarted;
         int digestMismatches = 0;
         std::map<std::string, std::size_t> pending; // member id to remaining repeats
@@ -195,11 +203,14 @@
     void setState(const std::string& id, MemberState, std::uint64_t incarnation, const std::string& source,
         MonotonicTime now);
     void spread(const std::string& id, const std::string& source);
-    void membersChanged();
     void updateUsable();
-    void updateDigest(const std::string& id, const MemberView&);
-    void chooseLinks();
-    void chooseParent();
+    void toggleDigest(const std::string& id, std::uint64_t incarnation, MemberState);
+    void add(const std::string& id, MemberView, MonotonicTime now);
+    void chooseLinks(MonotonicTime now);
+    void choosePartialMesh(const std::vector<std::string>& peers);
+    void chooseParent(MonotonicTime now);
+    void queueAllMembers(Link&);
+    void handleBody(const PeerFrameT&, MonotonicTime now);
     void handleHello(const HelloT&, const std::string& sender, MonotonicTime now);
     void handleHeartbeat(const HeartbeatT&, const std::string& sender, MonotonicTime now);
     void handlePingRequest(const PingRequestT&, const std::string& sender, MonotonicTime now);
@@ -210,9 +221,12 @@
     void checkSilentLinks(MonotonicTime now);
     void checkMembers(MonotonicTime now);
     void checkReachability(const std::string& id, MonotonicTime now);
-    void startProbe(const std::string& id, MonotonicTime now);
+    void sendProbes(const std::string& id, MonotonicTime now);
+    void suspect(const std::string& id, MonotonicTime now);
+    void expireSuspicion(const std::string& id, MonotonicTime now);
     void expireProbes(MonotonicTime now);
     void rescue(MonotonicTime now);
+    void sendDueHeartbeats(MonotonicTime now);
     void forgivePause(MonotonicTime now);
     bool heardWithin(const std::string& id, Milliseconds, MonotonicTime now) const;
     LinkView view(const std::string& peer, const Link&) const;
@@ -244,6 +258,7 @@
     std::uint32_t m_digest = 0;
     std::size_t m_changes = 0;
     bool m_leaving = false;
+    bool m_superseded = false;
     bool m_linksOutdated = true;
 };
 
--- a/coordination/peer_generated.h
+++ b/coordination/peer_generated.h
@@ -1018,6 +1018,7 @@
   std::vector<briarwharf::LoadReport> loadReports{};
   std::vector<briarwharf::UsageSum> usageSums{};
   std::vector<briarwharf::UpstreamEvidence> evidence{};
+  uint32_t usageCovered = 0;
   uint32_t covered = 0;
   uint32_t coveredOldestMs = 0;
   uint64_t coveredRevision = 0;
@@ -1047,9 +1048,10 @@
     VT_LOADREPORTS = 30,
     VT_USAGESUMS = 32,
     VT_EVIDENCE = 34,
-    VT_COVERED = 36,
-    VT_COVEREDOLDESTMS = 38,
-    VT_COVEREDREVISION = 40
+    VT_USAGECOVERED = 36,
+    VT_COVERED = 38,
+    VT_COVEREDOLDESTMS = 40,
+    VT_COVEREDREVISION = 42
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1090,6 +1092,9 @@
   const flatbuffers::Vector<const briarwharf::UpstreamEvidence *> *evidence() const {
     return GetPointer<const flatbuffers::Vector<const briarwharf::UpstreamEvidence *> *>(VT_EVIDENCE);
   }
+  uint32_t usageCovered() const {
+    return GetField<uint32_t>(VT_USAGECOVERED, 0);
+  }
   uint32_t covered() const {
     return GetField<uint32_t>(VT_COVERED, 0);
   }
@@ -1119,6 +1124,7 @@
            verifier.VerifyVector(usageSums()) &&
            VerifyOffset(verifier, VT_EVIDENCE) &&
            verifier.VerifyVector(evidence()) &&
+           VerifyField<uint32_t>(verifier, VT_USAGECOVERED, 4) &&
            VerifyField<uint32_t>(verifier, VT_COVERED, 4) &&
            VerifyField<uint32_t>(verifier, VT_COVEREDOLDESTMS, 4) &&
            VerifyField<uint64_t>(verifier, VT_COVEREDREVISION, 8) &&
@@ -1172,6 +1178,9 @@
   void add_evidence(flatbuffers::Offset<flatbuffers::Vector<const briarwharf::UpstreamEvidence *>> evidence) {
     fbb_.AddOffset(Heartbeat::VT_EVIDENCE, evidence);
   }
+  void add_usageCovered(uint32_t usageCovered) {
+    fbb_.AddElement<uint32_t>(Heartbeat::VT_USAGECOVERED, usageCovered, 0);
+  }
   void add_covered(uint32_t covered) {
     fbb_.AddElement<uint32_t>(Heartbeat::VT_COVERED, covered, 0);
   }
@@ -1207,6 +1216,7 @@
     flatbuffers::Offset<flatbuffers::Vector<const briarwharf::LoadReport *>> loadReports = 0,
     flatbuffers::Offset<flatbuffers::Vector<const briarwharf::UsageSum *>> usageSums = 0,
     flatbuffers::Offset<flatbuffers::Vector<const briarwharf::UpstreamEvidence *>> evidence = 0,
+    uint32_t usageCovered = 0,
     uint32_t covered = 0,
     uint32_t coveredOldestMs = 0,
     uint64_t coveredRevision = 0) {
@@ -1217,6 +1227,7 @@
   builder_.add_sequence(sequence);
   builder_.add_coveredOldestMs(coveredOldestMs);
   builder_.add_covered(covered);
+  builder_.add_usageCovered(usageCovered);
   builder_.add_evidence(evidence);
   builder_.add_usageSums(usageSums);
   builder_.add_loadReports(loadReports);
@@ -1245,6 +1256,7 @@
     const std::vector<briarwharf::LoadReport> *loadReports = nullptr,
     const std::vector<briarwharf::UsageSum> *usageSums = nullptr,
     const std::vector<briarwharf::UpstreamEvidence> *evidence = nullptr,
+    uint32_t usageCovered = 0,
     uint32_t covered = 0,
     uint32_t coveredOldestMs = 0,
     uint64_t coveredRevision = 0) {
@@ -1267,6 +1279,7 @@
       loadReports__,
       usageSums__,
       evidence__,
+      usageCovered,
       covered,
       coveredOldestMs,
       coveredRevision);
@@ -2864,6 +2877,7 @@
         loadReports(o.loadReports),
         usageSums(o.usageSums),
         evidence(o.evidence),
+        usageCovered(o.usageCovered),
         covered(o.covered),
         coveredOldestMs(o.coveredOldestMs),
         coveredRevision(o.coveredRevision) {
@@ -2885,6 +2899,7 @@
   std::swap(loadReports, o.loadReports);
   std::swap(usageSums, o.usageSums);
   std::swap(evidence, o.evidence);
+  std::swap(usageCovered, o.usageCovered);
   std::swap(covered, o.covered);
   std::swap(coveredOldestMs, o.coveredOldestMs);
   std::swap(coveredRevision, o.coveredRevision);
@@ -2913,6 +2928,7 @@
   { auto _e = loadReports(); if (_e) { _o->loadReports.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loadReports[_i] = *_e->Get(_i); } } }
   { auto _e = usageSums(); if (_e) { _o->usageSums.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->usageSums[_i] = *_e->Get(_i); } } }
   { auto _e = evidence(); if (_e) { _o->evidence.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evidence[_i] = *_e->Get(_i); } } }
+  { auto _e = usageCovered(); _o->usageCovered = _e; }
   { auto _e = covered(); _o->covered = _e; }
   { auto _e = coveredOldestMs(); _o->coveredOldestMs = _e; }
   { auto _e = coveredRevision(); _o->coveredRevision = _e; }
@@ -2939,6 +2955,7 @@
   auto _loadReports = _o->loadReports.size() ? _fbb.CreateVectorOfStructs(_o->loadReports) : 0;
   auto _usageSums = _o->usageSums.size() ? _fbb.CreateVectorOfStructs(_o->usageSums) : 0;
   auto _evidence = _o->evidence.size() ? _fbb.CreateVectorOfStructs(_o->evidence) : 0;
+  auto _usageCovered = _o->usageCovered;
   auto _covered = _o->covered;
   auto _coveredOldestMs = _o->coveredOldestMs;
   auto _coveredRevision = _o->coveredRevision;
@@ -2957,6 +2974,7 @@
       _loadReports,
       _usageSums,
       _evidence,
+      _usageCovered,
       _covered,
       _coveredOldestMs,
       _coveredRevision);
--- /dev/null
+++ b/coordination/rateshare.cc
@@ -0,0 +1,328 @@
+#include "coordination/rateshare.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace briarwharf {
+
+namespace {
+
+    constexpr double unlimitedLevel = std::numeric_limits<double>::infinity();
+
+    // Demand below this many tokens per second counts as none.
+    constexpr double leastDemand = 0.5;
+
+    // A change below this part of the organisation's limit is never urgent.
+    constexpr double urgentPartOfLimit = 0.02;
+
+    double seconds(std::chrono::nanoseconds duration)
+    {
+        return std::chrono::duration<double>(duration).count();
+    }
+
+    // Part of the way to a new value that an exponential approach covers.
+    double approach(double elapsed, Milliseconds timeConstant)
+    {
+        return 1 - std::exp(-elapsed / seconds(timeConstant));
+    }
+
+} // namespace
+
+RateShare::RateShare(const Membership& membership, RateShareOptions options)
+    : m_membership(membership)
+    , m_options(options)
+{
+}
+
+void RateShare::setLimits(const std::vector<OrganisationLimit>& limits, MonotonicTime /* now */)
+{
+    std::unordered_map<std::uint32_t, std::size_t> indexes;
+    std::vector<Share> shares;
+    std::vector<std::size_t> sources;
+    auto parts = static_cast<double>(std::max<std::size_t>(m_membership.expectedInstances(), 1));
+    for (const OrganisationLimit& limit : limits) {
+        if (!indexes.emplace(limit.organisation, shares.size()).second)
+            continue;
+        auto known = m_indexes.find(limit.organisation);
+        Share share;
+        if (known != m_indexes.end()) {
+            share = m_shares[known->second];
+        } else {
+            share.organisation = limit.organisation;
+            share.allowance = limit.tokensPerSecond / parts;
+            share.balance = share.allowance * seconds(m_options.burst);
+        }
+        share.limit = limit.tokensPerSecond;
+        share.weight = limit.weight;
+        sources.push_back(known == m_indexes.end() ? m_shares.size() : known->second);
+        shares.push_back(share);
+    }
+    for (auto& [peer, state] : m_links) {
+        LinkState moved = state;
+        moved.received.assign(shares.size(), 0);
+        moved.sent.assign(shares.size(), {});
+        for (std::size_t i = 0; i < shares.size(); ++i) {
+            if (sources[i] >= state.received.size())
+                continue;
+            moved.received[i] = state.received[sources[i]];
+            moved.sent[i] = state.sent[sources[i]];
+        }
+        state = std::move(moved);
+    }
+    m_indexes = std::move(indexes);
+    m_shares = std::move(shares);
+}
+
+bool RateShare::admit(std::uint32_t organisation, double tokens, MonotonicTime /* now */)
+{
+    auto index = m_indexes.find(organisation);
+    if (index == m_indexes.end())
+        return false;
+    Share& share = m_shares[index->second];
+    share.arrived += tokens;
+    if (share.balance <= 0)
+        return false;
+    share.balance -= tokens;
+    return true;
+}
+
+Milliseconds RateShare::retryAfter(std::uint32_t organisation, MonotonicTime /* now */) const
+{
+    constexpr double longest = 60; // seconds; also the answer while the allowance is zero
+    auto index = m_indexes.find(organisation);
+    if (index == m_indexes.end())
+        return Milliseconds(static_cast<std::int64_t>(longest * 1000));
+    const Share& share = m_shares[index->second];
+    if (share.balance > 0)
+        return Milliseconds(0);
+    double wait = share.allowance > 0 ? std::min(-share.balance / share.allowance, longest) : longest;
+    return Milliseconds(static_cast<std::int64_t>(std::ceil(wait * 1000)) + 1);
+}
+
+double RateShare::allowance(std::uint32_t organisation) const
+{
+    auto index = m_indexes.find(organisation);
+    return index == m_indexes.end() ? 0 : m_shares[index->second].allowance;
+}
+
+double RateShare::totalDemand(std::uint32_t organisation) const
+{
+    auto index = m_indexes.find(organisation);
+    return index == m_indexes.end() ? 0 : m_shares[index->second].total;
+}
+
+void RateShare::tick(MonotonicTime now)
+{
+    MonotonicTime last = std::exchange(m_lastTick, now).value_or(now);
+    double elapsed = seconds(now - last);
+    if (elapsed <= 0)
+        return;
+    updateDemand(elapsed);
+    updateTotals(now);
+    updateAllowances(elapsed);
+}
+
+void RateShare::updateDemand(double elapsed)
+{
+    double part = approach(elapsed, m_options.demandWindow);
+    for (Share& share : m_shares) {
+        share.demand += (share.arrived / elapsed - share.demand) * part;
+        share.arrived = 0;
+    }
+}
+
+void RateShare::updateTotals(MonotonicTime now)
+{
+    std::erase_if(m_links, [this, now](const auto& entry) {
+        return entry.second.lostAt && now - *entry.second.lostAt > m_options.keepLostLink;
+    });
+    m_covered = 1;
+    for (Share& share : m_shares)
+        share.total = share.demand;
+    for (const auto& [peer, state] : m_links) {
+        if (!state.tree)
+            continue;
+        m_covered += state.covered;
+        for (std::size_t i = 0; i < m_shares.size(); ++i)
+            m_shares[i].total += state.received[i];
+    }
+}
+
+// Level at which the organisations' demands, each bounded by its limit and by level * weight, add up to the
+// capacity; unlimited while the capacity suffices for all.
+double RateShare::entitlementLevel() const
+{
+    if (m_options.capacity <= 0)
+        return unlimitedLevel;
+    struct Want {
+        double perWeight = 0;
+        double wanted = 0;
+        double weight = 0;
+    };
+    std::vector<Want> wants;
+    double wanted = 0;
+    double weights = 0;
+    for (const Share& share : m_shares) {
+        double want = std::min(share.total, share.limit);
+        if (want < leastDemand)
+            continue;
+        wants.push_back({ want / share.weight, want, share.weight });
+        wanted += want;
+        weights += share.weight;
+    }
+    if (wanted <= m_options.capacity)
+        return unlimitedLevel;
+    std::sort(wants.begin(), wants.end(),
+        [](const Want& left, const Want& right) { return left.perWeight < right.perWeight; });
+    double left = m_options.capacity;
+    for (const Want& want : wants) {
+        if (want.perWeight * weights >= left)
+            break;
+        left -= want.wanted;
+        weights -= want.weight;
+    }
+    return weights > 0 ? left / weights : unlimitedLevel;
+}
+
+double RateShare::entitlement(const Share& share, double level) const
+{
+    return std::min(share.limit, level * share.weight);
+}
+
+void RateShare::updateAllowances(double elapsed)
+{
+    double level = entitlementLevel();
+    auto covered = static_cast<double>(m_covered);
+    auto expected = static_cast<double>(m_membership.expectedInstances());
+    double usablePart = std::min(1.0, covered / expected);
+    double rise = approach(elapsed, m_options.riseTime);
+    for (Share& share : m_shares) {
+        double part = 1 / covered;
+        if (share.total >= leastDemand)
+            part = (1 - m_options.evenPart) * share.demand / share.total + m_options.evenPart / covered;
+        double target = entitlement(share, level) * usablePart * std::min(part, 1.0);
+        if (target < share.allowance)
+            share.allowance = target;
+        else
+            share.allowance += (target - share.allowance) * rise;
+        double most = share.allowance * seconds(m_options.burst);
+        share.balance = std::min(share.balance + share.allowance * elapsed, std::max(most, 0.0));
+    }
+}
+
+std::uint32_t RateShare::outgoing(std::size_t index, const LinkState& link) const
+{
+    const Share& share = m_shares[index];
+    double own = link.tree ? share.total - link.received[index] : share.total;
+    double bounded = std::clamp(own, 0.0, 4294967295.0);
+    return static_cast<std::uint32_t>(std::lround(bounded));
+}
+
+bool RateShare::significant(const Sent& sent, std::uint32_t value, MonotonicTime now) const
+{
+    if (!sent.any)
+        return value > 0;
+    double difference = std::abs(static_cast<double>(value) - static_cast<double>(sent.value));
+    if (difference > m_options.significantChange * static_cast<double>(sent.value) + 1)
+        return true;
+    return (value > 0 || sent.value > 0) && now - sent.at > m_options.refreshAfter;
+}
+
+RateShare::LinkState RateShare::freshState() const
+{
+    LinkState state;
+    state.received.assign(m_shares.size(), 0);
+    state.sent.assign(m_shares.size(), {});
+    return state;
+}
+
+void RateShare::fill(const LinkView& link, HeartbeatT& heartbeat, MonotonicTime now)
+{
+    auto found = m_links.find(link.peer);
+    if (found == m_links.end())
+        found = m_links.emplace(link.peer, freshState()).first;
+    LinkState& state = found->second;
+    if (link.tree && !state.sending)
+        state.sent.assign(m_shares.size(), {}); // the peer starts from nothing
+    state.sending = link.tree;
+    if (!link.tree)
+        return;
+    std::size_t covered = m_covered - (state.tree ? std::min(state.covered, m_covered - 1) : 0);
+    heartbeat.usageCovered = static_cast<std::uint32_t>(covered);
+    std::size_t first = state.cursor;
+    for (std::size_t step = 0; step < m_shares.size(); ++step) {
+        std::size_t i = (first + step) % m_shares.size();
+        std::uint32_t value = outgoing(i, state);
+        if (!significant(state.sent[i], value, now))
+            continue;
+        if (heartbeat.usageSums.size() >= m_options.entriesPerHeartbeat)
+            break;
+        heartbeat.usageSums.emplace_back(m_shares[i].organisation, value);
+        state.sent[i] = { value, now, true };
+        state.cursor = i + 1;
+    }
+}
+
+void RateShare::accept(const LinkView& link, const HeartbeatT& heartbeat, MonotonicTime /* now */)
+{
+    auto found = m_links.find(link.peer);
+    if (found == m_links.end())
+        found = m_links.emplace(link.peer, freshState()).first;
+    LinkState& state = found->second;
+    if (!link.tree && state.tree) {
+        state.received.assign(m_shares.size(), 0);
+        state.covered = 0;
+    }
+    state.tree = link.tree;
+    if (!link.tree)
+        return;
+    // The bound keeps a wrong count, such as one counted twice while the tree changes, from growing.
+    state.covered = std::min<std::size_t>(heartbeat.usageCovered, m_membership.expectedInstances());
+    for (const UsageSum& sum : heartbeat.usageSums) {
+        auto index = m_indexes.find(sum.organisation());
+        if (index != m_indexes.end())
+            state.received[index->second] = sum.tokensPerSecond();
+    }
+}
+
+bool RateShare::urgent(const LinkView& link, MonotonicTime /* now */) const
+{
+    auto found = m_links.find(link.peer);
+    if (!link.tree || found == m_links.end())
+        return false;
+    const LinkState& state = found->second;
+    for (std::size_t i = 0; i < m_shares.size(); ++i) {
+        auto sent = static_cast<double>(state.sent[i].value);
+        double difference = std::abs(static_cast<double>(outgoing(i, state)) - sent);
+        if (difference > m_options.urgentChange * sent + urgentPartOfLimit * m_shares[i].limit)
+            return true;
+    }
+    return false;
+}
+
+void RateShare::linkUp(const std::string& peer, MonotonicTime /* now */)
+{
+    // What the peer's side summed up to counts on until its first heartbeat, at most for `keepLostLink`.
+    auto found = m_links.find(peer);
+    if (found == m_links.end()) {
+        m_links.emplace(peer, freshState());
+        return;
+    }
+    found->second.sent.assign(m_shares.size(), {});
+    found->second.sending = false;
+    found->second.lostAt.reset();
+}
+
+void RateShare::linkDown(const std::string& peer, MonotonicTime now)
+{
+    auto found = m_links.find(peer);
+    if (found == m_links.end())
+        return;
+    if (found->second.tree)
+        found->second.lostAt = now;
+    else
+        m_links.erase(found);
+}
+
+} // namespace briarwharf
--- a/coordination/rateshare.h
+++ b/coordination/rateshare.h
@@ -84,15 +84,19 @@
         std::vector<Sent> sent;
         std::size_t covered = 0;
         bool tree = false;
+        bool sending = false; // part of the tree when the latest heartbeat was filled in
         std::size_t cursor = 0;
         std::optional<MonotonicTime> lostAt;
     };
 
-    void refreshTotals(MonotonicTime now);
+    void updateDemand(double seconds);
+    void updateTotals(MonotonicTime now);
+    void updateAllowances(double seconds);
     double entitlementLevel() const;
     double entitlement(const Share&, double level) const;
-    double outgoing(std::size_t index, const LinkState*) const;
-    bool significant(const Sent&, double value, MonotonicTime now) const;
+    std::uint32_t outgoing(std::size_t index, const LinkState&) const;
+    bool significant(const Sent&, std::uint32_t value, MonotonicTime now) const;
+    LinkState freshState() const;
 
     const Membership& m_membership;
     RateShareOptions m_options;
--- a/coordination/relay.h
+++ b/coordination/relay.h
@@ -121,11 +121,13 @@
     struct Peer {
         std::uint64_t revision = 0;
         std::optional<MonotonicTime> confirmed; // the head's confirmation that the peer knows
-        std::optional<MonotonicTime> stated; // when the peer said so, at the earliest
+        std::optional<MonotonicTime> stated; // when the peer made its latest statement, at the earliest
+        std::optional<MonotonicTime> told; // the confirmation that the latest heartbeat to the peer carried
+        bool notCurrent = false; // by its latest statement
         bool tree = false;
         std::size_t covered = 0;
         MonotonicTime coveredOldest;
-        std::uint64_t coveredRevision = 0;
+        std::uint64_t knownHead = 0; // on the peer's side of the link
         std::uint64_t pushed = 0; // highest record pushed to the peer
     };
     struct Confirmation {
@@ -136,8 +138,10 @@
     void applyConfirmation(Confirmation);
     Coverage treeCoverage(const std::string& except, MonotonicTime now) const;
     Coverage directCoverage(MonotonicTime now) const;
-    bool statesNotCurrent(const Peer&) const;
     void keep(const std::vector<LogRecordT>&);
+    void push(const std::string& peer, std::uint64_t from, std::uint64_t nonce);
+    std::uint64_t knownHead() const;
+    std::vector<std::string> peersAhead() const;
 
     const Membership& m_membership;
     RelayOptions m_options;
