--- a/process/drainer.h
+++ b/process/drainer.h
@@ -26,7 +26,7 @@
 };
 
 // A chat whose KV cache is at an upstream and has not been handed over yet.
-struct ResidentChat {
+struct DrainChat {
     std::string chat;
     Milliseconds idle {}; // since its last request; chats that were active last return soonest
 };
@@ -44,7 +44,7 @@
     // Requests in progress, queued ones included, as counted by all instances; nullopt while any instance
     // has not been heard within the last seconds.
     std::optional<std::uint64_t> routedRequests;
-    std::optional<std::vector<ResidentChat>> residents; // nullopt: not known yet
+    std::optional<std::vector<DrainChat>> residents; // nullopt: not known yet
 };
 
 struct DrainInput {
