--- a/coordination/log.h
+++ b/coordination/log.h
@@ -136,6 +136,9 @@
     void start();
     void follow(LogFollow);
 
+    // Reads what is new from the store at the next tick, whatever the follow mode.
+    void poll() { m_syncWanted = m_started; }
+
     // Retries, deadlines, polls, commit intervals.
     void tick();
 
--- a/process/callerapi.cc
+++ b/process/callerapi.cc
@@ -43,7 +43,7 @@
 
 } // namespace
 
-CallerApi::CallerApi(Router& router, ClaimService& claims)
+CallerApi::CallerApi(Router& router, ClaimClient& claims)
     : m_router(router)
     , m_claims(claims)
 {
--- a/process/callerapi.h
+++ b/process/callerapi.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "process/claims.h"
+#include "coordination/coordination.h"
 #include "process/router.h"
 #include <memory>
 #include <string>
@@ -11,7 +11,7 @@
 // service call. docs/callers.md describes it.
 class CallerApi {
 public:
-    CallerApi(Router&, ClaimService&);
+    CallerApi(Router&, ClaimClient&);
 
     void handle(const std::shared_ptr<HttpExchange>&);
 
@@ -32,7 +32,7 @@
     Span startSpan(const Caller&, const std::string& name);
 
     Router& m_router;
-    ClaimService& m_claims;
+    ClaimClient& m_claims;
 };
 
 } // namespace briarwharf
--- a/process/claims.h
+++ b/process/claims.h
@@ -1,51 +1,39 @@
 #pragma once
 
-#include "base/time.h"
 #include "coordination/coordination.h"
+#include "process/peers.h"
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace briarwharf {
 
-// Identity of a call that runs at most once.
-struct CallIdentity {
-    std::string organisation;
-    std::string service; // name of the pool
-    std::string idempotencyKey;
-    std::string bodyHash; // of method, path and body
-};
+// Carries the messages of claims between this instance's claimants, its collectors and those of the other
+// instances. A shard's collector is the owner of the shard's key among the usable members.
+class ClaimGateway {
+public:
+    ClaimGateway(Store&, PeerService&, const std::string& keyPrefix, MonotonicClock);
 
-// The answer kept for a call, for repeats with the same key.
-struct StoredAnswer {
-    int status = 0;
-    std::string contentType;
-    std::string body;
-};
+    ClaimClient& client() { return m_client; }
 
-struct ClaimAnswer {
-    ClaimStatus status = ClaimStatus::Unavailable;
-    StoredAnswer answer; // for Completed
-};
+    // Handles claims and settlements from peers, and their answers.
+    void receive(const std::string& peer, const PeerFrameT&);
 
-// Claims on calls that run at most once, as the request path uses them. A claim belongs to one attempt of a
-// caller's request, named by its claimant token.
-class ClaimService {
-public:
-    using ClaimCallback = std::function<void(const ClaimAnswer&)>;
-    // True if the outcome is durable.
-    using SettleCallback = std::function<void(bool)>;
+    void tick();
 
-    virtual ~ClaimService() = default;
+    std::size_t collectors() const { return m_service.collectors(); }
 
-    // Granted: the claim is durable and this caller alone may send the call, once. Unavailable: the call must
-    // not be sent and never will be; tell the caller "not run". Calls back once, at the deadline at the latest.
-    virtual void claim(const CallIdentity&, const std::string& claimant, MonotonicTime deadline, ClaimCallback) = 0;
+private:
+    const std::string& collectorOf(std::uint32_t shard) const;
+    void sendClaim(const ClaimRequestT&);
+    void sendSettle(const SettleRequestT&);
+    bool isGone(const std::string& instance) const;
 
-    // After Granted: what became of the call. Release only if no byte of it was written or the upstream itself
-    // says that it did not run.
-    virtual void settle(const CallIdentity&, const std::string& claimant, SettleKind, const StoredAnswer&,
-        MonotonicTime deadline, SettleCallback)
-        = 0;
+    PeerService& m_peers;
+    MonotonicClock m_clock;
+    MonotonicTime m_startedAt;
+    ClaimService m_service;
+    ClaimClient m_client;
 };
 
 } // namespace briarwharf
--- /dev/null
+++ b/process/peers.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "connection/connection.h"
+#include "connection/eventloop.h"
+#include "coordination/coordination.h"
+#include "process/configservice.h"
+#include "process/settings.h"
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace briarwharf {
+
+// This instance's place among the others: membership, its links, the relay of the configuration, and the
+// load, usage and health that heartbeats carry. Decisions are in the coordination library; this class moves
+// their messages over the links.
+class PeerService {
+public:
+    // Frames that are neither membership's nor the relay's, with the sender's id.
+    using FrameCallback = std::function<void(const std::string& peer, const PeerFrameT&)>;
+
+    PeerService(event_base*, const Settings&, HttpStore&, ConfigService&, FrameCallback);
+
+    // Errors: Unavailable (the peer port is taken).
+    Status start();
+    void tick();
+
+    // Tells the others that this instance leaves.
+    void leave();
+
+    // Puts the upstreams and limits of a revision in force.
+    void apply(const ConfigIndex&);
+
+    // Called after the log has moved on by itself, to tell the others.
+    void configurationAdvanced(const std::string& from = {});
+
+    // False if there is no link to the peer yet; one is then opened and kept while it is used, and the sender
+    // repeats its message.
+    template <typename Message> bool send(const std::string& peer, Message message)
+    {
+        m_lastUsed[peer] = std::chrono::steady_clock::now();
+        if (!m_links.count(peer))
+            return false;
+        m_outbox.send(peer, std::move(message));
+        flush();
+        return true;
+    }
+
+    // The rule of the design on new work to an upstream that the configuration shows as serving.
+    bool mayGiveNewWork(bool reportsState, std::optional<Milliseconds> ownReportAge, bool ownReportServing) const;
+
+    const Membership& membership() const { return m_membership; }
+    const ConfigurationRelay& relay() const { return m_relay; }
+    LoadTable& loads() { return m_loads; }
+    RateShare& shares() { return m_shares; }
+    UpstreamHealth& health() { return m_health; }
+
+    std::size_t linkCount() const { return m_links.size(); }
+    const PeerLinkCounters& counters() const { return m_transport.counters(); }
+
+private:
+    struct Dial {
+        std::optional<LinkId> link;
+        MonotonicTime nextAttempt;
+        Milliseconds delay { 0 };
+    };
+
+    void linkUp(LinkId, const HelloT&, bool outgoing);
+    void linkDown(LinkId);
+    void frameReceived(LinkId, PeerFrameT);
+    void closePeer(const std::string& peer);
+    void dialMissing();
+    void dial(const std::string& peer, MonotonicTime now);
+    void flush();
+    void answerSnapshotRequests();
+    void refreshList();
+
+    event_base* m_base;
+    const Settings& m_settings;
+    HttpStore& m_store;
+    ConfigService& m_config;
+    FrameCallback m_onFrame;
+    Outbox m_outbox;
+    Membership m_membership;
+    ConfigurationRelay m_relay;
+    LoadTable m_loads;
+    RateShare m_shares;
+    UpstreamHealth m_health;
+    PeerLinks m_transport;
+    std::map<std::string, LinkId> m_links; // by peer
+    std::map<LinkId, std::string> m_peers;
+    std::map<LinkId, bool> m_outgoing;
+    std::map<std::string, Dial> m_dials;
+    std::map<std::string, MonotonicTime> m_lastUsed; // peers that messages were sent to on demand
+    MonotonicTime m_nextList;
+    bool m_listing = false;
+    std::optional<bool> m_watches; // the store, for the configuration log
+};
+
+} // namespace briarwharf
--- a/process/servicecall.cc
+++ b/process/servicecall.cc
@@ -33,6 +33,15 @@
     // Headers of the caller that go on to the service.
     constexpr std::array<const char*, 4> forwardedHeaders { "Content-Type", "Accept", "Accept-Language", "If-Match" };
 
+    // In the order of ClaimDecision.
+    constexpr std::array<const char*, 6> decisionNames { "run", "completed", "unknown", "in_progress",
+        "different_request", "not_run" };
+
+    const char* decisionName(ClaimDecision decision)
+    {
+        return decisionNames[static_cast<std::size_t>(decision)];
+    }
+
     std::string target(const ServiceCallInput& input)
     {
         const std::string& query = input.exchange->request().query;
@@ -41,13 +50,12 @@
 
 } // namespace
 
-ServiceCall::ServiceCall(Router& router, ClaimService& claims, ServiceCallInput input)
+ServiceCall::ServiceCall(Router& router, ClaimClient& claims, ServiceCallInput input)
     : m_router(router)
     , m_claims(claims)
     , m_input(std::move(input))
     , m_pool(router.pool(m_input.pool->name))
     , m_ticket(router.nextTicket())
-    , m_claimant(randomToken())
     , m_startedAt(clockNow())
 {
     m_router.requestOpened();
@@ -99,40 +107,42 @@
     fail(kind, "service " + m_input.pool->name + " has no free slot (" + std::string(admissionOutcomeName(outcome)) + ")", "retry after the time in Retry-After", Outcome::NotRun, retryAfter);
 }
 
-CallIdentity ServiceCall::identity() const
-{
-    const HttpServerRequest& request = m_input.exchange->request();
-    CallIdentity identity;
-    identity.organisation = m_input.organisation->name;
-    identity.service = m_input.pool->name;
-    identity.idempotencyKey = m_input.idempotencyKey;
-    identity.bodyHash = sha256Hex(request.method + " " + target(m_input) + "\n" + request.body);
-    return identity;
-}
-
 void ServiceCall::claim()
 {
+    const HttpServerRequest& request = m_input.exchange->request();
+    std::string keyHash = claimKeyHash(m_input.organisation->name, m_input.pool->name, m_input.idempotencyKey);
+    std::string bodyHash = sha256Hex(request.method + " " + target(m_input) + "\n" + request.body);
     auto self = shared_from_this();
-    MonotonicTime deadline = std::min(m_input.deadline, clockNow() + claimTimeout);
-    m_claims.claim(identity(), m_claimant, deadline, [self](const ClaimAnswer& answer) { self->claimed(answer); });
+    m_claim = m_claims.begin(keyHash, bodyHash, std::min(m_input.deadline, clockNow() + claimTimeout),
+        [self](ClaimDecision decision, const ClaimOutcome& outcome) { self->decided(decision, outcome); });
 }
 
-void ServiceCall::claimed(const ClaimAnswer& claim)
+void ServiceCall::decided(ClaimDecision decision, const ClaimOutcome& outcome)
 {
-    m_router.metrics().countClaim(EnumNameClaimStatus(claim.status));
-    switch (claim.status) {
-    case ClaimStatus::Granted:
+    m_router.metrics().countClaim(decisionName(decision));
+    if (decision == ClaimDecision::Run && m_claims.mayCall(*m_claim))
         return send();
-    case ClaimStatus::Completed:
-        return replyStored(claim.answer);
-    case ClaimStatus::InProgress:
-        return fail(CallerErrorKind::CallInProgress, "a call with this idempotency key is in progress", "retry with the same key to get its outcome", Outcome::Unknown, Milliseconds(1000));
-    case ClaimStatus::Unknown:
-        return fail(CallerErrorKind::OutcomeUnknown, "the call with this idempotency key may have run; its answer was lost", "check at the service whether it took effect; it is not run again with this key", Outcome::Unknown);
-    case ClaimStatus::DifferentRequest:
-        return fail(CallerErrorKind::IdempotencyKeyReused, "the idempotency key was used for another call", "use a new key for each call", Outcome::NotRun);
-    default:
-        return fail(CallerErrorKind::StoreUnavailable, "this request was not run: its claim could not be made durable because the platform's store or the claim's collector does not answer", "retry with the same key; an earlier request with this key may have run", Outcome::NotRun, Milliseconds(1000));
+    m_claim.reset();
+    switch (decision) {
+    case ClaimDecision::Completed:
+        return replyStored(outcome);
+    case ClaimDecision::InProgress:
+        return fail(CallerErrorKind::CallInProgress, "a call with this idempotency key is in progress",
+            "retry with the same key to get its outcome", Outcome::Unknown, Milliseconds(1000));
+    case ClaimDecision::Unknown:
+        return fail(CallerErrorKind::OutcomeUnknown,
+            "the call with this idempotency key may have run; its answer was lost",
+            "check at the service whether it took effect; it is not run again with this key", Outcome::Unknown);
+    case ClaimDecision::DifferentRequest:
+        return fail(CallerErrorKind::IdempotencyKeyReused, "the idempotency key was used for another call",
+            "use a new key for each call", Outcome::NotRun);
+    case ClaimDecision::Run:
+    case ClaimDecision::NotRun:
+        return fail(CallerErrorKind::StoreUnavailable,
+            "this request was not run: its claim was not durable in time, because the platform's store or the "
+            "claim's collector does not answer",
+            "retry with the same key; an earlier request with this key may have run", Outcome::NotRun,
+            Milliseconds(1000));
     }
 }
 
@@ -164,10 +174,9 @@
     auto isHealthy = [this](const UpstreamRuntime& upstream) { return m_router.isHealthy(upstream); };
     UpstreamRuntime* upstream = timeLeft() > Milliseconds(0) ? m_pool->pickService(hash64(m_input.requestId), m_tried, mayGetWork, isHealthy) : nullptr;
     if (!upstream) {
-        auto self = shared_from_this();
-        return settle(SettleKind::Release, [self] {
-            self->fail(CallerErrorKind::NoUpstream, "no upstream of service " + self->m_input.pool->name + " takes new work", "retry later with the same key; operators: see SHOW UPSTREAMS", Outcome::NotRun, Milliseconds(1000));
-        });
+        releaseClaim();
+        return fail(CallerErrorKind::NoUpstream, "no upstream of service " + m_input.pool->name + " takes new work",
+            "retry later with the same key; operators: see SHOW UPSTREAMS", Outcome::NotRun, Milliseconds(1000));
     }
     m_upstream = m_router.upstreams().all().at(upstream->settings.name);
     ++m_upstream->requestsInProgress;
@@ -206,8 +215,14 @@
 void ServiceCall::answered()
 {
     m_router.reportSuccess(*m_upstream);
+    if (!m_claim)
+        return replyAnswer();
+    ClaimOutcome outcome;
+    outcome.httpStatus = static_cast<std::uint32_t>(m_head.status);
+    outcome.contentType = findHeader(m_head.headers, "Content-Type").value_or("");
+    outcome.body = m_body;
     auto self = shared_from_this();
-    settle(SettleKind::Completed, [self] { self->replyAnswer(); });
+    m_claims.finish(*m_claim, std::move(outcome), settleDeadline(), [self](bool) { self->replyAnswer(); });
 }
 
 // Another upstream is tried only after an attempt that certainly did not run, or for a repeatable call.
@@ -221,37 +236,43 @@
     RetryVerdict verdict = m_router.retryBudget().tryRetry(situation, clockNow());
     m_router.metrics().countRetry(std::string(retryVerdictName(verdict)));
     m_tried.insert(m_upstream->id);
-    if (verdict == RetryVerdict::Allowed)
+    if (verdict == RetryVerdict::Allowed) {
+        m_earlierUnknown = m_earlierUnknown || !notRun;
         return send();
-    auto self = shared_from_this();
+    }
     std::string reason = "the service's answer did not arrive whole (" + std::string(exchangeEndName(end)) + ")";
-    if (notRun) {
-        return settle(SettleKind::Release, [self] {
-            self->fail(CallerErrorKind::UpstreamFailed, "the service could not be called", "retry with the same key", Outcome::NotRun, Milliseconds(1000));
-        });
+    if (notRun && !m_earlierUnknown) {
+        releaseClaim();
+        return fail(CallerErrorKind::UpstreamFailed, "the service could not be called", "retry with the same key",
+            Outcome::NotRun, Milliseconds(1000));
     }
-    if (m_input.repeatable)
+    if (!m_claim)
         return fail(CallerErrorKind::UpstreamFailed, reason, "retry: the call may be repeated", Outcome::Unknown);
-    settle(SettleKind::Unknown, [self, reason] {
-        self->fail(CallerErrorKind::OutcomeUnknown, reason, "check at the service whether the call took effect; it is not run again with this key", Outcome::Unknown);
+    auto self = shared_from_this();
+    m_claims.lost(*m_claim, settleDeadline(), [self, reason](bool) {
+        self->fail(CallerErrorKind::OutcomeUnknown, reason,
+            "check at the service whether the call took effect; it is not run again with this key",
+            Outcome::Unknown);
     });
 }
 
-void ServiceCall::settle(SettleKind kind, std::function<void()> then)
+void ServiceCall::releaseClaim()
 {
-    if (m_input.repeatable)
-        return then();
-    StoredAnswer answer;
-    if (kind == SettleKind::Completed)
-        answer = { m_head.status, findHeader(m_head.headers, "Content-Type").value_or(""), m_body };
-    m_claims.settle(identity(), m_claimant, kind, answer, clockNow() + settleTimeout, [then = std::move(then)](bool) { then(); });
+    if (m_claim)
+        m_claims.notSent(*m_claim);
+    m_claim.reset();
+}
+
+MonotonicTime ServiceCall::settleDeadline() const
+{
+    return clockNow() + settleTimeout;
 }
 
-void ServiceCall::replyStored(const StoredAnswer& answer)
+void ServiceCall::replyStored(const ClaimOutcome& outcome)
 {
-    m_head.status = answer.status;
-    m_head.headers = { { "Content-Type", answer.contentType } };
-    m_body = answer.body;
+    m_head.status = static_cast<int>(outcome.httpStatus);
+    m_head.headers = { { "Content-Type", outcome.contentType } };
+    m_body = outcome.body;
     replyAnswer();
 }
 
--- a/process/servicecall.h
+++ b/process/servicecall.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "connection/upstreamclient.h"
-#include "process/claims.h"
+#include "coordination/coordination.h"
 #include "process/router.h"
 #include <memory>
 #include <optional>
@@ -28,7 +28,7 @@
 // recorded. Such a call goes on when its caller leaves.
 class ServiceCall : public AdmittedCall, public std::enable_shared_from_this<ServiceCall> {
 public:
-    ServiceCall(Router&, ClaimService&, ServiceCallInput);
+    ServiceCall(Router&, ClaimClient&, ServiceCallInput);
     ~ServiceCall() override;
 
     void start();
@@ -38,27 +38,28 @@
 
 private:
     void claim();
-    void claimed(const ClaimAnswer&);
+    void decided(ClaimDecision, const ClaimOutcome&);
     void send();
     void exchangeEnded(const ExchangeResult&);
     void answered();
     void failed(ExchangeEnd, bool notRun);
-    void settle(SettleKind, std::function<void()> then);
-    void replyStored(const StoredAnswer&);
+    // Gives up the claim, if there is one: no byte of the call was written.
+    void releaseClaim();
+    void replyStored(const ClaimOutcome&);
     void replyAnswer();
     void fail(CallerErrorKind, const std::string& message, const std::string& remedy, Outcome,
         std::optional<Milliseconds> retryAfter = std::nullopt);
     void finish(Outcome, int status);
-    CallIdentity identity() const;
+    MonotonicTime settleDeadline() const;
     UpstreamRequest upstreamRequest() const;
     Milliseconds timeLeft() const;
 
     Router& m_router;
-    ClaimService& m_claims;
+    ClaimClient& m_claims;
     ServiceCallInput m_input;
     std::shared_ptr<PoolRuntime> m_pool;
     AdmissionTicket m_ticket;
-    std::string m_claimant; // unique for this request
+    std::optional<ClaimClient::ClaimId> m_claim; // until it is settled
     std::set<UpstreamId> m_tried;
     std::shared_ptr<UpstreamRuntime> m_upstream;
     std::shared_ptr<UpstreamExchange> m_exchange;
@@ -67,6 +68,7 @@
     ResponseHead m_head;
     std::string m_body;
     bool m_overflow = false;
+    bool m_earlierUnknown = false; // an attempt before the last one may have run
     bool m_admitted = false;
     bool m_finished = false;
 };
