--- /dev/null
+++ b/coordination/claim.cc
@@ -0,0 +1,640 @@
+#include "coordination/claim.h"
+
+#include "base/hash.h"
+#include "base/log.h"
+#include "coordination/stored.h"
+#include <algorithm>
+
+namespace briarwharf {
+
+namespace {
+
+    constexpr std::string_view claimPart = "claim";
+
+    // Claims of one snapshot page, by sequence. Old pages change only when their claims are forgotten.
+    constexpr std::uint64_t sequencesPerPage = 1024;
+
+    // A page with large outcomes is split at about this size; one more entry fits below the store's bound.
+    constexpr std::size_t pageBytes = 512 * 1024;
+
+    // Room for an entry's fields other than its body, in the estimate of a page's size.
+    constexpr std::size_t entryOverheadBytes = 400;
+
+    // A collector that is not in charge any more answers what is under way for this long.
+    constexpr Milliseconds collectorLinger { 10000 };
+
+    constexpr std::string_view largeOutcomeBody
+        = R"({"error":{"type":"outcome_too_large","message":"the call completed; its response is over the )"
+          R"(size that is stored for repeats","remedy":"look the result up at the service","outcome":"completed"}})";
+
+    void boundBody(std::string& contentType, std::vector<std::uint8_t>& body)
+    {
+        if (body.size() <= maxOutcomeBodyBytes)
+            return;
+        contentType = "application/json";
+        body = toBytes(largeOutcomeBody);
+    }
+
+    ClaimCommandKind commandKind(SettleKind kind)
+    {
+        switch (kind) {
+        case SettleKind::Release:
+            return ClaimCommandKind::Release;
+        case SettleKind::Completed:
+            return ClaimCommandKind::Completed;
+        case SettleKind::Unknown:
+            return ClaimCommandKind::Unknown;
+        }
+        return ClaimCommandKind::Unknown;
+    }
+
+} // namespace
+
+std::string claimKeyHash(
+    std::string_view organisation, std::string_view service, std::string_view idempotencyKey)
+{
+    std::string text;
+    for (std::string_view part : { organisation, service, idempotencyKey })
+        text += std::to_string(part.size()) + ":" + std::string(part);
+    return sha256Hex(text);
+}
+
+std::uint32_t claimShard(std::string_view keyHash)
+{
+    return static_cast<std::uint32_t>(hash64(keyHash) % claimShards);
+}
+
+// Index ------------------------------------------------------------------------------------------------
+
+ClaimIndex::ClaimIndex(std::chrono::milliseconds retention)
+    : m_retentionMs(static_cast<std::uint64_t>(retention.count()))
+{
+}
+
+const ClaimEntryT* ClaimIndex::find(const std::string& keyHash) const
+{
+    auto sequence = m_sequences.find(keyHash);
+    return sequence == m_sequences.end() ? nullptr : &m_entries.at(sequence->second);
+}
+
+void ClaimIndex::insert(ClaimEntryT entry)
+{
+    std::uint64_t sequence = entry.sequence;
+    m_sequences[entry.keyHash] = sequence;
+    m_byAge.emplace(entry.atMs, sequence);
+    m_entries[sequence] = std::move(entry);
+}
+
+void ClaimIndex::erase(std::uint64_t sequence)
+{
+    auto entry = m_entries.find(sequence);
+    m_sequences.erase(entry->second.keyHash);
+    m_byAge.erase({ entry->second.atMs, sequence });
+    m_entries.erase(entry);
+}
+
+void ClaimIndex::touch(ClaimEntryT& entry, std::uint64_t atMs)
+{
+    m_byAge.erase({ entry.atMs, entry.sequence });
+    entry.atMs = atMs;
+    m_byAge.emplace(atMs, entry.sequence);
+}
+
+Status ClaimIndex::apply(const LogPosition&, std::string_view bytes)
+{
+    auto command = unpackStored<ClaimCommand>(bytes, "claim command");
+    if (!command)
+        return command.error();
+    m_clockMs = std::max(m_clockMs, command.value().atMs);
+    switch (command.value().kind) {
+    case ClaimCommandKind::Claim:
+        return applyClaim(command.value());
+    case ClaimCommandKind::Release:
+        return applyRelease(command.value());
+    case ClaimCommandKind::Completed:
+    case ClaimCommandKind::Unknown:
+        return applyOutcome(command.value());
+    }
+    return Error { ErrorKind::InvalidArgument, "claim command of an unknown kind: update this instance" };
+}
+
+Status ClaimIndex::applyClaim(const ClaimCommandT& command)
+{
+    if (m_released.contains(command.claimant))
+        return Error { ErrorKind::Conflict,
+            "the claimant gave this claim up: repeat the call with a new claim" };
+    if (const ClaimEntryT* entry = find(command.keyHash)) {
+        if (entry->claimant == command.claimant)
+            return ok();
+        return Error { ErrorKind::Conflict, "another claimant has the key: read its state" };
+    }
+    ClaimEntryT entry;
+    entry.keyHash = command.keyHash;
+    entry.bodyHash = command.bodyHash;
+    entry.claimant = command.claimant;
+    entry.instance = command.instance;
+    entry.sequence = m_nextSequence++;
+    entry.atMs = m_clockMs;
+    insert(std::move(entry));
+    return ok();
+}
+
+// The claimant is remembered even if it has no claim: a message of its that is still under way must not
+// create one.
+Status ClaimIndex::applyRelease(const ClaimCommandT& command)
+{
+    const ClaimEntryT* entry = find(command.keyHash);
+    if (entry && entry->claimant == command.claimant) {
+        if (entry->state == ClaimState::Completed)
+            return Error { ErrorKind::Conflict, "the call has completed: its claim cannot be released" };
+        erase(entry->sequence);
+    }
+    if (m_released.emplace(command.claimant, m_clockMs).second)
+        m_releasedByAge.emplace(m_clockMs, command.claimant);
+    return ok();
+}
+
+// An outcome replaces Unknown: the claimant turned out to be alive.
+Status ClaimIndex::applyOutcome(const ClaimCommandT& command)
+{
+    const ClaimEntryT* found = find(command.keyHash);
+    if (!found || found->claimant != command.claimant)
+        return Error { ErrorKind::NotFound, "the claimant has no claim on the key: nothing to settle" };
+    ClaimEntryT& entry = m_entries.at(found->sequence);
+    if (entry.state == ClaimState::Completed)
+        return ok();
+    touch(entry, m_clockMs);
+    entry.state = ClaimState::Unknown;
+    if (command.kind == ClaimCommandKind::Completed) {
+        entry.state = ClaimState::Completed;
+        entry.httpStatus = command.httpStatus;
+        entry.contentType = command.contentType;
+        entry.body = command.body;
+    }
+    return ok();
+}
+
+void ClaimIndex::recordApplied(std::uint64_t)
+{
+    while (!m_byAge.empty() && m_byAge.begin()->first + m_retentionMs < m_clockMs)
+        erase(m_byAge.begin()->second);
+    while (!m_releasedByAge.empty() && m_releasedByAge.begin()->first + m_retentionMs < m_clockMs) {
+        m_released.erase(m_releasedByAge.begin()->second);
+        m_releasedByAge.erase(m_releasedByAge.begin());
+    }
+}
+
+std::vector<std::string> ClaimIndex::snapshot() const
+{
+    std::vector<std::string> pages;
+    ClaimPageT page;
+    page.clockMs = m_clockMs;
+    page.nextSequence = m_nextSequence;
+    std::size_t bytes = 0;
+    auto finish = [&pages, &page, &bytes] {
+        pages.push_back(packStored<ClaimPage>(page));
+        page = ClaimPageT();
+        bytes = 0;
+    };
+    for (const auto& [at, claimant] : m_releasedByAge) {
+        page.released.push_back(std::make_unique<ReleasedClaimantT>());
+        page.released.back()->claimant = claimant;
+        page.released.back()->atMs = at;
+        bytes += claimant.size() + entryOverheadBytes / 4;
+        if (bytes >= pageBytes)
+            finish();
+    }
+    finish();
+    std::uint64_t block = 0;
+    for (const auto& [sequence, entry] : m_entries) {
+        if (!page.entries.empty() && (sequence / sequencesPerPage != block || bytes >= pageBytes))
+            finish();
+        block = sequence / sequencesPerPage;
+        bytes += entry.body.size() + entryOverheadBytes;
+        page.entries.push_back(std::make_unique<ClaimEntryT>(entry));
+    }
+    if (!page.entries.empty())
+        finish();
+    return pages;
+}
+
+Status ClaimIndex::restore(std::uint64_t, const std::vector<std::string>& pages)
+{
+    ClaimIndex next { std::chrono::milliseconds(m_retentionMs) };
+    for (const auto& bytes : pages) {
+        BOOST_OUTCOME_TRY(page, unpackStored<ClaimPage>(bytes, "claim page"));
+        next.m_clockMs = std::max(next.m_clockMs, page.clockMs);
+        next.m_nextSequence = std::max(next.m_nextSequence, page.nextSequence);
+        for (auto& entry : page.entries)
+            next.insert(std::move(*entry));
+        for (const auto& released : page.released) {
+            next.m_released[released->claimant] = released->atMs;
+            next.m_releasedByAge.emplace(released->atMs, released->claimant);
+        }
+    }
+    *this = std::move(next);
+    return ok();
+}
+
+// Collector --------------------------------------------------------------------------------------------
+
+ClaimCollector::ClaimCollector(ClaimCollectorOptions options, std::uint32_t shard, Store& store,
+    MonotonicClock clock, std::function<WallTime()> wallClock, InstanceGone instanceGone)
+    : m_options(std::move(options))
+    , m_clock(clock)
+    , m_wallClock(std::move(wallClock))
+    , m_instanceGone(std::move(instanceGone))
+    , m_index(m_options.retention)
+    , m_log({ .name = "claims/" + std::to_string(shard),
+                .writer = m_options.writer,
+                .commitInterval = m_options.commitInterval,
+                .snapshotInterval = m_options.snapshotInterval },
+          store, m_index, std::move(clock))
+{
+    m_log.start();
+}
+
+void ClaimCollector::append(ClaimCommandT command, Log::AppendCallback callback)
+{
+    command.atMs = static_cast<std::uint64_t>(unixMilliseconds(m_wallClock()));
+    m_log.append(packStored<ClaimCommand>(command), m_clock() + m_options.appendTimeout, std::move(callback));
+}
+
+// What the index says; nullopt: the key is free, or its claimant's instance is gone.
+std::optional<ClaimResponseT> ClaimCollector::answer(const ClaimRequestT& request)
+{
+    const ClaimEntryT* entry = m_index.find(request.keyHash);
+    if (!entry)
+        return std::nullopt;
+    ClaimResponseT response;
+    response.nonce = request.nonce;
+    bool own = entry->claimant == request.claimant;
+    if (entry->bodyHash != request.bodyHash) {
+        response.status = ClaimStatus::DifferentRequest;
+    } else if (entry->state == ClaimState::Completed) {
+        response.status = ClaimStatus::Completed;
+        response.httpStatus = entry->httpStatus;
+        response.contentType = entry->contentType;
+        response.body = entry->body;
+    } else if (entry->state == ClaimState::Unknown) {
+        response.status = ClaimStatus::Unknown;
+    } else if (own) {
+        response.status = ClaimStatus::Granted;
+    } else if (m_instanceGone(entry->instance)) {
+        return std::nullopt;
+    } else {
+        response.status = ClaimStatus::InProgress;
+    }
+    return response;
+}
+
+void ClaimCollector::claim(const ClaimRequestT& request, ClaimReply reply)
+{
+    if (auto response = answer(request))
+        return reply(std::move(*response));
+    if (const ClaimEntryT* entry = m_index.find(request.keyHash))
+        return markUnknown(request, *entry, std::move(reply));
+    auto& waiting = m_waiting[request.claimant];
+    waiting.push_back({ request, std::move(reply) });
+    if (waiting.size() == 1)
+        appendClaim(request);
+}
+
+void ClaimCollector::appendClaim(const ClaimRequestT& request)
+{
+    ClaimCommandT command;
+    command.kind = ClaimCommandKind::Claim;
+    command.keyHash = request.keyHash;
+    command.bodyHash = request.bodyHash;
+    command.claimant = request.claimant;
+    command.instance = request.instance;
+    append(std::move(command), [this, claimant = request.claimant](const Result<LogPosition>& appended) {
+        claimAppended(claimant, appended);
+    });
+}
+
+void ClaimCollector::claimAppended(const std::string& claimant, const Result<LogPosition>& appended)
+{
+    auto found = m_waiting.find(claimant);
+    auto waiting = std::move(found->second);
+    m_waiting.erase(found);
+    bool durable = appended || appended.error().kind == ErrorKind::Conflict;
+    for (auto& [request, reply] : waiting) {
+        auto response = durable ? answer(request) : std::nullopt;
+        const ClaimEntryT* entry = m_index.find(request.keyHash);
+        if (response) {
+            reply(std::move(*response));
+        } else if (durable && entry) {
+            markUnknown(request, *entry, std::move(reply));
+        } else {
+            ClaimResponseT unavailable;
+            unavailable.nonce = request.nonce;
+            unavailable.status = ClaimStatus::Unavailable;
+            reply(std::move(unavailable));
+        }
+    }
+}
+
+// The claimant's instance is gone and may have called.
+void ClaimCollector::markUnknown(const ClaimRequestT& request, const ClaimEntryT& entry, ClaimReply reply)
+{
+    ClaimCommandT command;
+    command.kind = ClaimCommandKind::Unknown;
+    command.keyHash = entry.keyHash;
+    command.claimant = entry.claimant;
+    BW_LOG(INFO, claimPart) << "instance " << entry.instance << " is gone with a claim in progress";
+    append(
+        std::move(command), [this, request, reply = std::move(reply)](const Result<LogPosition>& appended) {
+            ClaimResponseT response;
+            response.nonce = request.nonce;
+            response.status = ClaimStatus::Unavailable;
+            bool durable = appended || appended.error().kind == ErrorKind::NotFound;
+            if (auto known = durable ? answer(request) : std::nullopt)
+                response = std::move(*known);
+            reply(std::move(response));
+        });
+}
+
+void ClaimCollector::settle(const SettleRequestT& request, SettleReply reply)
+{
+    ClaimCommandT command;
+    command.kind = commandKind(request.kind);
+    command.keyHash = request.keyHash;
+    command.claimant = request.claimant;
+    command.httpStatus = request.httpStatus;
+    command.contentType = request.contentType;
+    command.body = request.body;
+    boundBody(command.contentType, command.body);
+    append(std::move(command),
+        [nonce = request.nonce, reply = std::move(reply)](const Result<LogPosition>& appended) {
+            SettleResponseT response;
+            response.nonce = nonce;
+            // Conflict and NotFound are durable answers: the claim is settled otherwise, a repeat is useless.
+            response.settled = appended || appended.error().kind == ErrorKind::Conflict
+                || appended.error().kind == ErrorKind::NotFound;
+            reply(response);
+        });
+}
+
+// Service ----------------------------------------------------------------------------------------------
+
+ClaimService::ClaimService(ClaimCollectorOptions options, Store& store, MonotonicClock clock,
+    std::function<WallTime()> wallClock, std::function<bool(std::uint32_t)> inCharge,
+    InstanceGone instanceGone)
+    : m_options(std::move(options))
+    , m_store(store)
+    , m_clock(std::move(clock))
+    , m_wallClock(std::move(wallClock))
+    , m_inCharge(std::move(inCharge))
+    , m_instanceGone(std::move(instanceGone))
+{
+}
+
+ClaimCollector* ClaimService::collector(std::uint32_t shard)
+{
+    if (shard >= claimShards || !m_inCharge(shard))
+        return nullptr;
+    Running& running = m_collectors[shard];
+    running.lastInCharge = m_clock();
+    if (!running.collector)
+        running.collector = std::make_unique<ClaimCollector>(
+            m_options, shard, m_store, m_clock, m_wallClock, m_instanceGone);
+    return running.collector.get();
+}
+
+void ClaimService::claim(const ClaimRequestT& request, const ClaimReply& reply)
+{
+    if (auto* running = collector(request.shard))
+        return running->claim(request, reply);
+    ClaimResponseT response;
+    response.nonce = request.nonce;
+    response.status = ClaimStatus::NotCollector;
+    reply(std::move(response));
+}
+
+void ClaimService::settle(const SettleRequestT& request, const SettleReply& reply)
+{
+    if (auto* running = collector(request.shard))
+        return running->settle(request, reply);
+    SettleResponseT response;
+    response.nonce = request.nonce;
+    reply(response);
+}
+
+void ClaimService::tick()
+{
+    MonotonicTime now = m_clock();
+    for (auto running = m_collectors.begin(); running != m_collectors.end();) {
+        running->second.collector->tick();
+        if (m_inCharge(running->first))
+            running->second.lastInCharge = now;
+        bool idle = now - running->second.lastInCharge > collectorLinger;
+        running = idle ? m_collectors.erase(running) : std::next(running);
+    }
+}
+
+// Client -----------------------------------------------------------------------------------------------
+
+// Identifiers start at a random number, so that an answer to an earlier process of this instance matches
+// none.
+ClaimClient::ClaimClient(
+    ClaimClientOptions options, MonotonicClock clock, SendClaim sendClaim, SendSettle sendSettle)
+    : m_options(std::move(options))
+    , m_clock(std::move(clock))
+    , m_sendClaim(std::move(sendClaim))
+    , m_sendSettle(std::move(sendSettle))
+    , m_nextId(randomSeed() >> 1)
+{
+}
+
+ClaimClient::ClaimId ClaimClient::begin(
+    const std::string& keyHash, const std::string& bodyHash, MonotonicTime deadline, DecisionCallback decided)
+{
+    ClaimId id = m_nextId++;
+    Call& call = m_calls[id];
+    call.request.nonce = id;
+    call.request.shard = claimShard(keyHash);
+    call.request.keyHash = keyHash;
+    call.request.bodyHash = bodyHash;
+    call.request.claimant = m_options.instance + "/" + std::to_string(id);
+    call.request.instance = m_options.instance;
+    call.deadline = deadline;
+    call.decided = std::move(decided);
+    call.resendAt = m_clock() + m_options.resendDelay;
+    call.resendDelay = m_options.resendDelay;
+    // A copy: an answer may come from inside the call and end it.
+    m_sendClaim(ClaimRequestT(call.request));
+    return id;
+}
+
+void ClaimClient::decide(Call& call, ClaimDecision decision, const ClaimOutcome& outcome)
+{
+    auto decided = std::move(call.decided);
+    call.decided = nullptr;
+    if (decided)
+        decided(decision, outcome);
+}
+
+bool ClaimClient::mayCall(ClaimId id)
+{
+    auto found = m_calls.find(id);
+    if (found == m_calls.end() || found->second.state != State::Granted)
+        return false;
+    if (m_clock() >= found->second.deadline) {
+        release(found->second);
+        return false;
+    }
+    found->second.state = State::Called;
+    return true;
+}
+
+void ClaimClient::settle(
+    Call& call, SettleKind kind, ClaimOutcome outcome, MonotonicTime deadline, SettledCallback settled)
+{
+    MonotonicTime now = m_clock();
+    call.state = State::Settling;
+    call.settlement.nonce = call.request.nonce;
+    call.settlement.shard = call.request.shard;
+    call.settlement.keyHash = call.request.keyHash;
+    call.settlement.claimant = call.request.claimant;
+    call.settlement.kind = kind;
+    call.settlement.httpStatus = outcome.httpStatus;
+    call.settlement.contentType = std::move(outcome.contentType);
+    call.settlement.body = toBytes(outcome.body);
+    boundBody(call.settlement.contentType, call.settlement.body);
+    call.deadline = deadline;
+    call.settled = std::move(settled);
+    call.resendDelay = m_options.resendDelay;
+    call.resendAt = now + call.resendDelay;
+    call.effortEnds = now + m_options.settleEffort;
+    m_sendSettle(SettleRequestT(call.settlement));
+}
+
+void ClaimClient::release(Call& call)
+{
+    settle(call, SettleKind::Release, {}, MonotonicTime::max(), nullptr);
+}
+
+void ClaimClient::finish(ClaimId id, ClaimOutcome outcome, MonotonicTime deadline, SettledCallback settled)
+{
+    auto found = m_calls.find(id);
+    if (found != m_calls.end() && found->second.state == State::Called)
+        settle(found->second, SettleKind::Completed, std::move(outcome), deadline, std::move(settled));
+}
+
+void ClaimClient::lost(ClaimId id, MonotonicTime deadline, SettledCallback settled)
+{
+    auto found = m_calls.find(id);
+    if (found != m_calls.end() && found->second.state == State::Called)
+        settle(found->second, SettleKind::Unknown, {}, deadline, std::move(settled));
+}
+
+void ClaimClient::notSent(ClaimId id)
+{
+    auto found = m_calls.find(id);
+    if (found != m_calls.end() && found->second.state == State::Called)
+        release(found->second);
+}
+
+void ClaimClient::giveUp(ClaimId id)
+{
+    auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    State state = found->second.state;
+    if (state == State::Claiming || state == State::Granted) {
+        found->second.decided = nullptr;
+        release(found->second);
+    }
+}
+
+void ClaimClient::response(const ClaimResponseT& response)
+{
+    auto found = m_calls.find(response.nonce);
+    // Late and repeated answers find the call in another state.
+    if (found == m_calls.end() || found->second.state != State::Claiming)
+        return;
+    Call& call = found->second;
+    ClaimDecision decision = ClaimDecision::NotRun;
+    switch (response.status) {
+    case ClaimStatus::NotCollector:
+        return;
+    case ClaimStatus::Granted:
+        call.state = State::Granted;
+        return decide(call, ClaimDecision::Run, {});
+    case ClaimStatus::Unavailable: {
+        auto decided = std::move(call.decided);
+        release(call);
+        return decided(ClaimDecision::NotRun, {});
+    }
+    case ClaimStatus::InProgress:
+        decision = ClaimDecision::InProgress;
+        break;
+    case ClaimStatus::Completed:
+        decision = ClaimDecision::Completed;
+        break;
+    case ClaimStatus::Unknown:
+        decision = ClaimDecision::Unknown;
+        break;
+    case ClaimStatus::DifferentRequest:
+        decision = ClaimDecision::DifferentRequest;
+        break;
+    }
+    Call ended = std::move(call);
+    m_calls.erase(found);
+    decide(ended, decision, { response.httpStatus, response.contentType, fromBytes(response.body) });
+}
+
+void ClaimClient::response(const SettleResponseT& response)
+{
+    auto found = m_calls.find(response.nonce);
+    if (found == m_calls.end() || found->second.state != State::Settling || !response.settled)
+        return;
+    auto settled = std::move(found->second.settled);
+    m_calls.erase(found);
+    if (settled)
+        settled(true);
+}
+
+void ClaimClient::tick()
+{
+    std::vector<ClaimId> ids;
+    for (const auto& [id, call] : m_calls)
+        ids.push_back(id);
+    for (ClaimId id : ids)
+        tickCall(id);
+}
+
+void ClaimClient::tickCall(ClaimId id)
+{
+    auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    Call& call = found->second;
+    MonotonicTime now = m_clock();
+    if (now >= call.deadline && (call.state == State::Claiming || call.state == State::Granted)) {
+        auto decided = std::move(call.decided);
+        release(call);
+        if (decided)
+            decided(ClaimDecision::NotRun, {});
+        return;
+    }
+    if (call.state == State::Settling && now >= call.deadline && call.settled) {
+        auto settled = std::exchange(call.settled, nullptr);
+        return settled(false);
+    }
+    if (call.state == State::Settling && now >= call.effortEnds) {
+        m_calls.erase(found);
+        return;
+    }
+    if (now < call.resendAt)
+        return;
+    call.resendDelay = std::min(2 * call.resendDelay, m_options.longestResendDelay);
+    call.resendAt = now + call.resendDelay;
+    if (call.state == State::Claiming)
+        m_sendClaim(ClaimRequestT(call.request));
+    else if (call.state == State::Settling)
+        m_sendSettle(SettleRequestT(call.settlement));
+}
+
+} // namespace briarwharf
--- /dev/null
+++ b/coordination/testing/lease_test.cc
@@ -0,0 +1,129 @@
+#include "coordination/coordination.h"
+#include "coordination/testing/fakestore.h"
+#include <doctest/doctest.h>
+
+using namespace briarwharf;
+
+namespace {
+
+constexpr Milliseconds tickInterval { 20 };
+
+struct Candidate {
+    Candidate(ManualClock& clock, std::shared_ptr<FakeObjects> objects, const std::string& name)
+        : store(clock, std::move(objects))
+        , lease({ .name = "test", .holder = name }, store, clock.reader())
+    {
+        lease.want(true);
+    }
+
+    FakeStore store;
+    Lease lease;
+};
+
+void run(ManualClock& clock, Milliseconds duration, const std::vector<Candidate*>& candidates)
+{
+    for (Milliseconds passed { 0 }; passed < duration; passed += tickInterval) {
+        clock.advance(tickInterval);
+        for (auto* candidate : candidates)
+            candidate->lease.tick();
+    }
+}
+
+struct Pair {
+    ManualClock clock;
+    std::shared_ptr<FakeObjects> objects = std::make_shared<FakeObjects>();
+    Candidate first { clock, objects, "a" };
+    Candidate second { clock, objects, "b" };
+};
+
+} // namespace
+
+// Guards against two holders at once, and against a renewal that costs more than one write.
+TEST_CASE("one candidate holds the lease and renews it with one write")
+{
+    Pair pair;
+    run(pair.clock, Milliseconds(1000), { &pair.first, &pair.second });
+    CHECK(pair.first.lease.held());
+    CHECK_FALSE(pair.second.lease.held());
+    CHECK(pair.first.lease.fence() == 1);
+    pair.first.store.resetCounts();
+    for (int i = 0; i < 1500; ++i) {
+        run(pair.clock, tickInterval, { &pair.first, &pair.second });
+        REQUIRE(pair.first.lease.held());
+        REQUIRE_FALSE(pair.second.lease.held());
+    }
+    CHECK(pair.first.store.reads() == 0);
+    CHECK(pair.first.store.writes() <= 15 + 1);
+    CHECK(pair.second.lease.seenHolder() == "a");
+}
+
+// Guards against a release that makes the next holder wait, and a fencing number that does not rise.
+TEST_CASE("a released lease passes on with the next fencing number")
+{
+    Pair pair;
+    run(pair.clock, Milliseconds(1000), { &pair.first, &pair.second });
+    pair.first.lease.want(false);
+    CHECK_FALSE(pair.first.lease.held());
+    run(pair.clock, Milliseconds(4500), { &pair.first, &pair.second });
+    CHECK(pair.second.lease.held());
+    CHECK(pair.second.lease.fence() == 2);
+}
+
+// Guards against a paused holder that still believes in its lease when it wakes after a takeover.
+TEST_CASE("a holder that was paused past its lease does not hold it afterwards")
+{
+    Pair pair;
+    run(pair.clock, Milliseconds(1000), { &pair.first, &pair.second });
+    pair.first.store.setPaused(true);
+    run(pair.clock, Milliseconds(12000), { &pair.second });
+    CHECK(pair.second.lease.held());
+    CHECK(pair.second.lease.fence() == 2);
+    CHECK_FALSE(pair.first.lease.held());
+    pair.first.store.setPaused(false);
+    for (int i = 0; i < 500; ++i) {
+        run(pair.clock, tickInterval, { &pair.first, &pair.second });
+        REQUIRE_FALSE(pair.first.lease.held());
+    }
+}
+
+// Guards against an acquisition or a renewal that is taken for failed when only its answer was lost.
+TEST_CASE("lost answers do not cost the lease")
+{
+    for (auto fault :
+        { StoreFault::AnswerLost, StoreFault::AnswerLostLate, StoreFault::AnswerLostNoEffect }) {
+        CAPTURE(static_cast<int>(fault));
+        Pair pair;
+        pair.first.store.addRule(
+            { .fault = fault, .call = StoreCall::Create, .count = 1, .delay = Milliseconds(1500) });
+        pair.first.store.addRule({ .fault = fault,
+            .call = StoreCall::Update,
+            .skip = 2,
+            .count = 1,
+            .delay = Milliseconds(1500) });
+        run(pair.clock, Milliseconds(4000), { &pair.first });
+        CHECK(pair.first.lease.held());
+        for (int i = 0; i < 1000; ++i) {
+            run(pair.clock, tickInterval, { &pair.first, &pair.second });
+            REQUIRE(pair.first.lease.held());
+        }
+        CHECK(pair.first.lease.fence() == 1);
+    }
+}
+
+// Guards against a holder that acts on through an outage for longer than its lease.
+TEST_CASE("an outage ends the lease by the holder's own clock")
+{
+    Pair pair;
+    run(pair.clock, Milliseconds(1000), { &pair.first, &pair.second });
+    pair.first.store.setDown(true);
+    pair.second.store.setDown(true);
+    run(pair.clock, Milliseconds(2000), { &pair.first, &pair.second });
+    CHECK(pair.first.lease.held());
+    run(pair.clock, Milliseconds(4000), { &pair.first, &pair.second });
+    CHECK_FALSE(pair.first.lease.held());
+    CHECK_FALSE(pair.second.lease.held());
+    pair.first.store.setDown(false);
+    run(pair.clock, Milliseconds(1000), { &pair.first, &pair.second });
+    CHECK(pair.first.lease.held());
+    CHECK(pair.first.lease.fence() == 1);
+}
