--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -2,9 +2,12 @@
 
 // The public header of the coordination library.
 
-#include "coordination/log.h"
+#include "coordination/claim.h"
+#include "coordination/lease.h"
 #include "coordination/loadtable.h"
+#include "coordination/log.h"
 #include "coordination/member.h"
+#include "coordination/order.h"
 #include "coordination/outbox.h"
 #include "coordination/peerframe.h"
 #include "coordination/rateshare.h"
--- /dev/null
+++ b/process/daemon.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "base/error.h"
+#include "process/adminapi.h"
+#include "process/callerapi.h"
+#include "process/claims.h"
+#include "process/configservice.h"
+#include "process/peers.h"
+#include "process/router.h"
+#include "process/settings.h"
+#include <memory>
+
+namespace briarwharf {
+
+// Organisations' token rates, shared between the instances. Organisations without a limit are not counted.
+class SharedRates : public RateAllowance {
+public:
+    explicit SharedRates(RateShare& shares)
+        : m_shares(shares)
+    {
+    }
+
+    void apply(const ConfigIndex& index) { m_index = &index; }
+
+    bool tryTake(std::string_view organisation, std::int64_t tokens, MonotonicTime now) override;
+    Milliseconds retryAfter(std::string_view organisation, std::int64_t tokens, MonotonicTime now) const override;
+
+private:
+    bool isLimited(std::string_view organisation) const;
+
+    RateShare& m_shares;
+    const ConfigIndex* m_index = nullptr;
+};
+
+// One instance: all parts, wired together on one event loop.
+//
+//   Daemon daemon(base, settings);
+//   Status started = daemon.start();
+//   event_base_dispatch(base);     // until SIGTERM or SIGINT has been carried out
+class Daemon {
+public:
+    Daemon(event_base*, Settings, HintSigner);
+
+    // Errors: Unavailable (an address is taken).
+    Status start();
+
+    // Graceful shutdown: /readyz fails, waiting requests are refused, requests in progress get the grace time
+    // of the settings, then the loop ends.
+    void shutDown();
+
+private:
+    void configurationChanged(std::shared_ptr<const ConfigIndex>);
+    void upstreamPolled(const UpstreamRuntime&, bool reached, std::uint32_t tokens);
+    bool mayGetNewWork(const UpstreamRuntime&) const;
+    void tick();
+    void pollUpstreams();
+    void readLoads();
+    void updateMetrics();
+    void checkShutdown();
+    double controlBytes();
+    RuntimeFacts facts() const;
+    UpstreamFacts upstreamFacts(const UpstreamRuntime&, MonotonicTime now) const;
+
+    event_base* m_base;
+    Settings m_settings;
+    Metrics m_metrics;
+    Tracer m_tracer;
+    HttpStore m_store;
+    ConfigService m_config;
+    PeerService m_peers;
+    ClaimGateway m_claims;
+    UpstreamSet m_upstreams;
+    SharedRates m_rates;
+    Router m_router;
+    CallerApi m_callerApi;
+    AdminApi m_adminApi;
+    HttpServer m_callerServer;
+    HttpServer m_adminServer;
+    Ticker m_ticker;
+    Ticker m_pollTicker;
+    Ticker m_metricsTicker;
+    double m_lastControlBytes = 0;
+    std::optional<MonotonicTime> m_shutdownDeadline;
+    std::optional<MonotonicTime> m_listenUntil;
+};
+
+} // namespace briarwharf
