--- /dev/null
+++ b/version/testing/decoders.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "base/base.h"
+#include "version/version.h"
+#include <cstdlib>
+
+// What each fuzz target does with its input; the corpus test replays the same functions. A broken promise
+// aborts, which both the fuzzer and the test program report.
+
+namespace briarwharf::testing {
+
+inline void require(bool promise)
+{
+    if (!promise)
+        std::abort();
+}
+
+inline void exerciseCommands(std::string_view bytes)
+{
+    auto commands = parseCommands(bytes);
+    if (!commands)
+        return;
+    for (const Command& command : commands.value()) {
+        auto again = parseCommand(printCommand(command));
+        require(again.has_value() && again.value() == command);
+    }
+    auto config = applyCommands({}, commands.value());
+    if (config)
+        require(validateConfig(config.value()).has_value());
+}
+
+// Wraps the bytes as the body of a snapshot, because the checksum would stop almost every input.
+inline std::string wrapSnapshot(std::string_view bytes)
+{
+    auto body = parseJson(bytes, "body");
+    if (!body)
+        return std::string(bytes);
+    std::string checksum = std::to_string(hash64(dumpJson(body.value())));
+    return dumpJson({ { "v", 1 }, { "checksum", checksum }, { "config", body.value() } });
+}
+
+inline void exerciseRecords(std::string_view bytes)
+{
+    auto record = decodeRecord(bytes);
+    if (record) {
+        auto again = decodeRecord(encodeRecord(record.value()));
+        require(again.has_value() && again.value().commands == record.value().commands);
+    }
+    auto applied = applyRecord({}, 1, bytes);
+    if (applied)
+        require(applied.value().config.revision == 1);
+    auto snapshot = decodeSnapshot(wrapSnapshot(bytes));
+    if (snapshot) {
+        auto again = decodeSnapshot(encodeSnapshot(snapshot.value()));
+        require(again.has_value() && again.value() == snapshot.value());
+    }
+}
+
+} // namespace briarwharf::testing
--- /dev/null
+++ b/version/values.cc
@@ -0,0 +1,112 @@
+// Words, times and addresses of the command language.
+
+#include "version/properties.h"
+#include <arpa/inet.h>
+#include <charconv>
+#include <cstdio>
+
+namespace briarwharf {
+
+namespace {
+
+    // Exactly `width` digits, or nullopt.
+    std::optional<int> fixedNumber(std::string_view text, std::size_t offset, std::size_t width)
+    {
+        std::string_view part = text.substr(std::min(offset, text.size()), width);
+        int value = 0;
+        auto [end, error] = std::from_chars(part.data(), part.data() + part.size(), value);
+        bool digits = !part.empty() && part.front() != '-' && end == part.data() + part.size();
+        if (error != std::errc() || !digits || part.size() != width)
+            return std::nullopt;
+        return value;
+    }
+
+    std::optional<std::string> canonicalAddress(const std::string& text)
+    {
+        std::array<unsigned char, sizeof(in6_addr)> binary {};
+        std::array<char, INET6_ADDRSTRLEN> printed {};
+        for (int family : { AF_INET, AF_INET6 }) {
+            if (inet_pton(family, text.c_str(), binary.data()) == 1)
+                return inet_ntop(family, binary.data(), printed.data(), printed.size());
+        }
+        return std::nullopt;
+    }
+
+    constexpr std::string_view minutePattern = "dddd-dd-ddTdd:ddZ";
+
+} // namespace
+
+std::string_view objectKindName(ObjectKind kind) { return wordFor(objectWords, kind); }
+std::string_view strategyName(Strategy strategy) { return wordFor(strategyWords, strategy); }
+std::string_view poolKindName(PoolKind kind) { return wordFor(poolKindWords, kind); }
+std::string_view upstreamStateName(UpstreamState state) { return wordFor(upstreamStateWords, state); }
+std::string_view weekdayName(int weekday) { return wordFor(weekdayWords, weekday); }
+
+std::string printMinute(WallTime time)
+{
+    auto minutes = std::chrono::floor<std::chrono::minutes>(time);
+    auto day = std::chrono::floor<std::chrono::days>(minutes);
+    std::chrono::year_month_day date(day);
+    auto ofDay = static_cast<int>((minutes - day).count());
+    std::array<char, 40> text {};
+    std::snprintf(text.data(), text.size(), "%04d-%02u-%02uT%02d:%02dZ", static_cast<int>(date.year()),
+        static_cast<unsigned>(date.month()), static_cast<unsigned>(date.day()), ofDay / 60, ofDay % 60);
+    return text.data();
+}
+
+std::optional<WallTime> parseMinute(std::string_view text)
+{
+    if (text.size() != minutePattern.size())
+        return std::nullopt;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (minutePattern[i] != 'd' && text[i] != minutePattern[i])
+            return std::nullopt;
+    }
+    auto year = fixedNumber(text, 0, 4);
+    auto month = fixedNumber(text, 5, 2);
+    auto day = fixedNumber(text, 8, 2);
+    auto hour = fixedNumber(text, 11, 2);
+    auto minute = fixedNumber(text, 14, 2);
+    if (!year || !month || !day || !hour || !minute || *hour > 23 || *minute > 59)
+        return std::nullopt;
+    // Dates outside these years overflow neither the clock nor the four digits.
+    if (*year < 1970 || *year > 2200)
+        return std::nullopt;
+    std::chrono::year_month_day date { std::chrono::year(*year), std::chrono::month(*month),
+        std::chrono::day(*day) };
+    if (!date.ok())
+        return std::nullopt;
+    return std::chrono::sys_days(date) + std::chrono::hours(*hour) + std::chrono::minutes(*minute);
+}
+
+Result<Endpoint> parseEndpoint(std::string_view text)
+{
+    Error error { ErrorKind::InvalidArgument,
+        "the address '" + std::string(text.substr(0, 64))
+            + "' is not an IP number with a port: give one as 10.0.0.1:8080 or [2001:db8::1]:8080; "
+              "host names are not resolved" };
+    std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return error;
+    std::string_view host = text.substr(0, colon);
+    std::string_view portText = text.substr(colon + 1);
+    bool bracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
+    if (bracketed)
+        host = host.substr(1, host.size() - 2);
+    auto address = canonicalAddress(std::string(host));
+    std::uint16_t port = 0;
+    auto [end, code] = std::from_chars(portText.data(), portText.data() + portText.size(), port);
+    bool portValid = code == std::errc() && end == portText.data() + portText.size() && port != 0;
+    if (!address || !portValid || bracketed != (address->find(':') != std::string::npos))
+        return error;
+    return Endpoint { *address, port };
+}
+
+std::string printEndpoint(const Endpoint& endpoint)
+{
+    bool bracketed = endpoint.address.find(':') != std::string::npos;
+    return (bracketed ? "[" + endpoint.address + "]" : endpoint.address) + ":"
+        + std::to_string(endpoint.port);
+}
+
+} // namespace briarwharf
