--- a/connection/httpstore.h
+++ b/connection/httpstore.h
@@ -54,13 +54,13 @@
 // connection could not be made or the call was never dispatched. Nothing is repeated on its own. A connection
 // whose exchange did not end cleanly is closed, so a late answer never reaches another call.
 //
-// Destroying the adapter drops the calls in progress without calling back.
+// Destroying the adapter drops the calls in progress without calling back; do not destroy it in a callback.
 class HttpStore final : public Store {
 public:
     // Errors: Unavailable.
     using InstancesCallback = std::function<void(Result<std::vector<PlatformInstance>>)>;
 
-    HttpStore(event_base*, HttpStoreOptions);
+    HttpStore(event_base*, const HttpStoreOptions&);
     ~HttpStore() override;
     HttpStore(const HttpStore&) = delete;
     HttpStore& operator=(const HttpStore&) = delete;
@@ -83,6 +83,7 @@
 private:
     class Impl;
     std::unique_ptr<Impl> m_impl;
+    Milliseconds m_callDeadline;
 };
 
 } // namespace briarwharf
--- /dev/null
+++ b/connection/testing/httpstore_test.cc
@@ -0,0 +1,285 @@
+#include "connection/httpstore.h"
+#include "standins/storeserver.h"
+#include <doctest/doctest.h>
+#include <event2/event.h>
+
+using namespace briarwharf;
+
+namespace {
+
+// Ends a test that hangs; no verdict depends on it otherwise.
+constexpr int guardSeconds = 30;
+
+struct BaseDeleter {
+    void operator()(event_base* base) const { event_base_free(base); }
+};
+using Base = std::unique_ptr<event_base, BaseDeleter>;
+
+// A store stand-in and an adapter on one loop.
+struct Harness {
+    explicit Harness(HttpStoreOptions options = {})
+    {
+        options.port = server.listen(0).value();
+        store = std::make_unique<HttpStore>(base.get(), options);
+    }
+
+    void runUntil(const bool& done)
+    {
+        timeval guard { guardSeconds, 0 };
+        event_base_loopexit(base.get(), &guard);
+        while (!done && !event_base_got_exit(base.get()))
+            event_base_loop(base.get(), EVLOOP_ONCE);
+        REQUIRE(done);
+    }
+
+    // Starts a call, runs the loop until its callback, and returns what it got.
+    template <typename Value, typename Start> Value await(Start start)
+    {
+        std::optional<Value> result;
+        bool done = false;
+        start([&](Value value) {
+            CHECK_FALSE(done);
+            result.emplace(std::move(value));
+            done = true;
+        });
+        CHECK_FALSE(done);
+        runUntil(done);
+        return *result;
+    }
+
+    WriteResult create(const std::string& key, const std::string& value)
+    {
+        return await<WriteResult>([&](auto callback) { store->create(key, value, callback); });
+    }
+    WriteResult update(const std::string& key, ObjectVersion version, const std::string& value)
+    {
+        return await<WriteResult>([&](auto callback) { store->update(key, version, value, callback); });
+    }
+    WriteResult remove(const std::string& key, ObjectVersion version)
+    {
+        return await<WriteResult>([&](auto callback) { store->remove(key, version, callback); });
+    }
+    Result<std::optional<StoredObject>> read(const std::string& key)
+    {
+        return await<Result<std::optional<StoredObject>>>([&](auto callback) { store->read(key, callback); });
+    }
+    Result<std::optional<StoredObject>> watch(
+        const std::string& key, ObjectVersion known, Milliseconds timeout)
+    {
+        return await<Result<std::optional<StoredObject>>>(
+            [&](auto callback) { store->watch(key, known, timeout, callback); });
+    }
+    void setFaults(const char* text) { CHECK(model.setFaults(parseJson(text, "faults").value())); }
+
+    Base base { event_base_new() };
+    StoreModel model;
+    StoreServer server { base.get(), model };
+    std::unique_ptr<HttpStore> store;
+};
+
+constexpr Milliseconds shortDeadline { 200 };
+
+} // namespace
+
+// Guards against a condition that is lost on the way, so that two writers both succeed.
+TEST_CASE("writes are conditional and carry versions")
+{
+    Harness harness;
+    std::string binary("a\0\xff/%", 5);
+    auto created = harness.create("log/a b%c", binary);
+    CHECK(created.outcome == WriteOutcome::Done);
+    CHECK(harness.create("log/a b%c", "other").outcome == WriteOutcome::Conflict);
+    auto object = harness.read("log/a b%c");
+    REQUIRE(object.has_value());
+    REQUIRE(object.value().has_value());
+    CHECK(object.value()->value == binary);
+    CHECK(object.value()->version == created.version);
+    auto updated = harness.update("log/a b%c", created.version, "");
+    CHECK(updated.outcome == WriteOutcome::Done);
+    CHECK(updated.version > created.version);
+    CHECK(harness.update("log/a b%c", created.version, "late").outcome == WriteOutcome::Conflict);
+    CHECK(harness.remove("log/a b%c", created.version).outcome == WriteOutcome::Conflict);
+    CHECK(harness.remove("log/a b%c", updated.version).outcome == WriteOutcome::Done);
+    CHECK_FALSE(harness.read("log/a b%c").value().has_value());
+    CHECK(harness.store->counters().calls() == 8);
+    CHECK(harness.store->counters().bytesSent > 0);
+    CHECK(harness.store->counters().bytesReceived > 0);
+    CHECK(harness.store->counters().failures == 0);
+}
+
+// Guards against values at the bound that the adapter or the stand-in cuts.
+TEST_CASE("a value of the longest length comes back whole")
+{
+    Harness harness;
+    std::string value(maxStoredValueBytes, 'x');
+    CHECK(harness.create("big", value).outcome == WriteOutcome::Done);
+    CHECK(harness.read("big").value()->value == value);
+}
+
+// Guards against lists that miss the bounds or mangle binary values.
+TEST_CASE("lists are in key order, bounded, and keep binary values")
+{
+    Harness harness;
+    for (const char* key : { "p/3", "p/1", "q/1", "p/2" })
+        CHECK(harness.create(key, std::string("\0\xfe", 2) + key).outcome == WriteOutcome::Done);
+    auto listed = harness.await<Result<std::vector<StoredObject>>>(
+        [&](auto callback) { harness.store->list("p/", "p/1", 1, callback); });
+    REQUIRE(listed.has_value());
+    REQUIRE(listed.value().size() == 1);
+    CHECK(listed.value()[0].key == "p/2");
+    CHECK(listed.value()[0].value == std::string("\0\xfep/2", 5));
+}
+
+// Guards against a lost answer that is reported as failed or done: the writer must look again.
+TEST_CASE("a write whose answer is lost is unknown, and is in effect")
+{
+    Harness harness;
+    harness.setFaults(R"({"lose_answers": 1})");
+    CHECK(harness.create("k", "v").outcome == WriteOutcome::Unknown);
+    CHECK(harness.read("k").value()->value == "v");
+}
+
+TEST_CASE("a write that the store never answers is unknown at the deadline, a read unavailable")
+{
+    Harness harness({ .callDeadline = shortDeadline });
+    harness.setFaults(R"({"down": "silent"})");
+    CHECK(harness.create("k", "v").outcome == WriteOutcome::Unknown);
+    CHECK(harness.read("k").error().kind == ErrorKind::Unavailable);
+    CHECK(harness.store->counters().failures == 2);
+    harness.setFaults(R"({"down": false})");
+    CHECK(harness.create("k", "v").outcome == WriteOutcome::Done);
+}
+
+// Guards against "unknown" for writes that certainly did nothing; their callers would wait for no reason.
+TEST_CASE("a write without a connection was not sent")
+{
+    Harness harness;
+    std::uint16_t freePort = 0;
+    {
+        // A port that was just in use and is not any more.
+        HttpServer closed(harness.base.get(), [](const HttpRequest&, const ExchangePointer&) {});
+        freePort = closed.listen(0).value();
+    }
+    harness.store = std::make_unique<HttpStore>(harness.base.get(), HttpStoreOptions { .port = freePort });
+    CHECK(harness.create("k", "v").outcome == WriteOutcome::NotSent);
+    CHECK(harness.read("k").error().kind == ErrorKind::Unavailable);
+}
+
+TEST_CASE("errors of the server leave a write unknown and a read unavailable")
+{
+    Harness harness;
+    harness.setFaults(R"({"down": true})");
+    CHECK(harness.create("k", "v").outcome == WriteOutcome::Unknown);
+    CHECK(harness.read("k").error().kind == ErrorKind::Unavailable);
+}
+
+// Guards against a late answer that reaches the next call on the same connection.
+TEST_CASE("an answer after the deadline reaches nobody")
+{
+    Harness harness({ .callDeadline = shortDeadline, .maxConnections = 1 });
+    CHECK(harness.create("a", "value of a").outcome == WriteOutcome::Done);
+    CHECK(harness.create("b", "value of b").outcome == WriteOutcome::Done);
+    harness.setFaults(R"({"delay_ms": 400})");
+    CHECK(harness.read("a").error().kind == ErrorKind::Unavailable);
+    harness.setFaults(R"({"delay_ms": 0})");
+    CHECK(harness.read("b").value()->value == "value of b");
+    CHECK(harness.read("a").value()->value == "value of a");
+}
+
+TEST_CASE("a watch answers on change, on removal and on its timeout")
+{
+    Harness harness;
+    std::optional<StoredObject> seen;
+    bool changed = false;
+    harness.store->watch("k", 0, Milliseconds(10000), [&](Result<std::optional<StoredObject>> object) {
+        seen = object.value();
+        changed = true;
+    });
+    auto created = harness.create("k", "v1");
+    harness.runUntil(changed);
+    REQUIRE(seen.has_value());
+    CHECK(seen->value == "v1");
+    CHECK(seen->version == created.version);
+    CHECK(harness.watch("k", 0, Milliseconds(10000)).value()->value == "v1");
+    CHECK(harness.watch("k", created.version, Milliseconds(30)).value()->value == "v1");
+    CHECK_FALSE(harness.watch("absent", 0, Milliseconds(30)).value().has_value());
+    CHECK(harness.remove("k", created.version).outcome == WriteOutcome::Done);
+    CHECK_FALSE(harness.watch("k", created.version, Milliseconds(10000)).value().has_value());
+}
+
+// Guards against a watch that waits for ever on a silent connection.
+TEST_CASE("a silent watch ends as unavailable")
+{
+    Harness harness({ .callDeadline = shortDeadline });
+    harness.setFaults(R"({"silent_watches": true})");
+    CHECK(harness.watch("k", 0, Milliseconds(50)).error().kind == ErrorKind::Unavailable);
+}
+
+// Guards against watches that take the connections of other calls, and against unbounded queues.
+TEST_CASE("calls beyond the connections wait, and beyond the queue are not sent")
+{
+    Harness harness({ .maxConnections = 2, .maxQueuedCalls = 3, .maxWatches = 1 });
+    bool watched = false;
+    bool refused = false;
+    harness.store->watch("w", 0, Milliseconds(10000), [&](const auto&) { watched = true; });
+    harness.store->watch("w", 0, Milliseconds(10000), [&](const auto& object) {
+        CHECK(object.has_error());
+        refused = true;
+    });
+    int done = 0;
+    int notSent = 0;
+    bool all = false;
+    constexpr int calls = 7;
+    for (int i = 0; i < calls; ++i) {
+        harness.store->create("k" + std::to_string(i), "v", [&](WriteResult result) {
+            done += result.outcome == WriteOutcome::Done ? 1 : 0;
+            notSent += result.outcome == WriteOutcome::NotSent ? 1 : 0;
+            all = done + notSent == calls;
+        });
+    }
+    harness.runUntil(all);
+    harness.runUntil(refused);
+    CHECK(done == 5);
+    CHECK(notSent == 2);
+    CHECK_FALSE(watched);
+    CHECK(harness.create("w", "v").outcome == WriteOutcome::Done);
+    harness.runUntil(watched);
+}
+
+// Guards against callbacks or leaks from calls that outlive the adapter.
+TEST_CASE("destroying the adapter drops its calls")
+{
+    Harness harness({ .maxConnections = 1 });
+    harness.setFaults(R"({"down": "silent", "silent_watches": true})");
+    bool called = false;
+    for (int i = 0; i < 3; ++i)
+        harness.store->read("k", [&](const auto&) { called = true; });
+    harness.store->watch("k", 0, Milliseconds(1000), [&](const auto&) { called = true; });
+    event_base_loop(harness.base.get(), EVLOOP_NONBLOCK);
+    harness.store.reset();
+    for (int i = 0; i < 5; ++i)
+        event_base_loop(harness.base.get(), EVLOOP_NONBLOCK);
+    CHECK_FALSE(called);
+}
+
+TEST_CASE("the platform's list of instances shows after its lag")
+{
+    Harness harness;
+    auto instances = parseJson(
+        R"([{"id": "i1", "address": "127.0.0.1:7500", "failure_domain": "d", "state": "leaving"}])", "list");
+    auto ask = [&] {
+        return harness.await<Result<std::vector<PlatformInstance>>>(
+            [&](auto callback) { harness.store->listInstances(callback); });
+    };
+    harness.model.setInstances(instances.value(), std::chrono::steady_clock::now(), Milliseconds(3600000));
+    CHECK(ask().value().empty());
+    harness.model.setInstances(instances.value(), MonotonicTime {}, Milliseconds(0));
+    // The list that was set last waits behind the first one.
+    CHECK(ask().value().empty());
+    harness.model = StoreModel();
+    harness.model.setInstances(instances.value(), MonotonicTime {}, Milliseconds(0));
+    auto listed = ask();
+    REQUIRE(listed.value().size() == 1);
+    CHECK(listed.value()[0].leaving);
+    CHECK(listed.value()[0].failureDomain == "d");
+}
--- a/standins/engineserver.cc
+++ b/standins/engineserver.cc
@@ -75,7 +75,7 @@
 } // namespace
 
 EngineServer::EngineServer(event_base* base, EngineModel& model, EngineServerOptions options)
-    : m_base(base)
+    : m_delays(base)
     , m_model(model)
     , m_options(options)
     , m_server(base,
@@ -188,7 +188,7 @@
     auto fault = m_faults.take();
     if (fault.delay.count() <= 0)
         return startChat(request, exchange, fault);
-    runLater(m_base, fault.delay, [this, request, exchange, fault] {
+    m_delays.run(fault.delay, [this, request, exchange, fault] {
         if (exchange->open())
             startChat(request, exchange, fault);
     });
--- a/standins/engineserver.h
+++ b/standins/engineserver.h
@@ -64,7 +64,7 @@
     bool faultStops(Call&);
     void cancelAbandoned(MonotonicTime now);
 
-    event_base* m_base;
+    DelayedCalls m_delays;
     EngineModel& m_model;
     EngineServerOptions m_options;
     FaultInjector m_faults;
--- a/standins/httpserver.cc
+++ b/standins/httpserver.cc
@@ -107,8 +107,8 @@
 
     class Exchange final : public HttpExchange, public std::enable_shared_from_this<Exchange> {
     public:
-        Exchange(event_base* base, evhtp_request_t* request, std::shared_ptr<ConnectionState> connection)
-            : m_base(base)
+        Exchange(DelayedCalls& delays, evhtp_request_t* request, std::shared_ptr<ConnectionState> connection)
+            : m_delays(delays)
             , m_request(request)
             , m_connection(std::move(connection))
         {
@@ -154,10 +154,12 @@
 
         void cut() override
         {
+            if (!m_request)
+                return;
             // The connection is shut down outside of libevhtp's calls; it then sees an end of file and frees
             // the connection itself.
             auto self = shared_from_this();
-            runLater(m_base, cutDelay, [self] {
+            m_delays.run(cutDelay, [self] {
                 if (self->m_request && !self->m_complete)
                     shutdown(bufferevent_getfd(evhtp_request_get_bev(self->m_request)), SHUT_RDWR);
             });
@@ -194,7 +196,7 @@
                     m_request->headers_out, evhtp_header_new(name.c_str(), value.c_str(), 1, 1));
         }
 
-        event_base* m_base;
+        DelayedCalls& m_delays; // of the server, which outlives its requests
         evhtp_request_t* m_request;
         std::shared_ptr<ConnectionState> m_connection;
         std::function<void()> m_onGone;
@@ -210,7 +212,7 @@
 class HttpServer::Impl {
 public:
     Impl(event_base* base, HttpHandler handler)
-        : m_base(base)
+        : m_delays(base)
         , m_handler(std::move(handler))
         , m_server(evhtp_new(base, nullptr))
     {
@@ -271,7 +273,7 @@
         auto found = impl->m_connections.find(evhtp_request_get_connection(request));
         if (found == impl->m_connections.end())
             return;
-        auto exchange = std::make_shared<Exchange>(impl->m_base, request, found->second);
+        auto exchange = std::make_shared<Exchange>(impl->m_delays, request, found->second);
         // The request owns a reference, given back when libevhtp frees it.
         auto* reference = new std::shared_ptr<Exchange>(exchange);
         evhtp_request_set_hook(
@@ -289,7 +291,7 @@
         return EVHTP_RES_OK;
     }
 
-    event_base* m_base;
+    DelayedCalls m_delays;
     HttpHandler m_handler;
     evhtp_t* m_server;
     std::unordered_map<evhtp_connection_t*, std::shared_ptr<ConnectionState>> m_connections;
@@ -311,16 +313,64 @@
 
 std::size_t HttpServer::openConnections() const { return m_impl->openConnections(); }
 
-void runLater(event_base* base, Milliseconds delay, std::function<void()> callback)
-{
-    auto* owned = new std::function<void()>(std::move(callback));
-    auto run = [](evutil_socket_t, short, void* argument) {
-        std::unique_ptr<std::function<void()>> function(static_cast<std::function<void()>*>(argument));
-        (*function)();
+class DelayedCalls::Impl {
+public:
+    explicit Impl(event_base* base)
+        : m_base(base)
+    {
+    }
+
+    void run(Milliseconds delay, std::function<void()> callback)
+    {
+        auto id = m_nextId++;
+        auto& entry = m_entries[id];
+        entry = std::make_unique<Entry>(*this, id, std::move(callback));
+        timeval interval = toTimeval(delay);
+        event_add(entry->timer, &interval);
+    }
+
+private:
+    struct Entry {
+        Entry(Impl& impl, std::uint64_t number, std::function<void()> function)
+            : owner(impl)
+            , id(number)
+            , callback(std::move(function))
+            , timer(event_new(impl.m_base, -1, 0, &Impl::fire, this))
+        {
+        }
+        ~Entry() { event_free(timer); }
+        Entry(const Entry&) = delete;
+        Entry& operator=(const Entry&) = delete;
+
+        Impl& owner;
+        std::uint64_t id;
+        std::function<void()> callback;
+        event* timer;
     };
-    timeval interval = toTimeval(delay);
-    if (event_base_once(base, -1, EV_TIMEOUT, run, owned, &interval) != 0)
-        delete owned;
+
+    static void fire(evutil_socket_t, short, void* argument)
+    {
+        auto& entry = *static_cast<Entry*>(argument);
+        auto callback = std::move(entry.callback);
+        entry.owner.m_entries.erase(entry.id);
+        callback();
+    }
+
+    event_base* m_base;
+    std::uint64_t m_nextId = 1;
+    std::unordered_map<std::uint64_t, std::unique_ptr<Entry>> m_entries;
+};
+
+DelayedCalls::DelayedCalls(event_base* base)
+    : m_impl(std::make_unique<Impl>(base))
+{
+}
+
+DelayedCalls::~DelayedCalls() = default;
+
+void DelayedCalls::run(Milliseconds delay, std::function<void()> callback)
+{
+    m_impl->run(delay, std::move(callback));
 }
 
 class Ticker::Impl {
--- a/standins/httpserver.h
+++ b/standins/httpserver.h
@@ -76,8 +76,20 @@
     std::unique_ptr<Impl> m_impl;
 };
 
-// Runs the function once after the delay; dropped with the event base.
-void runLater(event_base*, Milliseconds delay, std::function<void()>);
+// Runs functions once, each after its delay; those that still wait go with the object.
+class DelayedCalls {
+public:
+    explicit DelayedCalls(event_base*);
+    ~DelayedCalls();
+    DelayedCalls(const DelayedCalls&) = delete;
+    DelayedCalls& operator=(const DelayedCalls&) = delete;
+
+    void run(Milliseconds delay, std::function<void()>);
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
 
 // Runs the function at each interval until the object is destroyed.
 class Ticker {
--- a/standins/serviceserver.cc
+++ b/standins/serviceserver.cc
@@ -3,7 +3,7 @@
 namespace briarwharf {
 
 ServiceServer::ServiceServer(event_base* base, ServiceModel& model, ServiceServerOptions options)
-    : m_base(base)
+    : m_delays(base)
     , m_model(model)
     , m_options(std::move(options))
     , m_server(base,
@@ -23,7 +23,7 @@
     if (fault.delay.count() <= 0)
         return run(request, exchange, fault);
     // A call that was received runs even if its caller has gone meanwhile.
-    runLater(m_base, fault.delay, [this, request, exchange, fault] { run(request, exchange, fault); });
+    m_delays.run(fault.delay, [this, request, exchange, fault] { run(request, exchange, fault); });
 }
 
 void ServiceServer::handleFaults(const HttpRequest& request, const ExchangePointer& exchange)
@@ -58,7 +58,7 @@
         return exchange->cut();
     Json body = { { "service", m_options.name }, { "method", request.method }, { "path", request.path },
         { "run", count }, { "key", request.header("Idempotency-Key") }, { "body", request.body } };
-    runLater(m_base, m_options.workTime,
+    m_delays.run(m_options.workTime,
         [this, request, exchange, fault, body] { answer(request, exchange, fault, body); });
 }
 
--- a/standins/serviceserver.h
+++ b/standins/serviceserver.h
@@ -26,7 +26,7 @@
     void run(const HttpRequest&, const ExchangePointer&, const FaultPlan&);
     void answer(const HttpRequest&, const ExchangePointer&, const FaultPlan&, const Json& body);
 
-    event_base* m_base;
+    DelayedCalls m_delays;
     ServiceModel& m_model;
     ServiceServerOptions m_options;
     FaultInjector m_faults;
--- a/standins/storeserver.cc
+++ b/standins/storeserver.cc
@@ -45,7 +45,7 @@
 } // namespace
 
 StoreServer::StoreServer(event_base* base, StoreModel& model)
-    : m_base(base)
+    : m_delays(base)
     , m_model(model)
     , m_server(base,
           [this](const HttpRequest& request, const ExchangePointer& exchange) { handle(request, exchange); })
@@ -218,7 +218,7 @@
     auto delay = m_model.faults().delay;
     if (delay.count() <= 0)
         return exchange->reply(status, body, headers);
-    runLater(m_base, delay, [exchange, status, body = std::move(body), headers = std::move(headers)] {
+    m_delays.run(delay, [exchange, status, body = std::move(body), headers = std::move(headers)] {
         exchange->reply(status, body, headers);
     });
 }
--- a/standins/storeserver.h
+++ b/standins/storeserver.h
@@ -35,7 +35,7 @@
     // Sends after the delay in force.
     void answer(const ExchangePointer&, int status, std::string body, HttpHeaders headers);
 
-    event_base* m_base;
+    DelayedCalls m_delays;
     StoreModel& m_model;
     HttpServer m_server;
     Ticker m_ticker;
