Add peer links over libevent bufferevents

Listener, connect, framing, the Hello exchange with a protocol version check, bounded output and byte counts. Failures reach the owner from the loop; a link that the owner closes is not reported.

--- /dev/null
+++ b/connection/peerlink.cc
@@ -0,0 +1,422 @@
+#include "connection/peerlink.h"
+#include <arpa/inet.h>
+#include <array>
+#include <charconv>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <map>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <utility>
+
+namespace briarwharf {
+
+namespace {
+
+    constexpr int listenBacklog = 128;
+
+    timeval toTimeval(Milliseconds duration)
+    {
+        constexpr int millisecondsPerSecond = 1000;
+        return { static_cast<time_t>(duration.count() / millisecondsPerSecond),
+            static_cast<suseconds_t>((duration.count() % millisecondsPerSecond) * 1000) };
+    }
+
+    struct SocketAddress {
+        sockaddr_storage storage {};
+        int length = sizeof(sockaddr_storage);
+
+        sockaddr* get() { return reinterpret_cast<sockaddr*>(&storage); }
+    };
+
+    // libevent's parser takes no port 0, so the port is read apart.
+    Result<SocketAddress> parseAddress(const std::string& text)
+    {
+        Error malformed { ErrorKind::InvalidArgument,
+            "\"" + text + "\" is not an IP number and port: write it as 10.0.0.1:7500 or [fd00::1]:7500" };
+        auto colon = text.rfind(':');
+        if (colon == std::string::npos)
+            return malformed;
+        std::uint16_t port = 0;
+        const char* end = text.data() + text.size();
+        auto [last, error] = std::from_chars(text.data() + colon + 1, end, port);
+        if (error != std::errc() || last != end)
+            return malformed;
+        SocketAddress address;
+        auto host = text.substr(0, colon);
+        if (evutil_parse_sockaddr_port(host.c_str(), address.get(), &address.length) != 0)
+            return malformed;
+        if (address.storage.ss_family == AF_INET6)
+            reinterpret_cast<sockaddr_in6&>(address.storage).sin6_port = htons(port);
+        else
+            reinterpret_cast<sockaddr_in&>(address.storage).sin_port = htons(port);
+        return address;
+    }
+
+    std::string formatAddress(const SocketAddress& address)
+    {
+        std::array<char, INET6_ADDRSTRLEN> text {};
+        if (address.storage.ss_family == AF_INET6) {
+            const auto& six = reinterpret_cast<const sockaddr_in6&>(address.storage);
+            evutil_inet_ntop(AF_INET6, &six.sin6_addr, text.data(), text.size());
+            return '[' + std::string(text.data()) + "]:" + std::to_string(ntohs(six.sin6_port));
+        }
+        const auto& four = reinterpret_cast<const sockaddr_in&>(address.storage);
+        evutil_inet_ntop(AF_INET, &four.sin_addr, text.data(), text.size());
+        return std::string(text.data()) + ':' + std::to_string(ntohs(four.sin_port));
+    }
+
+    void disableDelay(evutil_socket_t socket)
+    {
+        int enabled = 1;
+        setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+    }
+
+} // namespace
+
+class PeerLinks::Impl {
+public:
+    Impl(event_base* base, const PeerLinkOptions& options, PeerLinkCallbacks callbacks)
+        : m_base(base)
+        , m_options(options)
+        , m_callbacks(std::move(callbacks))
+    {
+    }
+
+    ~Impl()
+    {
+        if (m_listener)
+            evconnlistener_free(m_listener);
+    }
+
+    Result<std::string> listen(const std::string& address);
+    Result<LinkId> connect(const std::string& address);
+    bool send(LinkId, PeerFrameT&&);
+    bool sendEncoded(LinkId, const std::string& bytes);
+    void close(LinkId);
+    MonotonicTime lastReceived(LinkId) const;
+    std::vector<LinkId> links() const;
+
+    MemberT self;
+    PeerLinkCounters counters;
+
+private:
+    struct Link {
+        Link(Impl& owner, LinkId id, evutil_socket_t socket, bool outgoing);
+        ~Link();
+        Link(const Link&) = delete;
+        Link& operator=(const Link&) = delete;
+
+        Impl& owner;
+        LinkId id;
+        bool outgoing;
+        bool up = false;
+        bool failed = false;
+        Error reason;
+        bufferevent* transport;
+        event* timer; // the handshake's limit; reports a failure once `failed` is set
+        MonotonicTime lastReceived;
+    };
+
+    static void handleAccept(evconnlistener*, evutil_socket_t, sockaddr*, int, void* self);
+    static void handleRead(bufferevent*, void* link);
+    static void handleEvent(bufferevent*, short events, void* link);
+    static void handleTimer(evutil_socket_t, short, void* link);
+
+    Link& addLink(evutil_socket_t, bool outgoing);
+    Link* find(LinkId) const;
+    void sendHello(Link&);
+    void write(Link&, const std::string& bytes);
+    void fail(Link&, Error);
+    bool readFrame(Link&);
+    void takeFrame(Link&, PeerFrameT);
+    void takeHello(Link&, const PeerFrameT&);
+
+    event_base* m_base;
+    PeerLinkOptions m_options;
+    PeerLinkCallbacks m_callbacks;
+    evconnlistener* m_listener = nullptr;
+    LinkId m_nextId = 1;
+    std::map<LinkId, std::unique_ptr<Link>> m_links;
+};
+
+PeerLinks::Impl::Link::Link(Impl& impl, LinkId number, evutil_socket_t socket, bool isOutgoing)
+    : owner(impl)
+    , id(number)
+    , outgoing(isOutgoing)
+    , transport(bufferevent_socket_new(impl.m_base, socket, BEV_OPT_CLOSE_ON_FREE))
+    , timer(event_new(impl.m_base, -1, 0, &Impl::handleTimer, this))
+    , lastReceived(std::chrono::steady_clock::now())
+{
+    bufferevent_setcb(transport, &Impl::handleRead, nullptr, &Impl::handleEvent, this);
+    // Reading pauses once a whole frame of the longest length is there.
+    bufferevent_setwatermark(transport, EV_READ, 0, peerFrameHeaderBytes + maxPeerFrameBytes);
+    timeval limit = toTimeval(impl.m_options.handshakeTimeout);
+    event_add(timer, &limit);
+}
+
+PeerLinks::Impl::Link::~Link()
+{
+    bufferevent_free(transport);
+    event_free(timer);
+}
+
+PeerLinks::Impl::Link& PeerLinks::Impl::addLink(evutil_socket_t socket, bool outgoing)
+{
+    auto id = m_nextId++;
+    auto& link = m_links[id];
+    link = std::make_unique<Link>(*this, id, socket, outgoing);
+    return *link;
+}
+
+PeerLinks::Impl::Link* PeerLinks::Impl::find(LinkId id) const
+{
+    auto found = m_links.find(id);
+    return found == m_links.end() ? nullptr : found->second.get();
+}
+
+Result<std::string> PeerLinks::Impl::listen(const std::string& text)
+{
+    auto address = parseAddress(text);
+    if (!address)
+        return address.error();
+    constexpr unsigned flags = LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC;
+    m_listener = evconnlistener_new_bind(m_base, &Impl::handleAccept, this, flags, listenBacklog,
+        address.value().get(), address.value().length);
+    if (!m_listener)
+        return Error { ErrorKind::Unavailable,
+            "peer address " + text + " cannot be bound: free the port or set another one" };
+    SocketAddress bound;
+    auto length = static_cast<socklen_t>(bound.length);
+    getsockname(evconnlistener_get_fd(m_listener), bound.get(), &length);
+    return formatAddress(bound);
+}
+
+void PeerLinks::Impl::handleAccept(evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* argument)
+{
+    auto& self = *static_cast<Impl*>(argument);
+    if (self.m_links.size() >= self.m_options.maxLinks) {
+        ++self.counters.handshakesFailed;
+        evutil_closesocket(socket);
+        return;
+    }
+    disableDelay(socket);
+    auto& link = self.addLink(socket, false);
+    bufferevent_enable(link.transport, EV_READ | EV_WRITE);
+    self.sendHello(link);
+}
+
+Result<LinkId> PeerLinks::Impl::connect(const std::string& text)
+{
+    auto address = parseAddress(text);
+    if (!address)
+        return address.error();
+    if (m_links.size() >= m_options.maxLinks)
+        return Error { ErrorKind::Overloaded, "too many peer links: close one first" };
+    auto& link = addLink(-1, true);
+    bufferevent_enable(link.transport, EV_READ | EV_WRITE);
+    sendHello(link);
+    if (bufferevent_socket_connect(link.transport, address.value().get(), address.value().length) != 0)
+        fail(link, { ErrorKind::Unavailable, "peer " + text + " cannot be reached: retry later" });
+    return link.id;
+}
+
+void PeerLinks::Impl::sendHello(Link& link)
+{
+    PeerFrameT frame;
+    frame.sender = self.id;
+    frame.incarnation = self.incarnation;
+    HelloT hello;
+    hello.member = std::make_unique<MemberT>(self);
+    hello.protocolVersion = m_options.protocolVersion;
+    frame.body.Set(std::move(hello));
+    write(link, encodePeerFrame(frame));
+}
+
+void PeerLinks::Impl::write(Link& link, const std::string& bytes)
+{
+    bufferevent_write(link.transport, bytes.data(), bytes.size());
+    ++counters.framesSent;
+    counters.bytesSent += bytes.size();
+}
+
+bool PeerLinks::Impl::send(LinkId id, PeerFrameT&& frame)
+{
+    frame.sender = self.id;
+    frame.incarnation = self.incarnation;
+    return sendEncoded(id, encodePeerFrame(frame));
+}
+
+bool PeerLinks::Impl::sendEncoded(LinkId id, const std::string& bytes)
+{
+    auto* link = find(id);
+    if (!link || !link->up || link->failed || bytes.size() > peerFrameHeaderBytes + maxPeerFrameBytes)
+        return false;
+    auto waiting = evbuffer_get_length(bufferevent_get_output(link->transport));
+    if (waiting + bytes.size() > m_options.maxOutputBytes) {
+        fail(*link,
+            { ErrorKind::Overloaded,
+                "the peer did not read " + std::to_string(waiting) + " bytes: connect again" });
+        return false;
+    }
+    write(*link, bytes);
+    return true;
+}
+
+// Stops the link at once; the owner learns of it from the loop.
+void PeerLinks::Impl::fail(Link& link, Error reason)
+{
+    if (link.failed)
+        return;
+    link.failed = true;
+    link.reason = std::move(reason);
+    bufferevent_disable(link.transport, EV_READ | EV_WRITE);
+    event_active(link.timer, EV_TIMEOUT, 0);
+}
+
+void PeerLinks::Impl::handleTimer(evutil_socket_t, short, void* argument)
+{
+    auto& link = *static_cast<Link*>(argument);
+    auto& self = link.owner;
+    if (!link.failed)
+        link.reason = { ErrorKind::DeadlineExceeded, "the peer sent no Hello in time: retry later" };
+    ++(link.up ? self.counters.linksClosed : self.counters.handshakesFailed);
+    bool report = link.up || link.outgoing;
+    auto owned = std::move(self.m_links.at(link.id));
+    self.m_links.erase(owned->id);
+    if (report)
+        self.m_callbacks.down(owned->id, owned->reason);
+}
+
+void PeerLinks::Impl::handleEvent(bufferevent* transport, short events, void* argument)
+{
+    auto& link = *static_cast<Link*>(argument);
+    if (events & BEV_EVENT_CONNECTED) {
+        disableDelay(bufferevent_getfd(transport));
+        return;
+    }
+    std::string reason = "the peer closed the link";
+    if (events & BEV_EVENT_ERROR)
+        reason = evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR());
+    link.owner.fail(link, { ErrorKind::Unavailable, "peer link ended: " + reason });
+}
+
+void PeerLinks::Impl::handleRead(bufferevent*, void* argument)
+{
+    auto* link = static_cast<Link*>(argument);
+    auto& self = link->owner;
+    auto id = link->id;
+    link->lastReceived = std::chrono::steady_clock::now();
+    // A callback may close this link, so it is looked up again after each frame.
+    while (link && !link->failed && self.readFrame(*link))
+        link = self.find(id);
+}
+
+// Takes one frame from the input; false if none is complete.
+bool PeerLinks::Impl::readFrame(Link& link)
+{
+    auto* input = bufferevent_get_input(link.transport);
+    std::array<char, peerFrameHeaderBytes> header {};
+    if (evbuffer_copyout(input, header.data(), header.size()) < static_cast<ev_ssize_t>(header.size()))
+        return false;
+    auto length = peerFrameLength({ header.data(), header.size() });
+    if (!length) {
+        fail(link, length.error());
+        return false;
+    }
+    if (evbuffer_get_length(input) < header.size() + length.value())
+        return false;
+    evbuffer_drain(input, header.size());
+    std::string bytes(length.value(), '\0');
+    evbuffer_remove(input, bytes.data(), bytes.size());
+    ++counters.framesReceived;
+    counters.bytesReceived += header.size() + bytes.size();
+    auto frame = decodePeerFrame(bytes);
+    if (!frame) {
+        fail(link, frame.error());
+        return false;
+    }
+    takeFrame(link, std::move(frame.value()));
+    return true;
+}
+
+void PeerLinks::Impl::takeFrame(Link& link, PeerFrameT frame)
+{
+    if (link.up)
+        m_callbacks.frame(link.id, std::move(frame));
+    else
+        takeHello(link, frame);
+}
+
+void PeerLinks::Impl::takeHello(Link& link, const PeerFrameT& frame)
+{
+    const auto* hello = frame.body.AsHello();
+    if (!hello || !hello->member)
+        return fail(link, { ErrorKind::Corrupt, "the peer's first frame is not a Hello: close the link" });
+    if (hello->protocolVersion < m_options.oldestProtocolVersion) {
+        return fail(link,
+            { ErrorKind::InvalidArgument,
+                "peer " + hello->member->id + " speaks protocol version "
+                    + std::to_string(hello->protocolVersion) + ", at least "
+                    + std::to_string(m_options.oldestProtocolVersion) + " is needed: update it" });
+    }
+    link.up = true;
+    event_del(link.timer);
+    ++counters.linksOpened;
+    m_callbacks.up(link.id, *hello, link.outgoing);
+}
+
+void PeerLinks::Impl::close(LinkId id)
+{
+    auto* link = find(id);
+    if (!link)
+        return;
+    ++(link->up ? counters.linksClosed : counters.handshakesFailed);
+    m_links.erase(id);
+}
+
+MonotonicTime PeerLinks::Impl::lastReceived(LinkId id) const
+{
+    const auto* link = find(id);
+    return link ? link->lastReceived : MonotonicTime {};
+}
+
+std::vector<LinkId> PeerLinks::Impl::links() const
+{
+    std::vector<LinkId> up;
+    for (const auto& [id, link] : m_links) {
+        if (link->up && !link->failed)
+            up.push_back(id);
+    }
+    return up;
+}
+
+PeerLinks::PeerLinks(event_base* base, const PeerLinkOptions& options, PeerLinkCallbacks callbacks)
+    : m_impl(std::make_unique<Impl>(base, options, std::move(callbacks)))
+{
+}
+
+PeerLinks::~PeerLinks() = default;
+
+void PeerLinks::setSelf(const MemberT& member) { m_impl->self = member; }
+
+Result<std::string> PeerLinks::listen(const std::string& address) { return m_impl->listen(address); }
+
+Result<LinkId> PeerLinks::connect(const std::string& address) { return m_impl->connect(address); }
+
+bool PeerLinks::send(LinkId id, PeerFrameT&& frame) { return m_impl->send(id, std::move(frame)); }
+
+bool PeerLinks::sendEncoded(LinkId id, const std::string& bytes) { return m_impl->sendEncoded(id, bytes); }
+
+void PeerLinks::close(LinkId id) { m_impl->close(id); }
+
+MonotonicTime PeerLinks::lastReceived(LinkId id) const { return m_impl->lastReceived(id); }
+
+std::vector<LinkId> PeerLinks::links() const { return m_impl->links(); }
+
+const PeerLinkCounters& PeerLinks::counters() const { return m_impl->counters; }
+
+} // namespace briarwharf
--- a/connection/peerlink.h
+++ b/connection/peerlink.h
@@ -53,7 +53,7 @@
 // send heartbeats and when a link counts as silent is the owner's decision.
 class PeerLinks {
 public:
-    PeerLinks(event_base*, PeerLinkOptions, PeerLinkCallbacks);
+    PeerLinks(event_base*, const PeerLinkOptions&, PeerLinkCallbacks);
     ~PeerLinks(); // closes every link without calling back
     PeerLinks(const PeerLinks&) = delete;
     PeerLinks& operator=(const PeerLinks&) = delete;
@@ -69,8 +69,8 @@
     // Errors: InvalidArgument, Overloaded (too many links).
     Result<LinkId> connect(const std::string& address);
 
-    // Queues a frame; the sender and incarnation are filled in. False if the link is not up or its output is
-    // full; in the latter case the link is closed and `down` follows.
+    // Queues a frame; the sender and incarnation are filled in. False if the link is not up, the frame is
+    // over maxPeerFrameBytes, or the output is full; in the last case the link is closed and `down` follows.
     bool send(LinkId, PeerFrameT&&);
 
     // Queues a frame that encodePeerFrame made, for the same frame to many links. Same results as send().
