--- a/connection/testing/httpstore_test.cc
+++ b/connection/testing/httpstore_test.cc
@@ -157,7 +157,7 @@
     std::uint16_t freePort = 0;
     {
         // A port that was just in use and is not any more.
-        HttpServer closed(harness.base.get(), [](const HttpRequest&, const ExchangePointer&) {});
+        StandinServer closed(harness.base.get(), [](const StandinRequest&, const ExchangePointer&) {});
         freePort = closed.listen(0).value();
     }
     harness.store = std::make_unique<HttpStore>(harness.base.get(), HttpStoreOptions { .port = freePort });
--- a/standins/engineserver.cc
+++ b/standins/engineserver.cc
@@ -13,7 +13,7 @@
     constexpr std::uint32_t mostTokens = 100000;
     constexpr std::size_t maxEventsInAnswer = 1000;
 
-    const HttpHeaders notRun { { "X-Not-Run", "true" } };
+    const StandinHeaders notRun { { "X-Not-Run", "true" } };
 
     MonotonicTime clockNow() { return std::chrono::steady_clock::now(); }
 
@@ -79,12 +79,13 @@
     , m_model(model)
     , m_options(options)
     , m_server(base,
-          [this](const HttpRequest& request, const ExchangePointer& exchange) { handle(request, exchange); })
+          [this](
+              const StandinRequest& request, const ExchangePointer& exchange) { handle(request, exchange); })
     , m_ticker(base, options.tick, [this] { tick(); })
 {
 }
 
-void EngineServer::handle(const HttpRequest& request, const ExchangePointer& exchange)
+void EngineServer::handle(const StandinRequest& request, const ExchangePointer& exchange)
 {
     if (request.path.starts_with(streamPrefix))
         return handleStreams(request, exchange);
@@ -111,7 +112,7 @@
     replyError(exchange, 404, "not_found", "unknown path", notRun);
 }
 
-void EngineServer::handlePost(const HttpRequest& request, const ExchangePointer& exchange)
+void EngineServer::handlePost(const StandinRequest& request, const ExchangePointer& exchange)
 {
     if (request.path == "/v1/chat/completions")
         return handleChat(request, exchange);
@@ -171,7 +172,7 @@
     replyJson(exchange, 200, { { "tokens", tokens.value() } });
 }
 
-void EngineServer::handleEvents(const HttpRequest& request, const ExchangePointer& exchange)
+void EngineServer::handleEvents(const StandinRequest& request, const ExchangePointer& exchange)
 {
     auto since = parseCount(request.argument("since"));
     Json events = Json::array();
@@ -183,7 +184,7 @@
     replyJson(exchange, 200, { { "events", events }, { "next", since } });
 }
 
-void EngineServer::handleChat(const HttpRequest& request, const ExchangePointer& exchange)
+void EngineServer::handleChat(const StandinRequest& request, const ExchangePointer& exchange)
 {
     auto fault = m_faults.take();
     if (fault.delay.count() <= 0)
@@ -195,7 +196,7 @@
 }
 
 void EngineServer::startChat(
-    const HttpRequest& request, const ExchangePointer& exchange, const FaultPlan& fault)
+    const StandinRequest& request, const ExchangePointer& exchange, const FaultPlan& fault)
 {
     if (fault.refuse)
         return replyError(exchange, 503, "overloaded", "refused: a fault is set", notRun);
@@ -227,7 +228,7 @@
     addCall(std::move(call));
 }
 
-void EngineServer::handleStreams(const HttpRequest& request, const ExchangePointer& exchange)
+void EngineServer::handleStreams(const StandinRequest& request, const ExchangePointer& exchange)
 {
     auto id = request.path.substr(streamPrefix.size());
     bool cancels = id.ends_with(cancelSuffix);
--- a/standins/engineserver.h
+++ b/standins/engineserver.h
@@ -45,14 +45,14 @@
     };
     using CallPointer = std::shared_ptr<Call>;
 
-    void handle(const HttpRequest&, const ExchangePointer&);
-    void handlePost(const HttpRequest&, const ExchangePointer&);
-    void handleStreams(const HttpRequest&, const ExchangePointer&);
-    void handleChat(const HttpRequest&, const ExchangePointer&);
-    void startChat(const HttpRequest&, const ExchangePointer&, const FaultPlan&);
+    void handle(const StandinRequest&, const ExchangePointer&);
+    void handlePost(const StandinRequest&, const ExchangePointer&);
+    void handleStreams(const StandinRequest&, const ExchangePointer&);
+    void handleChat(const StandinRequest&, const ExchangePointer&);
+    void startChat(const StandinRequest&, const ExchangePointer&, const FaultPlan&);
     void handleOrder(const Json&, const ExchangePointer&);
     void handleKv(const std::string& path, const Json&, const ExchangePointer&);
-    void handleEvents(const HttpRequest&, const ExchangePointer&);
+    void handleEvents(const StandinRequest&, const ExchangePointer&);
     void handleFaults(const Json&, const ExchangePointer&);
     void addCall(Call);
     void cross(Call&) const;
@@ -70,8 +70,8 @@
     FaultInjector m_faults;
     std::vector<CallPointer> m_calls;
     std::map<JobId, MonotonicTime> m_abandoned; // running without a caller, since
-    HttpServer m_server;
-    Ticker m_ticker;
+    StandinServer m_server;
+    RepeatingCall m_ticker;
 };
 
 } // namespace briarwharf
--- a/standins/httpserver.cc
+++ b/standins/httpserver.cc
@@ -42,7 +42,7 @@
         return result;
     }
 
-    std::string find(const HttpHeaders& fields, std::string_view name, bool anyCase)
+    std::string find(const StandinHeaders& fields, std::string_view name, bool anyCase)
     {
         for (const auto& [key, value] : fields) {
             if (key.size() != name.size())
@@ -53,9 +53,9 @@
         return "";
     }
 
-    HttpHeaders parseQuery(std::string_view raw)
+    StandinHeaders parseQuery(std::string_view raw)
     {
-        HttpHeaders query;
+        StandinHeaders query;
         while (!raw.empty()) {
             auto end = raw.find('&');
             auto pair = raw.substr(0, end);
@@ -68,16 +68,16 @@
         return query;
     }
 
-    HttpRequest readRequest(evhtp_request_t* raw)
+    StandinRequest readRequest(evhtp_request_t* raw)
     {
-        HttpRequest request;
+        StandinRequest request;
         request.method = htparser_get_methodstr_m(evhtp_request_get_method(raw));
         if (raw->uri->path && raw->uri->path->full)
             request.path = decode(raw->uri->path->full, false);
         if (raw->uri->query_raw)
             request.query = parseQuery(reinterpret_cast<const char*>(raw->uri->query_raw));
         auto collect = [](evhtp_kv_t* header, void* fields) {
-            static_cast<HttpHeaders*>(fields)->emplace_back(
+            static_cast<StandinHeaders*>(fields)->emplace_back(
                 std::string(header->key, header->klen), std::string(header->val, header->vlen));
             return 0;
         };
@@ -105,7 +105,7 @@
         bool silent = false;
     };
 
-    class Exchange final : public HttpExchange, public std::enable_shared_from_this<Exchange> {
+    class Exchange final : public StandinExchange, public std::enable_shared_from_this<Exchange> {
     public:
         Exchange(DelayedCalls& delays, evhtp_request_t* request, std::shared_ptr<ConnectionState> connection)
             : m_delays(delays)
@@ -114,7 +114,7 @@
         {
         }
 
-        void reply(int status, const std::string& body, const HttpHeaders& headers) override
+        void reply(int status, const std::string& body, const StandinHeaders& headers) override
         {
             if (!writable())
                 return;
@@ -124,7 +124,7 @@
             evhtp_send_reply(m_request, static_cast<evhtp_res>(status));
         }
 
-        void startStream(const HttpHeaders& headers) override
+        void startStream(const StandinHeaders& headers) override
         {
             if (!writable())
                 return;
@@ -189,7 +189,7 @@
     private:
         bool writable() const { return m_request && !m_complete && !m_connection->silent; }
 
-        void addHeaders(const HttpHeaders& headers)
+        void addHeaders(const StandinHeaders& headers)
         {
             for (const auto& [name, value] : headers)
                 evhtp_headers_add_header(
@@ -205,13 +205,13 @@
 
 } // namespace
 
-std::string HttpRequest::header(std::string_view name) const { return find(headers, name, true); }
+std::string StandinRequest::header(std::string_view name) const { return find(headers, name, true); }
 
-std::string HttpRequest::argument(std::string_view name) const { return find(query, name, false); }
+std::string StandinRequest::argument(std::string_view name) const { return find(query, name, false); }
 
-class HttpServer::Impl {
+class StandinServer::Impl {
 public:
-    Impl(event_base* base, HttpHandler handler)
+    Impl(event_base* base, StandinHandler handler)
         : m_delays(base)
         , m_handler(std::move(handler))
         , m_server(evhtp_new(base, nullptr))
@@ -292,26 +292,26 @@
     }
 
     DelayedCalls m_delays;
-    HttpHandler m_handler;
+    StandinHandler m_handler;
     evhtp_t* m_server;
     std::unordered_map<evhtp_connection_t*, std::shared_ptr<ConnectionState>> m_connections;
 };
 
-HttpServer::HttpServer(event_base* base, HttpHandler handler)
+StandinServer::StandinServer(event_base* base, StandinHandler handler)
     : m_impl(std::make_unique<Impl>(base, std::move(handler)))
 {
 }
 
-HttpServer::~HttpServer() = default;
+StandinServer::~StandinServer() = default;
 
-Result<std::uint16_t> HttpServer::listen(std::uint16_t port) { return m_impl->listen(port); }
+Result<std::uint16_t> StandinServer::listen(std::uint16_t port) { return m_impl->listen(port); }
 
-void HttpServer::silenceOpenConnections(const ExchangePointer& except)
+void StandinServer::silenceOpenConnections(const ExchangePointer& except)
 {
     m_impl->silenceOpenConnections(except);
 }
 
-std::size_t HttpServer::openConnections() const { return m_impl->openConnections(); }
+std::size_t StandinServer::openConnections() const { return m_impl->openConnections(); }
 
 class DelayedCalls::Impl {
 public:
@@ -373,7 +373,7 @@
     m_impl->run(delay, std::move(callback));
 }
 
-class Ticker::Impl {
+class RepeatingCall::Impl {
 public:
     Impl(event_base* base, Milliseconds interval, std::function<void()> callback)
         : m_callback(std::move(callback))
@@ -392,21 +392,21 @@
     event* m_event;
 };
 
-Ticker::Ticker(event_base* base, Milliseconds interval, std::function<void()> callback)
+RepeatingCall::RepeatingCall(event_base* base, Milliseconds interval, std::function<void()> callback)
     : m_impl(std::make_unique<Impl>(base, interval, std::move(callback)))
 {
 }
 
-Ticker::~Ticker() = default;
+RepeatingCall::~RepeatingCall() = default;
 
-void replyJson(const ExchangePointer& exchange, int status, const Json& body, HttpHeaders headers)
+void replyJson(const ExchangePointer& exchange, int status, const Json& body, StandinHeaders headers)
 {
     headers.emplace_back("Content-Type", "application/json");
     exchange->reply(status, dumpJson(body), headers);
 }
 
 void replyError(const ExchangePointer& exchange, int status, std::string_view type, std::string_view message,
-    HttpHeaders headers)
+    StandinHeaders headers)
 {
     Json error = { { "error", { { "type", type }, { "message", message } } } };
     replyJson(exchange, status, error, std::move(headers));
--- a/standins/httpserver.h
+++ b/standins/httpserver.h
@@ -12,14 +12,14 @@
 
 namespace briarwharf {
 
-using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+using StandinHeaders = std::vector<std::pair<std::string, std::string>>;
 
 // One request as a stand-in sees it, whole and decoded.
-struct HttpRequest {
+struct StandinRequest {
     std::string method; // "GET", ...
     std::string path; // percent-decoded
-    HttpHeaders headers;
-    HttpHeaders query; // percent-decoded
+    StandinHeaders headers;
+    StandinHeaders query; // percent-decoded
     std::string body;
 
     // Value of the header, without regard to case; "" if absent.
@@ -30,14 +30,14 @@
 
 // The answer to one request. Shared, because faults and streams answer later than the handler returns; after
 // the connection has gone, every call has no effect.
-class HttpExchange {
+class StandinExchange {
 public:
-    virtual ~HttpExchange() = default;
+    virtual ~StandinExchange() = default;
 
     // A whole answer with its length.
-    virtual void reply(int status, const std::string& body, const HttpHeaders& headers = {}) = 0;
+    virtual void reply(int status, const std::string& body, const StandinHeaders& headers = {}) = 0;
     // A chunked answer: start, any number of chunks, end.
-    virtual void startStream(const HttpHeaders& headers) = 0;
+    virtual void startStream(const StandinHeaders& headers) = 0;
     virtual void sendChunk(std::string_view) = 0;
     virtual void endStream() = 0;
     // Bytes as they are, in place of an answer; follow it with cut().
@@ -52,16 +52,16 @@
     virtual void onGone(std::function<void()>) = 0;
 };
 
-using ExchangePointer = std::shared_ptr<HttpExchange>;
-using HttpHandler = std::function<void(const HttpRequest&, const ExchangePointer&)>;
+using ExchangePointer = std::shared_ptr<StandinExchange>;
+using StandinHandler = std::function<void(const StandinRequest&, const ExchangePointer&)>;
 
 // An HTTP server of a stand-in on 127.0.0.1, on libevhtp.
-class HttpServer {
+class StandinServer {
 public:
-    HttpServer(event_base*, HttpHandler);
-    ~HttpServer();
-    HttpServer(const HttpServer&) = delete;
-    HttpServer& operator=(const HttpServer&) = delete;
+    StandinServer(event_base*, StandinHandler);
+    ~StandinServer();
+    StandinServer(const StandinServer&) = delete;
+    StandinServer& operator=(const StandinServer&) = delete;
 
     // Port 0 lets the system choose. Returns the port in force. Errors: Unavailable (the port is taken).
     Result<std::uint16_t> listen(std::uint16_t port);
@@ -92,12 +92,12 @@
 };
 
 // Runs the function at each interval until the object is destroyed.
-class Ticker {
+class RepeatingCall {
 public:
-    Ticker(event_base*, Milliseconds interval, std::function<void()>);
-    ~Ticker();
-    Ticker(const Ticker&) = delete;
-    Ticker& operator=(const Ticker&) = delete;
+    RepeatingCall(event_base*, Milliseconds interval, std::function<void()>);
+    ~RepeatingCall();
+    RepeatingCall(const RepeatingCall&) = delete;
+    RepeatingCall& operator=(const RepeatingCall&) = delete;
 
 private:
     class Impl;
@@ -105,10 +105,10 @@
 };
 
 // Shorthand for an answer with a JSON body.
-void replyJson(const ExchangePointer&, int status, const Json&, HttpHeaders headers = {});
+void replyJson(const ExchangePointer&, int status, const Json&, StandinHeaders headers = {});
 
 // Shorthand for a typed error: {"error": {"type", "message"}}.
 void replyError(const ExchangePointer&, int status, std::string_view type, std::string_view message,
-    HttpHeaders headers = {});
+    StandinHeaders headers = {});
 
 } // namespace briarwharf
--- a/standins/serviceserver.cc
+++ b/standins/serviceserver.cc
@@ -6,12 +6,13 @@
     : m_delays(base)
     , m_model(model)
     , m_options(std::move(options))
-    , m_server(base,
-          [this](const HttpRequest& request, const ExchangePointer& exchange) { handle(request, exchange); })
+    , m_server(base, [this](const StandinRequest& request, const ExchangePointer& exchange) {
+        handle(request, exchange);
+    })
 {
 }
 
-void ServiceServer::handle(const HttpRequest& request, const ExchangePointer& exchange)
+void ServiceServer::handle(const StandinRequest& request, const ExchangePointer& exchange)
 {
     if (request.method == "GET" && request.path == "/runs")
         return replyJson(exchange, 200, m_model.report(request.argument("keys") != "0"));
@@ -26,7 +27,7 @@
     m_delays.run(fault.delay, [this, request, exchange, fault] { run(request, exchange, fault); });
 }
 
-void ServiceServer::handleFaults(const HttpRequest& request, const ExchangePointer& exchange)
+void ServiceServer::handleFaults(const StandinRequest& request, const ExchangePointer& exchange)
 {
     auto body = parseJson(request.body, "body");
     if (!body)
@@ -39,7 +40,8 @@
     replyJson(exchange, 200, Json::object());
 }
 
-void ServiceServer::run(const HttpRequest& request, const ExchangePointer& exchange, const FaultPlan& fault)
+void ServiceServer::run(
+    const StandinRequest& request, const ExchangePointer& exchange, const FaultPlan& fault)
 {
     if (fault.refuse)
         return replyError(
@@ -63,7 +65,7 @@
 }
 
 void ServiceServer::answer(
-    const HttpRequest& request, const ExchangePointer& exchange, const FaultPlan& fault, const Json& body)
+    const StandinRequest& request, const ExchangePointer& exchange, const FaultPlan& fault, const Json& body)
 {
     auto id = request.header("X-Request-Id");
     if (fault.crossed)
--- a/standins/serviceserver.h
+++ b/standins/serviceserver.h
@@ -21,16 +21,16 @@
     Result<std::uint16_t> listen(std::uint16_t port) { return m_server.listen(port); }
 
 private:
-    void handle(const HttpRequest&, const ExchangePointer&);
-    void handleFaults(const HttpRequest&, const ExchangePointer&);
-    void run(const HttpRequest&, const ExchangePointer&, const FaultPlan&);
-    void answer(const HttpRequest&, const ExchangePointer&, const FaultPlan&, const Json& body);
+    void handle(const StandinRequest&, const ExchangePointer&);
+    void handleFaults(const StandinRequest&, const ExchangePointer&);
+    void run(const StandinRequest&, const ExchangePointer&, const FaultPlan&);
+    void answer(const StandinRequest&, const ExchangePointer&, const FaultPlan&, const Json& body);
 
     DelayedCalls m_delays;
     ServiceModel& m_model;
     ServiceServerOptions m_options;
     FaultInjector m_faults;
-    HttpServer m_server;
+    StandinServer m_server;
 };
 
 } // namespace briarwharf
--- a/standins/storeserver.cc
+++ b/standins/storeserver.cc
@@ -48,12 +48,13 @@
     : m_delays(base)
     , m_model(model)
     , m_server(base,
-          [this](const HttpRequest& request, const ExchangePointer& exchange) { handle(request, exchange); })
+          [this](
+              const StandinRequest& request, const ExchangePointer& exchange) { handle(request, exchange); })
     , m_ticker(base, watchTick, [this] { m_model.expireWatches(std::chrono::steady_clock::now()); })
 {
 }
 
-void StoreServer::handle(const HttpRequest& request, const ExchangePointer& exchange)
+void StoreServer::handle(const StandinRequest& request, const ExchangePointer& exchange)
 {
     if (handleControl(request, exchange))
         return;
@@ -77,7 +78,7 @@
     replyError(exchange, 404, "not_found", "unknown path: use /objects, /objects/{key} or /instances");
 }
 
-bool StoreServer::handleControl(const HttpRequest& request, const ExchangePointer& exchange)
+bool StoreServer::handleControl(const StandinRequest& request, const ExchangePointer& exchange)
 {
     if (request.method == "GET" && request.path == "/stats") {
         replyJson(exchange, 200, m_model.stats());
@@ -108,7 +109,7 @@
 }
 
 void StoreServer::handleObject(
-    const HttpRequest& request, const ExchangePointer& exchange, const std::string& key)
+    const StandinRequest& request, const ExchangePointer& exchange, const std::string& key)
 {
     if (request.method == "GET" && !request.argument("watch").empty())
         return handleWatch(request, exchange, key);
@@ -124,7 +125,7 @@
 }
 
 void StoreServer::handleWatch(
-    const HttpRequest& request, const ExchangePointer& exchange, const std::string& key)
+    const StandinRequest& request, const ExchangePointer& exchange, const std::string& key)
 {
     m_model.countCall("watch");
     auto known = parseNumber(request.argument("watch"));
@@ -149,7 +150,7 @@
 }
 
 void StoreServer::handlePut(
-    const HttpRequest& request, const ExchangePointer& exchange, const std::string& key)
+    const StandinRequest& request, const ExchangePointer& exchange, const std::string& key)
 {
     auto match = request.header("If-Match");
     if (request.header("If-None-Match") == "*") {
@@ -168,7 +169,7 @@
 }
 
 void StoreServer::handleRemove(
-    const HttpRequest& request, const ExchangePointer& exchange, const std::string& key)
+    const StandinRequest& request, const ExchangePointer& exchange, const std::string& key)
 {
     m_model.countCall("remove");
     auto match = request.header("If-Match");
@@ -180,7 +181,7 @@
     replyWrite(exchange, m_model.remove(key, version));
 }
 
-void StoreServer::handleList(const HttpRequest& request, const ExchangePointer& exchange)
+void StoreServer::handleList(const StandinRequest& request, const ExchangePointer& exchange)
 {
     m_model.countCall("list");
     auto limit = parseNumber(request.argument("limit")).value_or(defaultListLimit);
@@ -207,13 +208,14 @@
     bool written = result.status == 200 || result.status == 201;
     if (written && m_model.takeLostAnswer())
         return exchange->cut();
-    HttpHeaders headers;
+    StandinHeaders headers;
     if (result.version != 0)
         headers.emplace_back("ETag", formatTag(result.version));
     answer(exchange, result.status, "", std::move(headers));
 }
 
-void StoreServer::answer(const ExchangePointer& exchange, int status, std::string body, HttpHeaders headers)
+void StoreServer::answer(
+    const ExchangePointer& exchange, int status, std::string body, StandinHeaders headers)
 {
     auto delay = m_model.faults().delay;
     if (delay.count() <= 0)
--- a/standins/storeserver.h
+++ b/standins/storeserver.h
@@ -23,22 +23,22 @@
     Result<std::uint16_t> listen(std::uint16_t port) { return m_server.listen(port); }
 
 private:
-    void handle(const HttpRequest&, const ExchangePointer&);
-    bool handleControl(const HttpRequest&, const ExchangePointer&);
-    void handleObject(const HttpRequest&, const ExchangePointer&, const std::string& key);
-    void handleWatch(const HttpRequest&, const ExchangePointer&, const std::string& key);
-    void handlePut(const HttpRequest&, const ExchangePointer&, const std::string& key);
-    void handleRemove(const HttpRequest&, const ExchangePointer&, const std::string& key);
-    void handleList(const HttpRequest&, const ExchangePointer&);
+    void handle(const StandinRequest&, const ExchangePointer&);
+    bool handleControl(const StandinRequest&, const ExchangePointer&);
+    void handleObject(const StandinRequest&, const ExchangePointer&, const std::string& key);
+    void handleWatch(const StandinRequest&, const ExchangePointer&, const std::string& key);
+    void handlePut(const StandinRequest&, const ExchangePointer&, const std::string& key);
+    void handleRemove(const StandinRequest&, const ExchangePointer&, const std::string& key);
+    void handleList(const StandinRequest&, const ExchangePointer&);
     void replyObject(const ExchangePointer&, const std::string& key);
     void replyWrite(const ExchangePointer&, StoreModel::WriteResult);
     // Sends after the delay in force.
-    void answer(const ExchangePointer&, int status, std::string body, HttpHeaders headers);
+    void answer(const ExchangePointer&, int status, std::string body, StandinHeaders headers);
 
     DelayedCalls m_delays;
     StoreModel& m_model;
-    HttpServer m_server;
-    Ticker m_ticker;
+    StandinServer m_server;
+    RepeatingCall m_ticker;
 };
 
 } // namespace briarwharf
