--- /dev/null
+++ b/bench/enginemodel.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <queue>
+#include <unordered_map>
+#include <vector>
+
+namespace briarwharf {
+
+struct EngineModelSettings {
+    double streamRate = 30; // most tokens generated per second for one request
+    double totalRate = 3000; // tokens generated per second for all requests
+    double prefillRate = 8000; // prompt tokens per second
+    std::size_t batch = 256; // requests at once; others wait in order of arrival
+    std::int64_t cacheTokens = 2000000;
+};
+
+// A request as the engine model sees it.
+struct ModelRequest {
+    std::uint64_t ticket = 0;
+    std::uint64_t chat = 0;
+    std::int64_t promptTokens = 0;
+    std::int64_t outputTokens = 0;
+    std::int64_t load = 0; // prompt and the most that may be generated
+};
+
+// Continuous batching as processor sharing (every running request advances at the same rate) and a prefix
+// cache that evicts by least recent use, counted in tokens.
+class EngineModel {
+public:
+    explicit EngineModel(EngineModelSettings settings)
+        : m_settings(settings)
+    {
+    }
+
+    void submit(const ModelRequest& request)
+    {
+        m_load += request.load;
+        m_waiting.push_back(request);
+    }
+
+    // Advances by `seconds` and returns the tickets that finished; `started` gets those that left the queue.
+    std::vector<std::uint64_t> advance(double seconds, std::vector<std::uint64_t>& started)
+    {
+        while (!m_waiting.empty() && m_running.size() < m_settings.batch) {
+            start(m_waiting.front());
+            started.push_back(m_waiting.front().ticket);
+            m_waiting.pop_front();
+        }
+        std::vector<std::uint64_t> finished;
+        if (m_running.empty())
+            return finished;
+        double rate
+            = std::min(m_settings.streamRate, m_settings.totalRate / static_cast<double>(m_running.size()));
+        m_served += rate * seconds;
+        while (!m_running.empty() && m_running.top().until <= m_served) {
+            m_load -= m_running.top().load;
+            finished.push_back(m_running.top().ticket);
+            m_running.pop();
+        }
+        return finished;
+    }
+
+    // Drops all requests, as a crash does; the caller knows which.
+    void dropRequests()
+    {
+        m_running = {};
+        m_waiting.clear();
+        m_load = 0;
+    }
+
+    void clearCache()
+    {
+        m_cache.clear();
+        m_recent.clear();
+        m_cached = 0;
+    }
+
+    // Tokens of the chat's prefix in the cache; less than its context if the chat's last turn was elsewhere.
+    std::int64_t cachedTokens(std::uint64_t chat) const
+    {
+        auto cached = m_cache.find(chat);
+        return cached == m_cache.end() ? 0 : cached->second->tokens;
+    }
+
+    void store(std::uint64_t chat, std::int64_t tokens)
+    {
+        drop(chat);
+        m_recent.push_front({ chat, tokens });
+        m_cache[chat] = m_recent.begin();
+        m_cached += tokens;
+        while (m_cached > m_settings.cacheTokens)
+            drop(m_recent.back().chat);
+    }
+
+    std::int64_t load() const { return m_load; }
+    bool idle() const { return m_running.empty() && m_waiting.empty(); }
+
+private:
+    struct Running {
+        double until = 0;
+        std::uint64_t ticket = 0;
+        std::int64_t load = 0;
+        bool operator<(const Running& other) const { return until > other.until; }
+    };
+
+    struct Cached {
+        std::uint64_t chat = 0;
+        std::int64_t tokens = 0;
+    };
+
+    void start(const ModelRequest& request)
+    {
+        std::int64_t cached = cachedTokens(request.chat);
+        auto uncached = static_cast<double>(std::max<std::int64_t>(0, request.promptTokens - cached));
+        double prefill = uncached * m_settings.streamRate / m_settings.prefillRate;
+        double work = prefill + static_cast<double>(request.outputTokens);
+        m_running.push({ m_served + work, request.ticket, request.load });
+        store(request.chat, request.promptTokens + request.outputTokens);
+    }
+
+    void drop(std::uint64_t chat)
+    {
+        auto found = m_cache.find(chat);
+        if (found == m_cache.end())
+            return;
+        m_cached -= found->second->tokens;
+        m_recent.erase(found->second);
+        m_cache.erase(found);
+    }
+
+    EngineModelSettings m_settings;
+    std::deque<ModelRequest> m_waiting;
+    std::priority_queue<Running> m_running;
+    double m_served = 0; // tokens generated for each request that has always run
+    std::int64_t m_load = 0;
+    std::list<Cached> m_recent;
+    std::unordered_map<std::uint64_t, std::list<Cached>::iterator> m_cache;
+    std::int64_t m_cached = 0;
+};
+
+} // namespace briarwharf
--- /dev/null
+++ b/bench/placementdrive.h
@@ -0,0 +1,746 @@
+#pragma once
+
+#include "base/base.h"
+#include "bench/enginemodel.h"
+#include "request/request.h"
+#include <algorithm>
+#include <cmath>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace briarwharf {
+
+// Drives the decision objects of many instances over simulated time against engine models, with fixed seeds.
+// Not a cluster simulator: no messages, no sockets; only what a decision depends on (lagged reports, local
+// ledgers, disagreement about membership) is modelled.
+
+enum class DriveEventKind {
+    Join,
+    Crash, // requests in progress are lost; the cache too
+    Unreachable, // requests in progress are lost; the cache stays
+    Reachable,
+    Drain, // hands over, then no new work; the cache is lost once the engine is empty
+    Undrain,
+};
+
+struct DriveEvent {
+    double at = 0; // seconds
+    DriveEventKind kind = DriveEventKind::Join;
+    std::size_t engine = 0;
+};
+
+struct DriveSettings {
+    std::string name;
+    std::uint64_t seed = 1;
+    std::size_t engines = 12;
+    std::size_t joining = 0; // of these, engines (the last ones) that are absent until their Join event
+    std::size_t instances = 8;
+    double requestsPerSecond = 36;
+    double warmup = 120; // seconds without measurement
+    double duration = 300; // seconds of measurement
+    double newShare = 0.15; // of requests, those that start a chat
+    double longShare = 0.1;
+    std::int64_t longOutput = 2000;
+    double returnSeconds = 60; // mean time until a chat's next turn
+    std::vector<double> organisations { 4, 2, 2, 1, 1, 0.5, 0.5, 0.5, 0.25,
+        0.25 }; // weights; the first surges
+    double surgeStart = -1; // seconds; negative: none
+    double surgeEnd = -1;
+    double surgeFactor = 10;
+    bool hints = true;
+    bool answerFeedback = true; // each answer carries the engine's load
+    double reportInterval = 1;
+    double lagMinimum = 0.5; // seconds from the measurement of a report to its arrival
+    double lagMaximum = 1;
+    double disagreement = 3; // longest time until an instance learns of an event
+    double handoverPerSecond = 50;
+    bool admission = false;
+    std::uint32_t engineSlots = 64;
+    PlacementKind kind = PlacementKind::BoundedRendezvous;
+    PlacementSettings placement;
+    EngineModelSettings engine;
+    std::vector<DriveEvent> events;
+};
+
+struct Percentiles {
+    std::vector<double> values;
+
+    double at(double share)
+    {
+        if (values.empty())
+            return 0;
+        auto index = static_cast<std::ptrdiff_t>(
+            std::min(static_cast<double>(values.size() - 1), share * static_cast<double>(values.size())));
+        std::nth_element(values.begin(), values.begin() + index, values.end());
+        return values[static_cast<std::size_t>(index)];
+    }
+};
+
+struct DriveResult {
+    std::uint64_t requests = 0;
+    std::uint64_t rejected = 0; // as "not run"
+    std::uint64_t lost = 0; // in progress at an engine that crashed
+    std::uint64_t returning = 0; // chats whose upstream still serves and holds their context
+    std::uint64_t reused = 0; // of these, placed where the context is
+    std::uint64_t handedOver = 0; // chats whose context was handed over and that returned
+    std::uint64_t handoverFound = 0;
+    std::uint64_t handoverMissed = 0; // returned, but were not handed over in time
+    std::uint64_t sentToLeaving = 0; // attempts at engines that were draining or gone, refused there
+    double lastSentToLeaving = 0; // seconds after the event
+    Percentiles skew; // busiest engine over mean, sampled each 100 ms
+    std::uint64_t samples = 0; // engine samples
+    std::uint64_t overBound = 0; // of these, above the bound and its slack
+    double worstOver = 0; // largest load over what the bound and its slack allow
+    double meanLoad = 0;
+    Percentiles shortWait; // seconds in the instance's and the engine's queue
+    Percentiles longWait;
+    Percentiles shortTime; // seconds from arrival to the end
+    std::uint64_t shortRejected = 0;
+    std::uint64_t shortRejectedQuiet = 0; // of organisations that do not surge
+    Percentiles quietShortWait; // of organisations that do not surge
+    double controlBytesPerSecond = 0; // for each instance: load reports and directory
+    double decideNanoseconds = 0; // mean, with filling the views
+};
+
+class PlacementDrive {
+public:
+    explicit PlacementDrive(DriveSettings settings);
+
+    DriveResult run();
+
+private:
+    static constexpr double tick = 0.02;
+    static constexpr std::size_t delaySteps = 10;
+    static constexpr double reportBytes = 28; // a LoadEntry on the wire
+    static constexpr double directoryBytes = 96; // a query with its answer, or an update
+
+    struct Chat {
+        std::size_t organisation = 0;
+        bool isLong = false;
+        std::int64_t context = 0;
+        std::size_t hint = noEngine; // as the caller holds it
+        double hintIssued = 0;
+        bool wasHandedOver = false;
+        bool missedHandover = false;
+    };
+
+    struct Engine {
+        explicit Engine(const EngineModelSettings& settings)
+            : model(settings)
+        {
+        }
+
+        EngineModel model;
+        UpstreamId id = 0;
+        bool serving = true;
+        bool reachable = true;
+        bool draining = false;
+        double cacheSince = 0; // hints issued earlier point to a cache that is gone
+        double changedAt = -1e9; // last event
+        double measuredAt = -1;
+        std::int64_t measured = 0;
+        std::int64_t largest = 0; // largest request sent to it lately
+        std::vector<std::uint64_t> handover; // chats still to hand over, last one first
+        double handoverDebt = 0;
+    };
+
+    struct Instance {
+        LoadLedger ledger;
+        std::vector<UpstreamView> views;
+        std::unique_ptr<Placement> placement;
+        std::unique_ptr<ResidenceDirectory> directory; // this instance's shard
+        std::unique_ptr<Admission> admission;
+    };
+
+    struct Job {
+        std::uint64_t chat = 0;
+        std::size_t instance = 0;
+        std::size_t engine = 0;
+        std::int64_t prompt = 0;
+        std::int64_t output = 0;
+        std::int64_t load = 0;
+        double arrived = 0;
+        double placedAt = 0;
+        bool measured = false;
+        bool returning = false;
+    };
+
+    struct Learning {
+        double at = 0;
+        std::size_t instance = 0;
+        std::size_t engine = 0;
+        UpstreamUse use = UpstreamUse::Serving;
+    };
+
+    static constexpr std::size_t noEngine = ~std::size_t { 0 };
+
+    MonotonicTime clock() const
+    {
+        return MonotonicTime(std::chrono::hours(1) + std::chrono::microseconds(std::llround(m_now * 1e6)));
+    }
+
+    bool measuring() const { return m_now >= m_settings.warmup; }
+    bool surging() const { return m_now >= m_settings.surgeStart && m_now < m_settings.surgeEnd; }
+
+    bool accepts(const Engine& engine) const
+    {
+        return engine.serving && engine.reachable && !engine.draining;
+    }
+
+    bool caches(const Engine& engine, std::uint64_t chat) const
+    {
+        auto found = m_chats.find(chat);
+        return found != m_chats.end() && engine.model.cachedTokens(chat) >= found->second.context;
+    }
+
+    void makeInstances();
+    void spread(std::size_t engine, UpstreamUse use, double extraDelay = 0);
+    void applyEvents();
+    void apply(const DriveEvent&);
+    void loseRequests(std::size_t engine);
+    void startHandover(std::size_t engine);
+    void handOver(std::size_t engine);
+    void deliverReports();
+    void arrive();
+    std::size_t drawOrganisation();
+    std::uint64_t drawChat(std::size_t organisation, bool isLong);
+    void countReuse(const Job&, const Chat&, std::size_t engine);
+    void dispatch(std::uint64_t ticket);
+    void handleAdmission(const std::vector<AdmissionEvent>&);
+    void reject(std::uint64_t ticket);
+    PlacementRequest placementRequest(const Job&);
+    PlacementDecision decide(Instance&, const PlacementRequest&, std::uint64_t excluded);
+    void advanceEngines();
+    void finish(std::uint64_t ticket);
+    void sample();
+    ResidenceDirectory& shardOf(std::uint64_t chat)
+    {
+        return *m_instances[chat % m_instances.size()].directory;
+    }
+
+    DriveSettings m_settings;
+    Random m_random;
+    double m_now = 0;
+    double m_nextArrival = 0;
+    std::vector<Engine> m_engines;
+    std::vector<Instance> m_instances;
+    std::unordered_map<UpstreamId, std::size_t> m_engineIndex;
+    std::vector<std::vector<std::size_t>> m_reportGroups; // by engine and delay step
+    std::unordered_map<std::uint64_t, Chat> m_chats;
+    std::vector<std::vector<std::uint64_t>> m_idle; // by organisation and class
+    std::unordered_map<std::uint64_t, Job> m_jobs;
+    std::vector<Learning> m_learnings;
+    std::size_t m_nextEvent = 0;
+    std::uint64_t m_nextChat = 0;
+    std::uint64_t m_nextTicket = 0;
+    double m_controlBytes = 0;
+    double m_decideTime = 0;
+    std::uint64_t m_decisions = 0;
+    DriveResult m_result;
+};
+
+inline PlacementDrive::PlacementDrive(DriveSettings settings)
+    : m_settings(std::move(settings))
+    , m_random(m_settings.seed)
+{
+    for (std::size_t index = 0; index < m_settings.engines; ++index) {
+        m_engines.emplace_back(m_settings.engine);
+        Engine& engine = m_engines.back();
+        engine.id = upstreamId("engine-" + std::to_string(index));
+        engine.serving = index < m_settings.engines - m_settings.joining;
+        m_engineIndex[engine.id] = index;
+    }
+    m_idle.resize(m_settings.organisations.size() * 2);
+    makeInstances();
+}
+
+inline void PlacementDrive::makeInstances()
+{
+    constexpr std::size_t directoryMemory = 4 << 20;
+    m_reportGroups.resize(m_engines.size() * delaySteps);
+    for (std::size_t index = 0; index < m_settings.instances; ++index) {
+        Instance& instance = m_instances.emplace_back();
+        instance.placement = makePlacement(m_settings.kind, m_settings.placement);
+        instance.directory = std::make_unique<ResidenceDirectory>(directoryMemory);
+        AdmissionSettings admission;
+        auto slots = static_cast<std::uint32_t>(
+            m_settings.engineSlots * (m_engines.size() - m_settings.joining) / m_settings.instances);
+        admission.slots = std::max(2U, slots);
+        admission.shortSlots = admission.slots / 3;
+        if (m_settings.admission)
+            instance.admission = std::make_unique<Admission>(admission, nullptr);
+        for (std::size_t engine = 0; engine < m_engines.size(); ++engine) {
+            UpstreamView view;
+            view.id = m_engines[engine].id;
+            view.use = m_engines[engine].serving ? UpstreamUse::Serving : UpstreamUse::Unusable;
+            instance.views.push_back(view);
+            m_reportGroups[engine * delaySteps + m_random.below(delaySteps)].push_back(index);
+        }
+    }
+}
+
+inline void PlacementDrive::spread(std::size_t engine, UpstreamUse use, double extraDelay)
+{
+    for (std::size_t instance = 0; instance < m_instances.size(); ++instance)
+        m_learnings.push_back(
+            { m_now + extraDelay + m_random.unit() * m_settings.disagreement, instance, engine, use });
+}
+
+inline void PlacementDrive::applyEvents()
+{
+    while (m_nextEvent < m_settings.events.size() && m_settings.events[m_nextEvent].at <= m_now)
+        apply(m_settings.events[m_nextEvent++]);
+    std::erase_if(m_learnings, [this](const Learning& learning) {
+        if (learning.at > m_now)
+            return false;
+        m_instances[learning.instance].views[learning.engine].use = learning.use;
+        return true;
+    });
+}
+
+inline void PlacementDrive::apply(const DriveEvent& event)
+{
+    constexpr double dampingSeconds = 10; // a flapping engine gets no new chats for so long
+    Engine& engine = m_engines[event.engine];
+    engine.changedAt = m_now;
+    switch (event.kind) {
+    case DriveEventKind::Join:
+        engine.serving = true;
+        spread(event.engine, UpstreamUse::Serving);
+        break;
+    case DriveEventKind::Crash:
+        engine.serving = false;
+        loseRequests(event.engine);
+        engine.model.clearCache();
+        engine.cacheSince = m_now;
+        spread(event.engine, UpstreamUse::Unusable);
+        break;
+    case DriveEventKind::Unreachable:
+        engine.reachable = false;
+        loseRequests(event.engine);
+        spread(event.engine, UpstreamUse::Unusable);
+        break;
+    case DriveEventKind::Reachable:
+        engine.reachable = true;
+        spread(event.engine, UpstreamUse::Avoided);
+        spread(event.engine, UpstreamUse::Serving, dampingSeconds);
+        break;
+    case DriveEventKind::Drain:
+        startHandover(event.engine);
+        break;
+    case DriveEventKind::Undrain:
+        engine.draining = false;
+        engine.model.clearCache();
+        engine.cacheSince = m_now;
+        spread(event.engine, UpstreamUse::Serving);
+        break;
+    }
+}
+
+inline void PlacementDrive::loseRequests(std::size_t engine)
+{
+    std::vector<std::uint64_t> lost;
+    for (const auto& [ticket, job] : m_jobs)
+        if (job.engine == engine)
+            lost.push_back(ticket);
+    std::sort(lost.begin(), lost.end());
+    m_engines[engine].model.dropRequests();
+    for (std::uint64_t ticket : lost) {
+        const Job& job = m_jobs[ticket];
+        m_instances[job.instance].ledger.finished(m_engines[engine].id, job.load, clock());
+        if (m_instances[job.instance].admission) {
+            m_instances[job.instance].admission->finished(ticket, clock());
+        }
+        const Chat& chat = m_chats[job.chat];
+        m_idle[chat.organisation * 2 + (chat.isLong ? 1 : 0)].push_back(job.chat);
+        m_result.lost += job.measured ? 1 : 0;
+        m_jobs.erase(ticket);
+    }
+}
+
+// The resident chats, expected soonest first: in the model each idle chat is equally likely to return.
+inline void PlacementDrive::startHandover(std::size_t engine)
+{
+    for (const auto& idle : m_idle)
+        for (std::uint64_t chat : idle)
+            if (caches(m_engines[engine], chat))
+                m_engines[engine].handover.push_back(chat);
+    m_engines[engine].draining = true;
+    spread(engine, UpstreamUse::Draining);
+}
+
+inline void PlacementDrive::handOver(std::size_t engine)
+{
+    Engine& from = m_engines[engine];
+    from.handoverDebt += m_settings.handoverPerSecond * tick;
+    while (from.handoverDebt >= 1 && !from.handover.empty()) {
+        from.handoverDebt -= 1;
+        std::uint64_t chat = from.handover.back();
+        from.handover.pop_back();
+        auto found = m_chats.find(chat);
+        if (found == m_chats.end())
+            continue;
+        PlacementRequest request;
+        request.chat = chat;
+        request.tokens = 1;
+        PlacementDecision decision = decide(m_instances[0], request, from.id);
+        if (!decision.upstream)
+            continue;
+        Engine& to = m_engines[m_engineIndex[*decision.upstream]];
+        to.model.store(chat, found->second.context);
+        shardOf(chat).put(chat, to.id, clock());
+        m_controlBytes += directoryBytes;
+        found->second.wasHandedOver = true;
+    }
+}
+
+inline void PlacementDrive::deliverReports()
+{
+    for (std::size_t index = 0; index < m_engines.size(); ++index) {
+        Engine& engine = m_engines[index];
+        double phase
+            = m_settings.reportInterval * static_cast<double>(index) / static_cast<double>(m_engines.size());
+        double cycle = std::fmod(m_now + m_settings.reportInterval - phase, m_settings.reportInterval);
+        if (engine.measuredAt < 0 || cycle < tick) {
+            engine.measuredAt = m_now;
+            engine.measured = engine.model.load();
+        }
+        if (!engine.serving || !engine.reachable)
+            continue;
+        double age = m_now - engine.measuredAt;
+        double step = (m_settings.lagMaximum - m_settings.lagMinimum) / delaySteps;
+        MonotonicTime measuredAt = clock() - std::chrono::microseconds(std::llround(age * 1e6));
+        for (std::size_t group = 0; group < delaySteps; ++group) {
+            double due = m_settings.lagMinimum + step * static_cast<double>(group);
+            if (age < due || age >= due + tick)
+                continue;
+            for (std::size_t instance : m_reportGroups[index * delaySteps + group]) {
+                m_instances[instance].ledger.report(engine.id, engine.measured, measuredAt);
+                m_controlBytes += measuring() ? reportBytes : 0;
+            }
+        }
+    }
+}
+
+inline std::size_t PlacementDrive::drawOrganisation()
+{
+    double sum = 0;
+    for (std::size_t index = 0; index < m_settings.organisations.size(); ++index)
+        sum += m_settings.organisations[index] * (index == 0 && surging() ? m_settings.surgeFactor : 1);
+    double drawn = m_random.unit() * sum;
+    for (std::size_t index = 0; index < m_settings.organisations.size(); ++index) {
+        drawn -= m_settings.organisations[index] * (index == 0 && surging() ? m_settings.surgeFactor : 1);
+        if (drawn < 0)
+            return index;
+    }
+    return 0;
+}
+
+inline std::uint64_t PlacementDrive::drawChat(std::size_t organisation, bool isLong)
+{
+    auto& idle = m_idle[organisation * 2 + (isLong ? 1 : 0)];
+    if (idle.empty() || m_random.chance(m_settings.newShare)) {
+        std::uint64_t chat = combineHashes(m_settings.seed, ++m_nextChat);
+        Chat& fresh = m_chats[chat];
+        fresh.organisation = organisation;
+        fresh.isLong = isLong;
+        return chat;
+    }
+    std::swap(idle[m_random.below(idle.size())], idle.back());
+    std::uint64_t chat = idle.back();
+    idle.pop_back();
+    return chat;
+}
+
+inline void PlacementDrive::arrive()
+{
+    double weights = 0;
+    for (double weight : m_settings.organisations)
+        weights += weight;
+    double surgePart = surging() ? (m_settings.surgeFactor - 1) * m_settings.organisations[0] / weights : 0;
+    double rate = m_settings.requestsPerSecond * (1 + surgePart);
+    for (; m_nextArrival <= m_now; m_nextArrival += m_random.exponential(1 / rate)) {
+        std::size_t organisation = drawOrganisation();
+        bool isLong = m_random.chance(m_settings.longShare);
+        Job job;
+        job.chat = drawChat(organisation, isLong);
+        Chat& chat = m_chats[job.chat];
+        job.returning = chat.context > 0;
+        job.instance = m_random.below(m_instances.size());
+        std::int64_t added = isLong ? 500 + static_cast<std::int64_t>(m_random.below(3000))
+                                    : 50 + static_cast<std::int64_t>(m_random.below(300));
+        job.prompt = chat.context + added;
+        std::int64_t mean = isLong ? m_settings.longOutput : 150;
+        job.output
+            = mean / 4 + static_cast<std::int64_t>(m_random.below(static_cast<std::uint64_t>(mean * 3 / 2)));
+        job.load = job.prompt + job.output * 13 / 10;
+        job.arrived = m_now;
+        job.engine = noEngine;
+        job.measured = measuring();
+        m_result.requests += job.measured ? 1 : 0;
+        std::uint64_t ticket = ++m_nextTicket;
+        Instance& instance = m_instances[job.instance];
+        AdmissionRequest entry;
+        entry.ticket = ticket;
+        entry.organisation = "organisation-" + std::to_string(organisation);
+        entry.requestClass = isLong ? RequestClass::Long : RequestClass::Short;
+        entry.tokens = job.load;
+        m_jobs[ticket] = job;
+        if (instance.admission)
+            handleAdmission(instance.admission->submit(entry, clock()));
+        else
+            dispatch(ticket);
+    }
+}
+
+inline void PlacementDrive::handleAdmission(const std::vector<AdmissionEvent>& events)
+{
+    for (const AdmissionEvent& event : events) {
+        if (event.outcome == AdmissionOutcome::Run)
+            dispatch(event.ticket);
+        else if (event.outcome != AdmissionOutcome::Queued)
+            reject(event.ticket);
+    }
+}
+
+inline void PlacementDrive::reject(std::uint64_t ticket)
+{
+    const Job& job = m_jobs[ticket];
+    const Chat& chat = m_chats[job.chat];
+    if (job.measured) {
+        ++m_result.rejected;
+        m_result.shortRejected += chat.isLong ? 0 : 1;
+        m_result.shortRejectedQuiet += !chat.isLong && chat.organisation != 0 ? 1 : 0;
+    }
+    if (chat.context > 0)
+        m_idle[chat.organisation * 2 + (chat.isLong ? 1 : 0)].push_back(job.chat);
+    else
+        m_chats.erase(job.chat);
+    m_jobs.erase(ticket);
+}
+
+inline PlacementRequest PlacementDrive::placementRequest(const Job& job)
+{
+    const Chat& chat = m_chats[job.chat];
+    PlacementRequest request;
+    request.chat = job.chat;
+    request.tokens = job.load;
+    request.returning = job.returning;
+    request.nonce = m_random.next();
+    const Instance& instance = m_instances[job.instance];
+    if (m_settings.hints && chat.hint != noEngine && chat.hintIssued >= m_engines[chat.hint].cacheSince)
+        request.hint = m_engines[chat.hint].id;
+    bool hintServes = request.hint && instance.views[chat.hint].use != UpstreamUse::Draining
+        && instance.views[chat.hint].use != UpstreamUse::Unusable;
+    if (job.returning && !hintServes && m_settings.kind == PlacementKind::BoundedRendezvous) {
+        request.directory = shardOf(job.chat).find(job.chat, clock());
+        m_controlBytes += measuring() ? directoryBytes : 0;
+    }
+    return request;
+}
+
+inline PlacementDecision PlacementDrive::decide(
+    Instance& instance, const PlacementRequest& request, std::uint64_t excluded)
+{
+    auto begin = std::chrono::steady_clock::now();
+    for (UpstreamView& view : instance.views)
+        instance.ledger.fill(view, clock());
+    PlacementDecision decision;
+    if (excluded != 0) {
+        std::vector<UpstreamView> views = instance.views;
+        for (UpstreamView& view : views)
+            if (view.id == excluded)
+                view.use = UpstreamUse::Unusable;
+        decision = instance.placement->decide(request, views);
+    } else {
+        decision = instance.placement->decide(request, instance.views);
+    }
+    m_decideTime
+        += std::chrono::duration<double, std::nano>(std::chrono::steady_clock::now() - begin).count();
+    ++m_decisions;
+    return decision;
+}
+
+inline void PlacementDrive::countReuse(const Job& job, const Chat& chat, std::size_t engine)
+{
+    if (!job.measured || !job.returning)
+        return;
+    bool cached = false;
+    for (const Engine& each : m_engines)
+        cached = cached || (accepts(each) && caches(each, job.chat));
+    bool found = caches(m_engines[engine], job.chat);
+    m_result.returning += cached ? 1 : 0;
+    m_result.reused += cached && found ? 1 : 0;
+    if (chat.wasHandedOver) {
+        ++m_result.handedOver;
+        m_result.handoverFound += found ? 1 : 0;
+    } else if (chat.hint != noEngine && m_engines[chat.hint].draining) {
+        ++m_result.handoverMissed;
+    }
+}
+
+inline void PlacementDrive::dispatch(std::uint64_t ticket)
+{
+    Job& job = m_jobs[ticket];
+    Instance& instance = m_instances[job.instance];
+    PlacementRequest request = placementRequest(job);
+    PlacementDecision decision = decide(instance, request, 0);
+    // An engine that left or drains refuses: "not run", so another place is tried; the instance has learned.
+    while (decision.upstream && !accepts(m_engines[m_engineIndex[*decision.upstream]])) {
+        std::size_t refused = m_engineIndex[*decision.upstream];
+        m_result.lastSentToLeaving
+            = std::max(m_result.lastSentToLeaving, m_now - m_engines[refused].changedAt);
+        ++m_result.sentToLeaving;
+        instance.views[refused].use
+            = m_engines[refused].draining ? UpstreamUse::Draining : UpstreamUse::Unusable;
+        decision = decide(instance, request, 0);
+    }
+    if (!decision.upstream) {
+        if (instance.admission)
+            instance.admission->finished(ticket, clock());
+        reject(ticket);
+        return;
+    }
+    job.engine = m_engineIndex[*decision.upstream];
+    job.placedAt = m_now;
+    Engine& engine = m_engines[job.engine];
+    Chat& chat = m_chats[job.chat];
+    countReuse(job, chat, job.engine);
+    chat.wasHandedOver = false;
+    instance.ledger.sent(engine.id, job.load, clock());
+    engine.model.submit({ ticket, job.chat, job.prompt, job.output, job.load });
+    engine.largest = std::max(engine.largest, job.load);
+    if (m_settings.kind == PlacementKind::BoundedRendezvous) {
+        if (decision.exception)
+            shardOf(job.chat).put(job.chat, engine.id, clock());
+        else
+            shardOf(job.chat).erase(job.chat);
+        m_controlBytes
+            += measuring() && decision.exception && request.directory != engine.id ? directoryBytes : 0;
+    }
+}
+
+inline void PlacementDrive::advanceEngines()
+{
+    std::vector<std::uint64_t> started;
+    for (std::size_t index = 0; index < m_engines.size(); ++index) {
+        Engine& engine = m_engines[index];
+        started.clear();
+        std::vector<std::uint64_t> finished = engine.model.advance(tick, started);
+        for (std::uint64_t ticket : started) {
+            const Job& job = m_jobs[ticket];
+            const Chat& chat = m_chats[job.chat];
+            if (!job.measured)
+                continue;
+            (chat.isLong ? m_result.longWait : m_result.shortWait).values.push_back(m_now - job.arrived);
+            if (!chat.isLong && chat.organisation != 0)
+                m_result.quietShortWait.values.push_back(m_now - job.arrived);
+        }
+        for (std::uint64_t ticket : finished)
+            finish(ticket);
+        if (engine.draining)
+            handOver(index);
+    }
+}
+
+inline void PlacementDrive::finish(std::uint64_t ticket)
+{
+    Job job = m_jobs[ticket];
+    m_jobs.erase(ticket);
+    Engine& engine = m_engines[job.engine];
+    Instance& instance = m_instances[job.instance];
+    Chat& chat = m_chats[job.chat];
+    chat.context = job.prompt + job.output;
+    chat.hint = job.engine;
+    chat.hintIssued = m_now;
+    if (engine.draining)
+        engine.handover.push_back(job.chat);
+    if (job.measured && !chat.isLong)
+        m_result.shortTime.values.push_back(m_now - job.arrived);
+    instance.ledger.finished(engine.id, job.load, clock());
+    if (m_settings.answerFeedback)
+        instance.ledger.report(engine.id, engine.model.load(), clock());
+    constexpr std::int64_t longestContext = 8000;
+    auto& idle = m_idle[chat.organisation * 2 + (chat.isLong ? 1 : 0)];
+    double weights = 0;
+    for (double weight : m_settings.organisations)
+        weights += weight;
+    double rate = m_settings.requestsPerSecond * m_settings.organisations[chat.organisation] / weights
+        * (chat.isLong ? m_settings.longShare : 1 - m_settings.longShare);
+    if (chat.organisation == 0 && surging())
+        rate *= m_settings.surgeFactor;
+    if (chat.context > longestContext) {
+        m_chats.erase(job.chat);
+    } else {
+        idle.push_back(job.chat);
+        auto longest = static_cast<std::size_t>(rate * m_settings.returnSeconds) + 1;
+        if (idle.size() > longest) {
+            std::swap(idle[m_random.below(idle.size())], idle.back());
+            m_chats.erase(idle.back());
+            idle.pop_back();
+        }
+    }
+    if (instance.admission) {
+        instance.admission->finished(ticket, clock());
+        handleAdmission(instance.admission->poll(clock()));
+    }
+}
+
+inline void PlacementDrive::sample()
+{
+    double sum = 0;
+    double count = 0;
+    for (const Engine& engine : m_engines) {
+        if (!accepts(engine))
+            continue;
+        sum += static_cast<double>(engine.model.load());
+        ++count;
+    }
+    double mean = sum / std::max(1.0, count);
+    if (mean <= 0)
+        return;
+    double busiest = 0;
+    for (const Engine& engine : m_engines) {
+        if (!accepts(engine))
+            continue;
+        auto load = static_cast<double>(engine.model.load());
+        busiest = std::max(busiest, load);
+        double slack = static_cast<double>(m_settings.placement.slackTokens);
+        double allowed = std::max(m_settings.placement.loadBound * mean, mean + slack);
+        ++m_result.samples;
+        m_result.overBound += load > allowed ? 1 : 0;
+        m_result.worstOver = std::max(m_result.worstOver, load / allowed);
+    }
+    m_result.skew.values.push_back(busiest / mean);
+    m_result.meanLoad += mean;
+}
+
+inline DriveResult PlacementDrive::run()
+{
+    int step = 0;
+    constexpr int stepsPerSample = 5;
+    while (m_now < m_settings.warmup + m_settings.duration) {
+        applyEvents();
+        deliverReports();
+        arrive();
+        advanceEngines();
+        if (measuring() && step % stepsPerSample == 0)
+            sample();
+        if (step % stepsPerSample == 0)
+            for (Instance& instance : m_instances)
+                if (instance.admission)
+                    handleAdmission(instance.admission->poll(clock()));
+        ++step;
+        m_now = tick * step;
+    }
+    m_result.meanLoad /= std::max<double>(1, static_cast<double>(m_result.skew.values.size()));
+    m_result.controlBytesPerSecond
+        = m_controlBytes / m_settings.duration / static_cast<double>(m_settings.instances);
+    m_result.decideNanoseconds = m_decideTime / static_cast<double>(std::max<std::uint64_t>(1, m_decisions));
+    return m_result;
+}
+
+} // namespace briarwharf
--- a/request/hint.cc
+++ b/request/hint.cc
@@ -137,7 +137,7 @@
         return { HintVerdict::FromFuture };
     if (issued + m_settings.lifetime < now)
         return { HintVerdict::Expired };
-    return { HintVerdict::Valid, integerAt(payload, 24) };
+    return { HintVerdict::Valid, integerAt(payload, 24), issued };
 }
 
 } // namespace briarwharf
--- a/request/hint.h
+++ b/request/hint.h
@@ -24,6 +24,8 @@
 struct HintCheck {
     HintVerdict verdict = HintVerdict::Absent;
     UpstreamId upstream = 0; // meaningful only for Valid
+    WallTime
+        issued; // likewise; a hint older than the upstream's last restart or drain points to an empty cache
 };
 
 struct HintSettings {
