--- a/coordination/member.cc
+++ b/coordination/member.cc
@@ -21,6 +21,8 @@
     constexpr Milliseconds delayWindow { 30000 };
     constexpr Milliseconds driftMargin { 20 };
 
+    constexpr Milliseconds forgetInterval { 1000 };
+
     // A helper that heard the target within this many tenths of an interval answers a probe at once.
     constexpr int freshTenths = 16;
 
@@ -88,9 +90,9 @@
         view.failureDomain = listed.failureDomain;
         add(listed.id, view, now);
     }
-    for (auto& [id, record] : m_records) {
-        bool dead = m_views.at(id).state == MemberState::Dead;
-        if (dead && m_listed.count(id) == 0 && now - record.diedAt >= m_options.listLag)
+    for (const std::string& id : m_dead) {
+        Record& record = m_records.at(id);
+        if (m_listed.count(id) == 0 && now - record.diedAt >= m_options.listLag)
             record.confirmedGone = true;
     }
 }
@@ -101,6 +103,8 @@
         return;
     view.hash = hash64(id);
     toggleDigest(id, view.incarnation, view.state);
+    if (view.state == MemberState::Suspect)
+        m_suspects.insert(id);
     Record record;
     record.lastHeard = now;
     record.lastReached = now;
@@ -152,10 +156,9 @@
 
 std::size_t Membership::expectedInstances() const
 {
-    std::size_t gone = 0;
-    for (const auto& [id, record] : m_records)
-        gone += record.confirmedGone ? 1 : 0;
-    return m_records.size() - gone + 1;
+    auto gone = std::count_if(m_dead.begin(), m_dead.end(),
+        [this](const std::string& id) { return m_records.find(id)->second.confirmedGone; });
+    return m_records.size() - static_cast<std::size_t>(gone) + 1;
 }
 
 std::vector<std::string> Membership::expectedPeers() const
@@ -426,16 +429,22 @@
     bool wasUsable = isUsable(view.state);
     if (state == view.state && incarnation == view.incarnation)
         return;
+    m_suspects.erase(id);
+    m_dead.erase(id);
     toggleDigest(id, view.incarnation, view.state);
     view.state = state;
     view.incarnation = incarnation;
     toggleDigest(id, incarnation, state);
-    if (state == MemberState::Suspect)
+    if (state == MemberState::Suspect) {
         record.suspectedAt = now;
-    if (state == MemberState::Dead)
+        m_suspects.insert(id);
+    }
+    if (state == MemberState::Dead) {
         record.diedAt = now;
-    else
+        m_dead.insert(id);
+    } else {
         record.confirmedGone = false;
+    }
     if (state == MemberState::Alive || state == MemberState::Leaving)
         record.lastReached = now; // the member itself has announced this
     ++m_changes;
@@ -640,18 +649,22 @@
         if (m_views.count(id) > 0)
             checkReachability(id, now);
 
-    std::vector<std::string> suspects;
-    for (const auto& [id, view] : m_views)
-        if (view.state == MemberState::Suspect)
-            suspects.push_back(id);
-    for (const std::string& id : suspects)
+    for (const std::string& id : std::set<std::string>(m_suspects))
         expireSuspicion(id, now);
+    if (now - m_lastForgotten >= forgetInterval)
+        forgetMembers(now);
+}
 
+void Membership::forgetMembers(MonotonicTime now)
+{
+    m_lastForgotten = now;
     for (auto record = m_records.begin(); record != m_records.end();) {
         bool forget = record->second.confirmedGone && now - record->second.diedAt > m_options.forgetAfter
             && !linked(record->first);
-        if (forget)
+        if (forget) {
             m_views.erase(record->first);
+            m_dead.erase(record->first);
+        }
         record = forget ? m_records.erase(record) : std::next(record);
     }
 }
@@ -736,8 +749,8 @@
     m_rescueStarted = now;
     m_rescued.reset();
     std::vector<std::string> dead;
-    for (const auto& [id, view] : m_views)
-        if (view.state == MemberState::Dead && !m_records.at(id).confirmedGone)
+    for (const std::string& id : m_dead)
+        if (!m_records.at(id).confirmedGone)
             dead.push_back(id);
     if (!dead.empty())
         m_rescued = dead[m_random.below(dead.size())];
--- a/coordination/member.h
+++ b/coordination/member.h
@@ -223,6 +223,7 @@
     void checkReachability(const std::string& id, MonotonicTime now);
     void sendProbes(const std::string& id, MonotonicTime now);
     void suspect(const std::string& id, MonotonicTime now);
+    void forgetMembers(MonotonicTime now);
     void expireSuspicion(const std::string& id, MonotonicTime now);
     void expireProbes(MonotonicTime now);
     void rescue(MonotonicTime now);
@@ -242,6 +243,8 @@
     std::map<std::string, MemberView, std::less<>> m_views;
     std::map<std::string, Record, std::less<>> m_records;
     std::map<std::string, Link, std::less<>> m_links;
+    std::set<std::string> m_suspects;
+    std::set<std::string> m_dead;
     std::set<std::string> m_listed; // ids in the platform's latest list
     std::vector<PendingProbe> m_probes;
     std::vector<std::string> m_silent;
@@ -253,6 +256,7 @@
     std::optional<std::string> m_rescued;
     MonotonicTime m_rescueStarted;
     std::optional<MonotonicTime> m_lastTick;
+    MonotonicTime m_lastForgotten;
     std::uint64_t m_epoch = 0;
     std::uint64_t m_nextNonce = 1;
     std::uint32_t m_digest = 0;
