--- a/process/drainer.h
+++ b/process/drainer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "coordination/coordination.h"
 #include "version/version.h"
 #include <cstdint>
 #include <functional>
@@ -19,14 +20,30 @@
     virtual ~DrainLease() = default;
 
     // False from a safety margin before expiry on, by the monotonic clock of this instance.
-    virtual bool holdsLease(MonotonicTime now) const = 0;
+    virtual bool holdsLease() const = 0;
 
     // Rises by one with each acquisition, by any instance.
     virtual std::uint64_t fence() const = 0;
 };
 
+// The store's lease in that role; it must outlive this object.
+class StoreDrainLease : public DrainLease {
+public:
+    explicit StoreDrainLease(const Lease& lease)
+        : m_lease(lease)
+    {
+    }
+
+    bool holdsLease() const override { return m_lease.held(); }
+    std::uint64_t fence() const override { return m_lease.fence(); }
+
+private:
+    const Lease& m_lease;
+};
+
 // A chat whose KV cache is at an upstream and has not been handed over yet.
 struct DrainChat {
+    std::string organisation;
     std::string chat;
     Milliseconds idle {}; // since its last request; chats that were active last return soonest
 };
@@ -60,16 +77,15 @@
     Command command;
 };
 
-// POST /orders with "drain" or "serve".
+// Send the order to the upstream.
 struct SendOrder {
-    bool drain = true;
-    std::uint64_t fence = 0;
+    Order order;
 };
 
 // Export the chat's KV cache, import it at the destination and tell the directory. Repeating it is safe.
 struct MoveChat {
-    std::string chat;
-    std::string destination;
+    DrainChat chat;
+    std::string destination; // an upstream of the same pool
     std::uint64_t fence = 0;
 };
 
@@ -153,9 +169,11 @@
     const std::map<std::string, DrainPhase>& phases() const { return m_phases; }
 
 private:
+    using Task = std::variant<AppendCommand, SendOrder, MoveChat>;
+
     struct Pending {
         std::string upstream;
-        std::string chat; // of a MoveChat
+        Task task;
         MonotonicTime sentAt;
     };
 
@@ -168,7 +186,8 @@
         std::optional<MonotonicTime> lastActionEnd; // reports polled before it are stale
         std::optional<MonotonicTime> retryAt;
         int failures = 0;
-        std::map<std::string, int> moveAttempts;
+        bool fenceKnown = false; // the engine accepted an order of this tenure: it refuses older ones
+        std::map<std::string, int> moveAttempts; // by organisation and chat
         std::set<std::string> moved;
     };
 
@@ -177,16 +196,19 @@
     void beginTenure(MonotonicTime now);
     void expireActions(MonotonicTime now);
     void stepUpstream(Context&);
-    bool planWindow(Context&);
-    void drainByConfiguration(Context&);
-    void reconcileEngine(Context&, bool drain);
-    bool confirmEmpty(Context&);
+    void startWindow(Context&, const DrainWindow&);
+    void carryOutDrain(Context&);
+    void observeDrain(Context&);
+    void reconcileEngine(Context&, OrderKind desired);
+    bool handoverIsOver(Context&, const DrainWindow*);
+    bool confirmsEmpty(const Context&) const;
     bool moveResidents(Context&);
+    std::vector<DrainChat> nextChats(const Context&, std::size_t limit) const;
+    std::size_t countMoves(const std::string* upstream) const;
     bool hasPending(const std::string& upstream) const;
     bool mayAct(const Context&) const;
-    void append(Context&, Statement);
-    void emit(Context&, std::variant<AppendCommand, SendOrder, MoveChat>, const std::string& chat = {});
-    bool takeMoveToken(MonotonicTime now);
+    void emit(Context&, Task);
+    void refillMoves(MonotonicTime now);
 
     DrainerOptions m_options;
     const DrainLease& m_lease;
@@ -200,8 +222,9 @@
     MonotonicTime m_moveRefill;
 };
 
-// Where a chat goes when `source` is drained: the first of the pool's serving upstreams by rendezvous order,
-// so that placement without a hint finds it there. Empty if there is none.
-std::string handoverDestination(const Config&, const Upstream& source, const std::string& chat);
+// Where a chat goes when `source` is drained: the first of the pool's serving upstreams by rendezvous order
+// that has no drain window itself now, so that placement without a hint finds it there. Empty if there is
+// none.
+std::string handoverDestination(const Config&, const Upstream& source, const DrainChat&, WallTime now);
 
 } // namespace briarwharf
