--- a/connection/connection.h
+++ b/connection/connection.h
@@ -10,5 +10,9 @@
 //   links.listen("10.0.0.1:7500");
 //   links.connect("10.0.0.2:7500");
 
+#include "connection/eventloop.h"
+#include "connection/eventstream.h"
+#include "connection/httpserver.h"
 #include "connection/httpstore.h"
 #include "connection/peerlink.h"
+#include "connection/upstreamclient.h"
--- a/daemon/briarwharfd_main.cc
+++ b/daemon/briarwharfd_main.cc
@@ -20,10 +20,7 @@
     void operator()(event_base* base) const { event_base_free(base); }
 };
 
-void handleSignal(evutil_socket_t, short, void* daemon)
-{
-    static_cast<Daemon*>(daemon)->shutDown();
-}
+void handleSignal(evutil_socket_t, short, void* daemon) { static_cast<Daemon*>(daemon)->shutDown(); }
 
 int run(const Settings& settings)
 {
@@ -52,13 +49,14 @@
 int runWithArguments(int argc, char** argv)
 {
     options::options_description description("briarwharfd [--check] SETTINGS.ini");
-    description.add_options()("help", "print this help")("version", "print the version")("check",
-        "check the settings and exit")("print-example", "print a settings file with every key")(
+    description.add_options()("help", "print this help")("version", "print the version")(
+        "check", "check the settings and exit")("print-example", "print a settings file with every key")(
         "settings", options::value<std::string>(), "settings file");
     options::positional_options_description positional;
     positional.add("settings", 1);
     options::variables_map arguments;
-    options::store(options::command_line_parser(argc, argv).options(description).positional(positional).run(), arguments);
+    options::store(options::command_line_parser(argc, argv).options(description).positional(positional).run(),
+        arguments);
     if (arguments.count("help")) {
         std::cout << description;
         return 0;
--- a/process/adminapi.cc
+++ b/process/adminapi.cc
@@ -32,7 +32,8 @@
 
     int statusFor(ErrorKind kind)
     {
-        auto found = std::find_if(std::begin(statuses), std::end(statuses), [kind](const KindStatus& entry) { return entry.kind == kind; });
+        auto found = std::find_if(std::begin(statuses), std::end(statuses),
+            [kind](const KindStatus& entry) { return entry.kind == kind; });
         return found == std::end(statuses) ? 500 : found->status;
     }
 
@@ -62,7 +63,8 @@
         return handleMetrics(*exchange);
     if (path == "/operator")
         return handleOperator(exchange);
-    replyText(*exchange, 404, "there is nothing at " + path + ": use /healthz, /readyz, /metrics or /operator");
+    replyText(
+        *exchange, 404, "there is nothing at " + path + ": use /healthz, /readyz, /metrics or /operator");
 }
 
 void AdminApi::handleReady(HttpExchange& exchange)
@@ -89,9 +91,13 @@
     std::string authorization = findHeader(request.headers, "Authorization").value_or("");
     std::string token = authorization.rfind(bearer, 0) == 0 ? authorization.substr(bearer.size()) : "";
     if (!equalConstantTime(sha256Hex(token), m_router.settings().operators.tokenHash))
-        return answerError(*exchange, { ErrorKind::Unauthorized, "the operators' token is missing or wrong: send Authorization: Bearer TOKEN" });
+        return answerError(*exchange,
+            { ErrorKind::Unauthorized,
+                "the operators' token is missing or wrong: send Authorization: Bearer TOKEN" });
     if (request.method != "POST" || request.bodyTooLarge)
-        return answerError(*exchange, { ErrorKind::InvalidArgument, "an operator request is a POST with commands as its body: send up to 64 KiB of text" });
+        return answerError(*exchange,
+            { ErrorKind::InvalidArgument,
+                "an operator request is a POST with commands as its body: send up to 64 KiB of text" });
     auto commands = parseCommands(request.body);
     if (!commands)
         return answerError(*exchange, commands.error());
@@ -103,7 +109,8 @@
 {
     std::vector<Command> changes;
     std::vector<Command> queries;
-    std::partition_copy(commands.begin(), commands.end(), std::back_inserter(queries), std::back_inserter(changes), isQuery);
+    std::partition_copy(
+        commands.begin(), commands.end(), std::back_inserter(queries), std::back_inserter(changes), isQuery);
     auto finish = [this, exchange, queries = std::move(queries)](Result<std::uint64_t> revision) {
         if (!revision)
             return answerError(*exchange, revision.error());
@@ -120,8 +127,10 @@
     if (changes.empty())
         return finish(m_config.revision());
     if (!m_config.loaded())
-        return finish(Error { ErrorKind::Unavailable, "this instance has no configuration yet: retry when /readyz answers 200" });
-    ChangeOrigin origin { std::chrono::system_clock::now(), "operator", findHeader(exchange->request().headers, header::requestId).value_or(randomToken()) };
+        return finish(Error { ErrorKind::Unavailable,
+            "this instance has no configuration yet: retry when /readyz answers 200" });
+    ChangeOrigin origin { std::chrono::system_clock::now(), "operator",
+        findHeader(exchange->request().headers, header::requestId).value_or(randomToken()) };
     m_config.submit(std::move(changes), origin, std::chrono::steady_clock::now() + commandTimeout, finish);
 }
 
--- a/process/callerapi.cc
+++ b/process/callerapi.cc
@@ -15,10 +15,7 @@
     constexpr std::size_t maxChatNameBytes = 256;
     constexpr std::string_view bearer = "Bearer ";
 
-    MonotonicTime clockNow()
-    {
-        return std::chrono::steady_clock::now();
-    }
+    MonotonicTime clockNow() { return std::chrono::steady_clock::now(); }
 
     std::optional<Milliseconds> parseDeadline(const std::string& text)
     {
@@ -58,21 +55,33 @@
     const HttpServerRequest& request = exchange->request();
     const auto& limits = m_router.settings().limits;
     if (request.headersTooLarge)
-        return fail(caller, CallerErrorKind::HeadersTooLarge, "the request's headers are over " + std::to_string(limits.maxHeaderBytes) + " bytes", "send fewer or shorter headers");
+        return fail(caller, CallerErrorKind::HeadersTooLarge,
+            "the request's headers are over " + std::to_string(limits.maxHeaderBytes) + " bytes",
+            "send fewer or shorter headers");
     if (request.bodyTooLarge)
-        return fail(caller, CallerErrorKind::BodyTooLarge, "the request's body is over " + std::to_string(limits.maxBodyBytes) + " bytes", "send a shorter body");
+        return fail(caller, CallerErrorKind::BodyTooLarge,
+            "the request's body is over " + std::to_string(limits.maxBodyBytes) + " bytes",
+            "send a shorter body");
     if (!m_router.takesWork())
-        return fail(caller, CallerErrorKind::NotReady, m_router.isStopping() ? "this instance is shutting down" : "this instance has no configuration yet", "retry: the balancer sends the request to another instance");
+        return fail(caller, CallerErrorKind::NotReady,
+            m_router.isStopping() ? "this instance is shutting down"
+                                  : "this instance has no configuration yet",
+            "retry: the balancer sends the request to another instance");
     caller.organisation = caller.config->organisationByKeyHash(sha256Hex(apiKey(request.headers)));
     if (!caller.organisation)
-        return fail(caller, CallerErrorKind::UnknownKey, "the API key is missing or unknown", "send Authorization: Bearer KEY with the key of your organisation");
+        return fail(caller, CallerErrorKind::UnknownKey, "the API key is missing or unknown",
+            "send Authorization: Bearer KEY with the key of your organisation");
     Milliseconds allowed = limits.requestDeadline;
     if (auto text = findHeader(request.headers, header::deadline)) {
         auto wanted = parseDeadline(*text);
         if (!wanted || *wanted > limits.maxRequestDeadline)
-            return fail(caller, CallerErrorKind::InvalidRequest, std::string(header::deadline) + " is not a whole number up to " + std::to_string(limits.maxRequestDeadline.count()), "send the milliseconds that you can wait");
+            return fail(caller, CallerErrorKind::InvalidRequest,
+                std::string(header::deadline) + " is not a whole number up to "
+                    + std::to_string(limits.maxRequestDeadline.count()),
+                "send the milliseconds that you can wait");
         if (*wanted <= Milliseconds(0))
-            return fail(caller, CallerErrorKind::DeadlineExceeded, "the request's deadline has passed", "send a longer " + std::string(header::deadline));
+            return fail(caller, CallerErrorKind::DeadlineExceeded, "the request's deadline has passed",
+                "send a longer " + std::string(header::deadline));
         allowed = *wanted;
     }
     caller.deadline = clockNow() + allowed;
@@ -82,12 +91,14 @@
         return handleModels(caller);
     if (request.path.rfind(servicePrefix, 0) == 0)
         return handleService(caller);
-    fail(caller, CallerErrorKind::UnknownPath, "there is nothing at " + request.path, "use /v1/chat/completions, /v1/models or /v1/services/POOL/PATH");
+    fail(caller, CallerErrorKind::UnknownPath, "there is nothing at " + request.path,
+        "use /v1/chat/completions, /v1/models or /v1/services/POOL/PATH");
 }
 
 Span CallerApi::startSpan(const Caller& caller, const std::string& name)
 {
-    auto parent = parseTraceparent(findHeader(caller.exchange->request().headers, header::traceparent).value_or(""));
+    auto parent
+        = parseTraceparent(findHeader(caller.exchange->request().headers, header::traceparent).value_or(""));
     Span span = m_router.tracer().startSpan(name, parent, true, std::chrono::system_clock::now());
     span.attributes.push_back({ "request_id", caller.requestId });
     span.attributes.push_back({ "organisation", caller.organisation->name });
@@ -98,18 +109,24 @@
 {
     const HttpServerRequest& request = caller.exchange->request();
     if (request.method != "POST")
-        return fail(caller, CallerErrorKind::MethodNotAllowed, "chat completions take POST", "send a POST request");
+        return fail(
+            caller, CallerErrorKind::MethodNotAllowed, "chat completions take POST", "send a POST request");
     auto parsed = parseChatRequest(request.body);
     if (!parsed) {
         bool isJson = parseJson(request.body, "body").has_value();
-        return fail(caller, isJson ? CallerErrorKind::InvalidRequest : CallerErrorKind::InvalidJson, parsed.error().message, "send a chat-completions request as JSON with model and messages");
+        return fail(caller, isJson ? CallerErrorKind::InvalidRequest : CallerErrorKind::InvalidJson,
+            parsed.error().message, "send a chat-completions request as JSON with model and messages");
     }
     const Pool* pool = caller.config->poolByModel(parsed.value().model);
     if (!pool)
-        return fail(caller, CallerErrorKind::UnknownModel, "there is no model \"" + parsed.value().model + "\"", "use a model that GET /v1/models lists");
+        return fail(caller, CallerErrorKind::UnknownModel,
+            "there is no model \"" + parsed.value().model + "\"", "use a model that GET /v1/models lists");
     std::string chat = findHeader(request.headers, header::chat).value_or(parsed.value().chat);
     if (chat.empty() || chat.size() > maxChatNameBytes || !isPrintable(chat))
-        return fail(caller, CallerErrorKind::InvalidRequest, std::string(header::chat) + " is not 1 to " + std::to_string(maxChatNameBytes) + " printable characters without spaces", "send a shorter identifier without spaces");
+        return fail(caller, CallerErrorKind::InvalidRequest,
+            std::string(header::chat) + " is not 1 to " + std::to_string(maxChatNameBytes)
+                + " printable characters without spaces",
+            "send a shorter identifier without spaces");
     ChatCallInput input;
     input.exchange = caller.exchange;
     input.requestId = caller.requestId;
@@ -126,7 +143,8 @@
 void CallerApi::handleModels(const Caller& caller)
 {
     if (caller.exchange->request().method != "GET")
-        return fail(caller, CallerErrorKind::MethodNotAllowed, "the list of models takes GET", "send a GET request");
+        return fail(
+            caller, CallerErrorKind::MethodNotAllowed, "the list of models takes GET", "send a GET request");
     Json models = Json::array();
     for (const auto& [name, pool] : caller.config->config().pools) {
         if (pool.kind == PoolKind::Engine)
@@ -146,7 +164,8 @@
     std::string path = slash == std::string::npos ? "/" : rest.substr(slash);
     const Pool* pool = caller.config->poolByName(poolName);
     if (!pool || pool->kind != PoolKind::Service)
-        return fail(caller, CallerErrorKind::UnknownPool, "there is no service \"" + poolName + "\"", "use the name of a service pool in /v1/services/POOL/PATH");
+        return fail(caller, CallerErrorKind::UnknownPool, "there is no service \"" + poolName + "\"",
+            "use the name of a service pool in /v1/services/POOL/PATH");
     ServiceCallInput input;
     input.exchange = caller.exchange;
     input.requestId = caller.requestId;
@@ -160,17 +179,22 @@
     input.repeatable = operation && operation->repeatable;
     input.idempotencyKey = findHeader(request.headers, header::idempotencyKey).value_or("");
     if (!input.repeatable && (input.idempotencyKey.empty() || input.idempotencyKey.size() > maxChatNameBytes))
-        return fail(caller, CallerErrorKind::MissingIdempotencyKey, request.method + " " + path + " runs at most once and needs an " + header::idempotencyKey + " of 1 to " + std::to_string(maxChatNameBytes) + " characters", "send a key that is unique for each call and equal in its repeats");
+        return fail(caller, CallerErrorKind::MissingIdempotencyKey,
+            request.method + " " + path + " runs at most once and needs an " + header::idempotencyKey
+                + " of 1 to " + std::to_string(maxChatNameBytes) + " characters",
+            "send a key that is unique for each call and equal in its repeats");
     input.span = startSpan(caller, "service");
     std::make_shared<ServiceCall>(m_router, m_claims, std::move(input))->start();
 }
 
-void CallerApi::fail(const Caller& caller, CallerErrorKind kind, const std::string& message, const std::string& remedy)
+void CallerApi::fail(
+    const Caller& caller, CallerErrorKind kind, const std::string& message, const std::string& remedy)
 {
     CallerError error { kind, message, remedy, Outcome::NotRun, std::nullopt };
     if (kind == CallerErrorKind::NotReady)
         error.retryAfter = Milliseconds(1000);
-    m_router.metrics().countRequest("none", "none", std::string(outcomeName(Outcome::NotRun)), callerErrorStatus(kind));
+    m_router.metrics().countRequest(
+        "none", "none", std::string(outcomeName(Outcome::NotRun)), callerErrorStatus(kind));
     replyError(*caller.exchange, error, caller.requestId);
 }
 
--- a/process/callererror.cc
+++ b/process/callererror.cc
@@ -38,10 +38,7 @@
         { 502, "outcome_unknown" },
     } };
 
-    const KindProperties& properties(CallerErrorKind kind)
-    {
-        return kinds[static_cast<std::size_t>(kind)];
-    }
+    const KindProperties& properties(CallerErrorKind kind) { return kinds[static_cast<std::size_t>(kind)]; }
 
     // Retry-After has whole seconds; rounded up, so that nobody comes back too early.
     std::string retryAfterSeconds(Milliseconds delay)
@@ -52,15 +49,9 @@
 
 } // namespace
 
-int callerErrorStatus(CallerErrorKind kind)
-{
-    return properties(kind).status;
-}
+int callerErrorStatus(CallerErrorKind kind) { return properties(kind).status; }
 
-std::string_view callerErrorType(CallerErrorKind kind)
-{
-    return properties(kind).type;
-}
+std::string_view callerErrorType(CallerErrorKind kind) { return properties(kind).type; }
 
 std::string callerErrorBody(const CallerError& error, const std::string& requestId)
 {
--- a/process/chatcall.cc
+++ b/process/chatcall.cc
@@ -20,15 +20,9 @@
     constexpr int shortPriority = 0;
     constexpr int longPriority = 10;
 
-    MonotonicTime clockNow()
-    {
-        return std::chrono::steady_clock::now();
-    }
+    MonotonicTime clockNow() { return std::chrono::steady_clock::now(); }
 
-    WallTime wallNow()
-    {
-        return std::chrono::system_clock::now();
-    }
+    WallTime wallNow() { return std::chrono::system_clock::now(); }
 
     bool carriesContent(std::string_view event)
     {
@@ -52,13 +46,17 @@
     : m_router(router)
     , m_input(std::move(input))
     , m_pool(router.pool(m_input.pool->name))
-    , m_class(classify(
-          m_input.request.promptTokens, m_input.request.maxTokens, m_input.config->policy(*m_input.pool).shortTokens))
+    , m_class(classify(m_input.request.promptTokens, m_input.request.maxTokens,
+          m_input.config->policy(*m_input.pool).shortTokens))
     , m_ticket(router.nextTicket())
     , m_tokens(m_input.request.promptTokens + m_input.request.maxTokens)
     , m_contextName(m_input.organisation->name + "/" + m_input.chat)
     , m_parser(maxEventBytes, [this](std::string_view data) { eventReceived(data); })
-    , m_slowCallerTimer(router.base(), [this] { failCaller(CallerErrorKind::UpstreamFailed, "the caller took no byte for too long", "read the stream faster"); })
+    , m_slowCallerTimer(router.base(),
+          [this] {
+              failCaller(CallerErrorKind::UpstreamFailed, "the caller took no byte for too long",
+                  "read the stream faster");
+          })
     , m_startedAt(clockNow())
 {
     m_router.requestOpened();
@@ -68,17 +66,15 @@
     m_placement.nonce = hash64(m_input.requestId);
 }
 
-ChatCall::~ChatCall()
-{
-    m_router.requestClosed();
-}
+ChatCall::~ChatCall() { m_router.requestClosed(); }
 
 void ChatCall::start()
 {
     auto self = shared_from_this();
     m_input.exchange->onClosed([self] { self->callerLeft(); });
     auto hintText = findHeader(m_input.exchange->request().headers, header::residence);
-    HintCheck hint = m_router.hints().verify(hintText.value_or(""), m_input.organisation->name, m_input.chat, wallNow());
+    HintCheck hint
+        = m_router.hints().verify(hintText.value_or(""), m_input.organisation->name, m_input.chat, wallNow());
     m_router.metrics().countHint(std::string(hintVerdictName(hint.verdict)));
     if (hint.verdict == HintVerdict::Valid)
         m_placement.hint = hint.upstream;
@@ -111,7 +107,8 @@
     m_admitted = true;
     UpstreamRuntime* upstream = decision.upstream ? m_router.upstreams().find(*decision.upstream) : nullptr;
     if (!upstream) {
-        failCaller(CallerErrorKind::NoUpstream, "no upstream of pool " + m_input.pool->name + " takes new work",
+        failCaller(CallerErrorKind::NoUpstream,
+            "no upstream of pool " + m_input.pool->name + " takes new work",
             "retry later; operators: see SHOW UPSTREAMS");
         return true;
     }
@@ -138,7 +135,8 @@
         error.remedy = "send a longer " + std::string(header::deadline) + " or retry later";
     } else {
         error.kind = CallerErrorKind::Overloaded;
-        error.message = "pool " + m_input.pool->name + " has no free slot (" + std::string(admissionOutcomeName(outcome)) + ")";
+        error.message = "pool " + m_input.pool->name + " has no free slot ("
+            + std::string(admissionOutcomeName(outcome)) + ")";
     }
     if (m_finished)
         return;
@@ -174,7 +172,8 @@
 
 void ChatCall::sendAttempt()
 {
-    m_attemptSpan = m_router.tracer().startSpan("engine " + m_upstream->settings.name, m_input.span.context, false, wallNow());
+    m_attemptSpan = m_router.tracer().startSpan(
+        "engine " + m_upstream->settings.name, m_input.span.context, false, wallNow());
     UpstreamRequest request = newRequest();
     request.target = "/v1/chat/completions";
     request.body = withPriority(
@@ -186,7 +185,8 @@
 {
     ++m_resumes;
     m_parser = EventStreamParser(maxEventBytes, [this](std::string_view data) { eventReceived(data); });
-    m_attemptSpan = m_router.tracer().startSpan("resume " + m_upstream->settings.name, m_input.span.context, false, wallNow());
+    m_attemptSpan = m_router.tracer().startSpan(
+        "resume " + m_upstream->settings.name, m_input.span.context, false, wallNow());
     UpstreamRequest request = newRequest();
     request.method = "GET";
     request.target = "/v1/streams/" + m_input.requestId + "?offset=" + std::to_string(m_contentEvents);
@@ -272,7 +272,8 @@
     return {
         { header::requestId, m_input.requestId },
         { header::chat, m_input.chat },
-        { header::residence, m_router.hints().issue(m_input.organisation->name, m_input.chat, m_upstream->id, wallNow()) },
+        { header::residence,
+            m_router.hints().issue(m_input.organisation->name, m_input.chat, m_upstream->id, wallNow()) },
     };
 }
 
@@ -296,7 +297,8 @@
 void ChatCall::applyBackPressure()
 {
     if (m_paused || !m_exchange
-        || m_input.exchange->pendingBytes() < static_cast<std::size_t>(m_router.settings().limits.streamBufferBytes))
+        || m_input.exchange->pendingBytes()
+            < static_cast<std::size_t>(m_router.settings().limits.streamBufferBytes))
         return;
     m_paused = true;
     m_exchange->pauseReading();
@@ -340,7 +342,8 @@
     m_router.metrics().countUpstreamEnd(std::string(exchangeEndName(result.end)));
     m_bytesWritten += result.requestWritten ? 1 : 0;
     m_attemptSpan->failed = result.end != ExchangeEnd::Complete || m_crossed;
-    m_attemptSpan->attributes.push_back({ "end", m_crossed ? "crossed" : std::string(exchangeEndName(result.end)) });
+    m_attemptSpan->attributes.push_back(
+        { "end", m_crossed ? "crossed" : std::string(exchangeEndName(result.end)) });
     m_router.tracer().finishSpan(*m_attemptSpan, wallNow());
     if (m_finished)
         return;
@@ -359,7 +362,8 @@
     std::string end = ": outcome " + std::string(outcomeName(Outcome::Completed)) + "\n\ndata: ";
     end.append(endMark).append("\n\n");
     if (!m_streamStarted)
-        return failCaller(CallerErrorKind::AnswerTruncated, "the engine's stream was empty", "retry the request");
+        return failCaller(
+            CallerErrorKind::AnswerTruncated, "the engine's stream was empty", "retry the request");
     m_input.exchange->write(end);
     m_input.exchange->end();
     finish(Outcome::Completed, 200);
@@ -400,7 +404,8 @@
     }
     bool wasCut = end == ExchangeEnd::Truncated || end == ExchangeEnd::Silent;
     failCaller(wasCut ? CallerErrorKind::AnswerTruncated : CallerErrorKind::UpstreamFailed,
-        "the engine's answer could not be completed (" + (m_crossed ? std::string("crossed") : std::string(exchangeEndName(end))) + ")",
+        "the engine's answer could not be completed ("
+            + (m_crossed ? std::string("crossed") : std::string(exchangeEndName(end))) + ")",
         "retry the request: a chat completion may be repeated");
 }
 
@@ -452,8 +457,8 @@
     if (kind == CallerErrorKind::NoUpstream)
         error.retryAfter = Milliseconds(1000);
     if (m_streamStarted) {
-        m_input.exchange->write(
-            ": outcome " + std::string(outcomeName(error.outcome)) + "\n\ndata: " + callerErrorBody(error, m_input.requestId) + "\n\n");
+        m_input.exchange->write(": outcome " + std::string(outcomeName(error.outcome))
+            + "\n\ndata: " + callerErrorBody(error, m_input.requestId) + "\n\n");
         m_input.exchange->end();
     } else {
         replyError(*m_input.exchange, error, m_input.requestId);
@@ -485,7 +490,8 @@
         m_pool->residents().spoke(m_input.organisation->name, m_input.chat, m_upstream->id, m_tokens, now);
     }
     m_router.metrics().observeDuration(className(), clockNow() - m_startedAt);
-    m_router.metrics().countRequest(m_input.pool->name, className(), std::string(outcomeName(outcome)), status);
+    m_router.metrics().countRequest(
+        m_input.pool->name, className(), std::string(outcomeName(outcome)), status);
     m_input.span.failed = outcome != Outcome::Completed;
     m_input.span.attributes.push_back({ "outcome", std::string(outcomeName(outcome)) });
     if (m_upstream)
@@ -516,9 +522,6 @@
     return std::max(Milliseconds(0), toMilliseconds(m_input.deadline - clockNow()));
 }
 
-std::string ChatCall::className() const
-{
-    return m_class == RequestClass::Short ? "short" : "long";
-}
+std::string ChatCall::className() const { return m_class == RequestClass::Short ? "short" : "long"; }
 
 } // namespace briarwharf
--- a/process/chatrequest.cc
+++ b/process/chatrequest.cc
@@ -14,10 +14,7 @@
     // The system prompt and the first question stay at the head of a chat for good, so they identify it.
     constexpr std::size_t identifyingMessages = 2;
 
-    Error invalid(const std::string& message)
-    {
-        return Error { ErrorKind::InvalidArgument, message };
-    }
+    Error invalid(const std::string& message) { return Error { ErrorKind::InvalidArgument, message }; }
 
     Result<std::int64_t> parseMaxTokens(const Json& body)
     {
@@ -27,7 +24,8 @@
                 continue;
             auto value = integerField(body, name);
             if (!value || *value < 1 || *value > largestMaxTokens)
-                return invalid(std::string(name) + " is not a whole number from 1 to " + std::to_string(largestMaxTokens));
+                return invalid(std::string(name) + " is not a whole number from 1 to "
+                    + std::to_string(largestMaxTokens));
             return *value;
         }
         return defaultMaxTokens;
--- a/process/claims.cc
+++ b/process/claims.cc
@@ -32,10 +32,7 @@
         return options;
     }
 
-    std::uint64_t shardKey(std::uint32_t shard)
-    {
-        return hash64("claim-shard-" + std::to_string(shard));
-    }
+    std::uint64_t shardKey(std::uint32_t shard) { return hash64("claim-shard-" + std::to_string(shard)); }
 
 } // namespace
 
@@ -79,9 +76,11 @@
 void ClaimGateway::receive(const std::string& peer, const PeerFrameT& frame)
 {
     if (const auto* claim = frame.body.AsClaimRequest())
-        m_service.claim(*claim, [this, peer](ClaimResponseT response) { m_peers.send(peer, std::move(response)); });
+        m_service.claim(
+            *claim, [this, peer](ClaimResponseT response) { m_peers.send(peer, std::move(response)); });
     else if (const auto* settle = frame.body.AsSettleRequest())
-        m_service.settle(*settle, [this, peer](SettleResponseT response) { m_peers.send(peer, std::move(response)); });
+        m_service.settle(
+            *settle, [this, peer](SettleResponseT response) { m_peers.send(peer, std::move(response)); });
     else if (const auto* claimed = frame.body.AsClaimResponse())
         m_client.response(*claimed);
     else if (const auto* settled = frame.body.AsSettleResponse())
--- a/process/configservice.cc
+++ b/process/configservice.cc
@@ -25,8 +25,8 @@
 {
 }
 
-void ConfigService::submit(
-    std::vector<Command> commands, const ChangeOrigin& origin, MonotonicTime deadline, SubmitCallback callback)
+void ConfigService::submit(std::vector<Command> commands, const ChangeOrigin& origin, MonotonicTime deadline,
+    SubmitCallback callback)
 {
     // A command that fails against the configuration in force would fail in the log as well, unless another
     // one came first; refusing it here saves the store a write.
@@ -58,7 +58,8 @@
     before.revision = position.number - 1;
     auto applied = applyRecord(before, position.number, command);
     if (!applied) {
-        BW_LOG(ERROR, "config") << "record " << position.number << " was not applied: " << applied.error().message;
+        BW_LOG(ERROR, "config") << "record " << position.number
+                                << " was not applied: " << applied.error().message;
         return applied.error();
     }
     m_config = std::move(applied.value().config);
@@ -67,10 +68,7 @@
     return ok();
 }
 
-void ConfigService::recordApplied(std::uint64_t number)
-{
-    m_config.revision = number;
-}
+void ConfigService::recordApplied(std::uint64_t number) { m_config.revision = number; }
 
 std::vector<std::string> ConfigService::snapshot() const
 {
--- a/process/daemon.cc
+++ b/process/daemon.cc
@@ -15,10 +15,7 @@
     // After /readyz fails, the balancer needs this long to notice; connections are accepted until then.
     constexpr Milliseconds balancerNotice { 1000 };
 
-    MonotonicTime clockNow()
-    {
-        return std::chrono::steady_clock::now();
-    }
+    MonotonicTime clockNow() { return std::chrono::steady_clock::now(); }
 
     HttpStoreOptions storeOptions(const Settings& settings)
     {
@@ -60,7 +57,8 @@
 
 bool SharedRates::tryTake(std::string_view organisation, std::int64_t tokens, MonotonicTime now)
 {
-    return !isLimited(organisation) || m_shares.admit(nameHash(organisation), static_cast<double>(tokens), now);
+    return !isLimited(organisation)
+        || m_shares.admit(nameHash(organisation), static_cast<double>(tokens), now);
 }
 
 Milliseconds SharedRates::retryAfter(std::string_view organisation, std::int64_t, MonotonicTime now) const
@@ -101,8 +99,12 @@
 Status Daemon::start()
 {
     BOOST_OUTCOME_TRYV(m_peers.start());
-    BOOST_OUTCOME_TRYV(m_adminServer.listen(m_settings.listen.admin.address, m_settings.listen.admin.port));
-    BOOST_OUTCOME_TRYV(m_callerServer.listen(m_settings.listen.callers.address, m_settings.listen.callers.port));
+    BOOST_OUTCOME_TRY(
+        adminPort, m_adminServer.listen(m_settings.listen.admin.address, m_settings.listen.admin.port));
+    BOOST_OUTCOME_TRY(
+        callerPort, m_callerServer.listen(m_settings.listen.callers.address, m_settings.listen.callers.port));
+    m_adminPort = adminPort;
+    m_callerPort = callerPort;
     m_config.start();
     BW_LOG(INFO, "daemon") << "instance " << m_settings.instance.id << " listens for callers on "
                            << printEndpoint(m_settings.listen.callers);
@@ -206,7 +208,8 @@
     m_metrics.setControlBytes("store_sent", static_cast<double>(store.bytesSent));
     m_metrics.setControlBytes("store_received", static_cast<double>(store.bytesReceived));
     m_metrics.setControlBytes("load_polls", static_cast<double>(m_upstreams.pollBytes()));
-    return static_cast<double>(peers.bytesSent + peers.bytesReceived + store.bytesSent + store.bytesReceived + m_upstreams.pollBytes());
+    return static_cast<double>(peers.bytesSent + peers.bytesReceived + store.bytesSent + store.bytesReceived
+        + m_upstreams.pollBytes());
 }
 
 void Daemon::updateMetrics()
--- a/process/daemon.h
+++ b/process/daemon.h
@@ -23,7 +23,8 @@
     void apply(const ConfigIndex& index) { m_index = &index; }
 
     bool tryTake(std::string_view organisation, std::int64_t tokens, MonotonicTime now) override;
-    Milliseconds retryAfter(std::string_view organisation, std::int64_t tokens, MonotonicTime now) const override;
+    Milliseconds retryAfter(
+        std::string_view organisation, std::int64_t tokens, MonotonicTime now) const override;
 
 private:
     bool isLimited(std::string_view organisation) const;
@@ -44,6 +45,12 @@
     // Errors: Unavailable (an address is taken).
     Status start();
 
+    // Ports in force, for settings that leave the choice to the system (port 0).
+    std::uint16_t callerPort() const { return m_callerPort; }
+    std::uint16_t adminPort() const { return m_adminPort; }
+
+    std::size_t openRequests() const { return m_router.openRequests(); }
+
     // Graceful shutdown: /readyz fails, waiting requests are refused, requests in progress get the grace time
     // of the settings, then the loop ends.
     void shutDown();
@@ -79,6 +86,8 @@
     Ticker m_ticker;
     Ticker m_pollTicker;
     Ticker m_metricsTicker;
+    std::uint16_t m_callerPort = 0;
+    std::uint16_t m_adminPort = 0;
     double m_lastControlBytes = 0;
     std::optional<MonotonicTime> m_shutdownDeadline;
     std::optional<MonotonicTime> m_listenUntil;
--- a/process/metrics.cc
+++ b/process/metrics.cc
@@ -14,8 +14,8 @@
     // Seconds. The target's limits, 1.9 s to the first token and 80 ms between tokens, are boundaries.
     const prometheus::Histogram::BucketBoundaries& timeBuckets()
     {
-        static const prometheus::Histogram::BucketBoundaries boundaries { 0.001, 0.005, 0.01, 0.02, 0.04, 0.08, 0.2,
-            0.5, 1, 1.9, 5, 10, 30, 60, 120 };
+        static const prometheus::Histogram::BucketBoundaries boundaries { 0.001, 0.005, 0.01, 0.02, 0.04,
+            0.08, 0.2, 0.5, 1, 1.9, 5, 10, 30, 60, 120 };
         return boundaries;
     }
 
@@ -32,12 +32,14 @@
     , m_requests(&counterFamily("requests_total", "Finished requests."))
     , m_placements(&counterFamily("placements_total", "Placement decisions by reason."))
     , m_retries(&counterFamily("retries_total", "Attempts after the first, and retries refused, by verdict."))
-    , m_upstreamEnds(&counterFamily("upstream_exchanges_total", "Exchanges with upstreams by how they ended."))
+    , m_upstreamEnds(
+          &counterFamily("upstream_exchanges_total", "Exchanges with upstreams by how they ended."))
     , m_hints(&counterFamily("residence_hints_total", "Residence hints by verdict."))
     , m_claims(&counterFamily("claims_total", "Claims of calls that run at most once, by status."))
     , m_promptTokens(&counterFamily("prompt_tokens_total", "Prompt tokens as engines report them."))
     , m_queueTime(&histogramFamily(*m_registry, "queue_seconds", "Time in the admission queue."))
-    , m_firstByte(&histogramFamily(*m_registry, "first_byte_seconds", "Time to the first byte of the answer."))
+    , m_firstByte(
+          &histogramFamily(*m_registry, "first_byte_seconds", "Time to the first byte of the answer."))
     , m_duration(&histogramFamily(*m_registry, "request_seconds", "Time to the end of the answer."))
     , m_controlBytes(&prometheus::BuildGauge()
                           .Name("briarwharf_control_bytes")
@@ -53,8 +55,10 @@
     , m_isCurrent(&gauge("configuration_current", "1 if the log's head was confirmed within 2 s."))
     , m_linkedPeers(&gauge("peer_links", "Links to other instances."))
     , m_usableMembers(&gauge("members_usable", "Instances that are alive or suspected, this one included."))
-    , m_droppedSpans(&gauge("trace_spans_dropped", "Spans dropped since the start because the collector was slow or down."))
-    , m_controlRate(&gauge("control_bytes_per_second", "Control traffic of the last interval, all kinds together."))
+    , m_droppedSpans(&gauge(
+          "trace_spans_dropped", "Spans dropped since the start because the collector was slow or down."))
+    , m_controlRate(
+          &gauge("control_bytes_per_second", "Control traffic of the last interval, all kinds together."))
 {
 }
 
@@ -77,7 +81,8 @@
     const std::string& pool, const std::string& requestClass, const std::string& outcome, int status)
 {
     m_requests
-        ->Add({ { "pool", pool }, { "class", requestClass }, { "outcome", outcome }, { "status", std::to_string(status) } })
+        ->Add({ { "pool", pool }, { "class", requestClass }, { "outcome", outcome },
+            { "status", std::to_string(status) } })
         .Increment();
 }
 
@@ -101,25 +106,16 @@
     m_placements->Add({ { "reason", reason } }).Increment();
 }
 
-void Metrics::countRetry(const std::string& reason)
-{
-    m_retries->Add({ { "verdict", reason } }).Increment();
-}
+void Metrics::countRetry(const std::string& reason) { m_retries->Add({ { "verdict", reason } }).Increment(); }
 
 void Metrics::countUpstreamEnd(const std::string& end)
 {
     m_upstreamEnds->Add({ { "end", end } }).Increment();
 }
 
-void Metrics::countHint(const std::string& verdict)
-{
-    m_hints->Add({ { "verdict", verdict } }).Increment();
-}
+void Metrics::countHint(const std::string& verdict) { m_hints->Add({ { "verdict", verdict } }).Increment(); }
 
-void Metrics::countClaim(const std::string& status)
-{
-    m_claims->Add({ { "status", status } }).Increment();
-}
+void Metrics::countClaim(const std::string& status) { m_claims->Add({ { "status", status } }).Increment(); }
 
 void Metrics::countCachedTokens(double cached, double prompt)
 {
--- a/process/metrics.h
+++ b/process/metrics.h
@@ -23,7 +23,8 @@
     std::string serialize() const;
 
     // Requests by pool, class and outcome, and by HTTP status.
-    void countRequest(const std::string& pool, const std::string& requestClass, const std::string& outcome, int status);
+    void countRequest(
+        const std::string& pool, const std::string& requestClass, const std::string& outcome, int status);
     void observeQueueTime(const std::string& requestClass, std::chrono::nanoseconds);
     void observeFirstByte(const std::string& requestClass, std::chrono::nanoseconds);
     void observeDuration(const std::string& requestClass, std::chrono::nanoseconds);
--- a/process/peers.cc
+++ b/process/peers.cc
@@ -21,10 +21,7 @@
 
     constexpr std::size_t maxOfferedBytes = 512 * 1024;
 
-    MonotonicTime clockNow()
-    {
-        return std::chrono::steady_clock::now();
-    }
+    MonotonicTime clockNow() { return std::chrono::steady_clock::now(); }
 
     InstanceIdentity identityOf(const Settings& settings)
     {
@@ -49,8 +46,8 @@
 
 } // namespace
 
-PeerService::PeerService(
-    event_base* base, const Settings& settings, HttpStore& store, ConfigService& config, FrameCallback onFrame)
+PeerService::PeerService(event_base* base, const Settings& settings, HttpStore& store, ConfigService& config,
+    FrameCallback onFrame)
     : m_base(base)
     , m_settings(settings)
     , m_store(store)
@@ -66,7 +63,8 @@
               [this](LinkId link, const Error&) { linkDown(link); },
               [this](LinkId link, PeerFrameT frame) { frameReceived(link, std::move(frame)); } })
 {
-    for (HeartbeatSection* section : std::initializer_list<HeartbeatSection*> { &m_relay, &m_loads, &m_shares, &m_health })
+    for (HeartbeatSection* section :
+        std::initializer_list<HeartbeatSection*> { &m_relay, &m_loads, &m_shares, &m_health })
         m_membership.addSection(*section);
     m_transport.setSelf(memberOf(m_membership.self()));
 }
@@ -235,7 +233,8 @@
             accepted.records.push_back(std::make_unique<LogRecordT>(record));
         Status status = m_config.log().accept(accepted);
         if (!status)
-            BW_LOG(WARNING, "peers") << "records from " << peer << " were not accepted: " << status.error().message;
+            BW_LOG(WARNING, "peers") << "records from " << peer
+                                     << " were not accepted: " << status.error().message;
         m_config.publish();
         configurationAdvanced(peer);
     } else if (const auto* fetch = frame.body.AsLogFetch()) {
--- a/process/peers.h
+++ b/process/peers.h
@@ -49,7 +49,8 @@
     }
 
     // The rule of the design on new work to an upstream that the configuration shows as serving.
-    bool mayGiveNewWork(bool reportsState, std::optional<Milliseconds> ownReportAge, bool ownReportServing) const;
+    bool mayGiveNewWork(
+        bool reportsState, std::optional<Milliseconds> ownReportAge, bool ownReportServing) const;
 
     const Membership& membership() const { return m_membership; }
     const ConfigurationRelay& relay() const { return m_relay; }
--- a/process/pools.cc
+++ b/process/pools.cc
@@ -19,10 +19,7 @@
     // One slot in eight is kept for short requests.
     constexpr std::uint32_t shortSlotDivisor = 8;
 
-    std::string strategyNameOf(const Policy& policy)
-    {
-        return std::string(strategyName(policy.strategy));
-    }
+    std::string strategyNameOf(const Policy& policy) { return std::string(strategyName(policy.strategy)); }
 
     std::unique_ptr<Placement> placementFor(const Policy& policy)
     {
@@ -54,8 +51,8 @@
 {
 }
 
-void PoolRuntime::apply(const Pool&, const Policy& policy, std::vector<std::shared_ptr<UpstreamRuntime>> upstreams,
-    std::size_t instances)
+void PoolRuntime::apply(const Pool&, const Policy& policy,
+    std::vector<std::shared_ptr<UpstreamRuntime>> upstreams, std::size_t instances)
 {
     m_policy = policy;
     m_placement = placementFor(policy);
@@ -94,10 +91,7 @@
     m_calls.erase(ticket);
 }
 
-void PoolRuntime::refuseWaiting()
-{
-    dispatch(m_admission.rejectAll(std::chrono::steady_clock::now()));
-}
+void PoolRuntime::refuseWaiting() { dispatch(m_admission.rejectAll(std::chrono::steady_clock::now())); }
 
 void PoolRuntime::poll()
 {
@@ -137,7 +131,8 @@
 {
     MonotonicTime now = std::chrono::steady_clock::now();
     bool anyHealthy = std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto& upstream) {
-        return upstream->settings.state == UpstreamState::Serving && !tried.count(upstream->id) && isHealthy(*upstream);
+        return upstream->settings.state == UpstreamState::Serving && !tried.count(upstream->id)
+            && isHealthy(*upstream);
     });
     std::vector<UpstreamView> result;
     result.reserve(m_upstreams.size());
--- a/process/pools.h
+++ b/process/pools.h
@@ -33,7 +33,8 @@
     PoolRuntime(const Pool&, const Policy&, RateAllowance*);
 
     // Takes over the settings of a new revision; waiting and running requests stay.
-    void apply(const Pool&, const Policy&, std::vector<std::shared_ptr<UpstreamRuntime>>, std::size_t instances);
+    void apply(
+        const Pool&, const Policy&, std::vector<std::shared_ptr<UpstreamRuntime>>, std::size_t instances);
 
     const Policy& policy() const { return m_policy; }
     const std::vector<std::shared_ptr<UpstreamRuntime>>& upstreams() const { return m_upstreams; }
@@ -47,12 +48,12 @@
     void poll();
 
     // `tried` lists upstreams that failed for this request.
-    PlacementDecision place(const PlacementRequest&, const std::set<UpstreamId>& tried, const NewWorkCheck&,
-        const HealthCheck&);
+    PlacementDecision place(
+        const PlacementRequest&, const std::set<UpstreamId>& tried, const NewWorkCheck&, const HealthCheck&);
 
     // Plain services: the upstream with the fewest requests in progress from this instance, ties by hash.
-    UpstreamRuntime* pickService(std::uint64_t nonce, const std::set<UpstreamId>& tried, const NewWorkCheck&,
-        const HealthCheck&);
+    UpstreamRuntime* pickService(
+        std::uint64_t nonce, const std::set<UpstreamId>& tried, const NewWorkCheck&, const HealthCheck&);
 
     LoadLedger& ledger() { return m_ledger; }
     ResidenceDirectory& directory() { return m_directory; }
@@ -63,7 +64,8 @@
 
 private:
     void dispatch(std::vector<AdmissionEvent>);
-    std::vector<UpstreamView> views(const std::set<UpstreamId>& tried, const NewWorkCheck&, const HealthCheck&);
+    std::vector<UpstreamView> views(
+        const std::set<UpstreamId>& tried, const NewWorkCheck&, const HealthCheck&);
 
     Policy m_policy;
     std::vector<std::shared_ptr<UpstreamRuntime>> m_upstreams;
--- a/process/router.cc
+++ b/process/router.cc
@@ -6,10 +6,7 @@
 
 namespace {
 
-    MonotonicTime clockNow()
-    {
-        return std::chrono::steady_clock::now();
-    }
+    MonotonicTime clockNow() { return std::chrono::steady_clock::now(); }
 
 } // namespace
 
@@ -32,7 +29,9 @@
             members.push_back(m_parts.upstreams->all().at(upstream->name));
         const Policy& policy = m_config->policy(pool);
         auto known = m_pools.find(name);
-        auto runtime = known != m_pools.end() ? known->second : std::make_shared<PoolRuntime>(pool, policy, m_parts.allowance);
+        auto runtime = known != m_pools.end()
+            ? known->second
+            : std::make_shared<PoolRuntime>(pool, policy, m_parts.allowance);
         runtime->apply(pool, policy, std::move(members), instances);
         next.emplace(name, std::move(runtime));
     }
--- a/process/servicecall.cc
+++ b/process/servicecall.cc
@@ -20,18 +20,13 @@
 
     constexpr const char* organisationHeader = "X-Briarwharf-Organisation";
 
-    MonotonicTime clockNow()
-    {
-        return std::chrono::steady_clock::now();
-    }
+    MonotonicTime clockNow() { return std::chrono::steady_clock::now(); }
 
-    WallTime wallNow()
-    {
-        return std::chrono::system_clock::now();
-    }
+    WallTime wallNow() { return std::chrono::system_clock::now(); }
 
     // Headers of the caller that go on to the service.
-    constexpr std::array<const char*, 4> forwardedHeaders { "Content-Type", "Accept", "Accept-Language", "If-Match" };
+    constexpr std::array<const char*, 4> forwardedHeaders { "Content-Type", "Accept", "Accept-Language",
+        "If-Match" };
 
     // In the order of ClaimDecision.
     constexpr std::array<const char*, 6> decisionNames { "run", "completed", "unknown", "in_progress",
@@ -61,10 +56,7 @@
     m_router.requestOpened();
 }
 
-ServiceCall::~ServiceCall()
-{
-    m_router.requestClosed();
-}
+ServiceCall::~ServiceCall() { m_router.requestClosed(); }
 
 void ServiceCall::start()
 {
@@ -100,17 +92,24 @@
 void ServiceCall::refuse(AdmissionOutcome outcome, Milliseconds retryAfter)
 {
     if (m_router.isStopping())
-        return fail(CallerErrorKind::NotReady, "this instance is shutting down", "retry: the balancer sends the request to another instance", Outcome::NotRun, retryAfter);
+        return fail(CallerErrorKind::NotReady, "this instance is shutting down",
+            "retry: the balancer sends the request to another instance", Outcome::NotRun, retryAfter);
     if (outcome == AdmissionOutcome::DeadlinePassed && timeLeft() <= Milliseconds(0))
-        return fail(CallerErrorKind::DeadlineExceeded, "the request's deadline passed while it waited", "send a longer " + std::string(header::deadline), Outcome::NotRun);
-    CallerErrorKind kind = outcome == AdmissionOutcome::OverRate ? CallerErrorKind::RateLimited : CallerErrorKind::Overloaded;
-    fail(kind, "service " + m_input.pool->name + " has no free slot (" + std::string(admissionOutcomeName(outcome)) + ")", "retry after the time in Retry-After", Outcome::NotRun, retryAfter);
+        return fail(CallerErrorKind::DeadlineExceeded, "the request's deadline passed while it waited",
+            "send a longer " + std::string(header::deadline), Outcome::NotRun);
+    CallerErrorKind kind
+        = outcome == AdmissionOutcome::OverRate ? CallerErrorKind::RateLimited : CallerErrorKind::Overloaded;
+    fail(kind,
+        "service " + m_input.pool->name + " has no free slot (" + std::string(admissionOutcomeName(outcome))
+            + ")",
+        "retry after the time in Retry-After", Outcome::NotRun, retryAfter);
 }
 
 void ServiceCall::claim()
 {
     const HttpServerRequest& request = m_input.exchange->request();
-    std::string keyHash = claimKeyHash(m_input.organisation->name, m_input.pool->name, m_input.idempotencyKey);
+    std::string keyHash
+        = claimKeyHash(m_input.organisation->name, m_input.pool->name, m_input.idempotencyKey);
     std::string bodyHash = sha256Hex(request.method + " " + target(m_input) + "\n" + request.body);
     auto self = shared_from_this();
     m_claim = m_claims.begin(keyHash, bodyHash, std::min(m_input.deadline, clockNow() + claimTimeout),
@@ -132,14 +131,16 @@
     case ClaimDecision::Unknown:
         return fail(CallerErrorKind::OutcomeUnknown,
             "the call with this idempotency key may have run; its answer was lost",
-            "check at the service whether it took effect; it is not run again with this key", Outcome::Unknown);
+            "check at the service whether it took effect; it is not run again with this key",
+            Outcome::Unknown);
     case ClaimDecision::DifferentRequest:
         return fail(CallerErrorKind::IdempotencyKeyReused, "the idempotency key was used for another call",
             "use a new key for each call", Outcome::NotRun);
     case ClaimDecision::Run:
     case ClaimDecision::NotRun:
         return fail(CallerErrorKind::StoreUnavailable,
-            "this request was not run: its claim was not durable in time, because the platform's store or the "
+            "this request was not run: its claim was not durable in time, because the platform's store or "
+            "the "
             "claim's collector does not answer",
             "retry with the same key; an earlier request with this key may have run", Outcome::NotRun,
             Milliseconds(1000));
@@ -172,22 +173,28 @@
 {
     auto mayGetWork = [this](const UpstreamRuntime& upstream) { return m_router.mayGetNewWork(upstream); };
     auto isHealthy = [this](const UpstreamRuntime& upstream) { return m_router.isHealthy(upstream); };
-    UpstreamRuntime* upstream = timeLeft() > Milliseconds(0) ? m_pool->pickService(hash64(m_input.requestId), m_tried, mayGetWork, isHealthy) : nullptr;
+    UpstreamRuntime* upstream = timeLeft() > Milliseconds(0)
+        ? m_pool->pickService(hash64(m_input.requestId), m_tried, mayGetWork, isHealthy)
+        : nullptr;
     if (!upstream) {
         releaseClaim();
-        return fail(CallerErrorKind::NoUpstream, "no upstream of service " + m_input.pool->name + " takes new work",
-            "retry later with the same key; operators: see SHOW UPSTREAMS", Outcome::NotRun, Milliseconds(1000));
+        return fail(CallerErrorKind::NoUpstream,
+            "no upstream of service " + m_input.pool->name + " takes new work",
+            "retry later with the same key; operators: see SHOW UPSTREAMS", Outcome::NotRun,
+            Milliseconds(1000));
     }
     m_upstream = m_router.upstreams().all().at(upstream->settings.name);
     ++m_upstream->requestsInProgress;
     m_body.clear();
     m_head = {};
-    m_attemptSpan = m_router.tracer().startSpan("service " + m_upstream->settings.name, m_input.span.context, false, wallNow());
+    m_attemptSpan = m_router.tracer().startSpan(
+        "service " + m_upstream->settings.name, m_input.span.context, false, wallNow());
     auto self = shared_from_this();
     m_exchange = m_upstream->client->start(upstreamRequest(),
         { [self](const ResponseHead& head) { self->m_head = head; },
             [self](std::string_view data) {
-                if (self->m_body.size() + data.size() > static_cast<std::size_t>(self->m_router.settings().limits.maxAnswerBytes))
+                if (self->m_body.size() + data.size()
+                    > static_cast<std::size_t>(self->m_router.settings().limits.maxAnswerBytes))
                     self->m_overflow = true;
                 else
                     self->m_body.append(data);
@@ -206,7 +213,8 @@
     auto echoed = findHeader(m_head.headers, header::upstreamRequestId);
     bool crossed = echoed && *echoed != m_input.requestId;
     if (result.end != ExchangeEnd::Complete || crossed || m_overflow)
-        return failed(result.end == ExchangeEnd::Complete ? ExchangeEnd::Invalid : result.end, !result.requestWritten);
+        return failed(
+            result.end == ExchangeEnd::Complete ? ExchangeEnd::Invalid : result.end, !result.requestWritten);
     if (findHeader(m_head.headers, header::notRun) == "true")
         return failed(ExchangeEnd::Complete, true);
     answered();
@@ -240,14 +248,16 @@
         m_earlierUnknown = m_earlierUnknown || !notRun;
         return send();
     }
-    std::string reason = "the service's answer did not arrive whole (" + std::string(exchangeEndName(end)) + ")";
+    std::string reason
+        = "the service's answer did not arrive whole (" + std::string(exchangeEndName(end)) + ")";
     if (notRun && !m_earlierUnknown) {
         releaseClaim();
-        return fail(CallerErrorKind::UpstreamFailed, "the service could not be called", "retry with the same key",
-            Outcome::NotRun, Milliseconds(1000));
+        return fail(CallerErrorKind::UpstreamFailed, "the service could not be called",
+            "retry with the same key", Outcome::NotRun, Milliseconds(1000));
     }
     if (!m_claim)
-        return fail(CallerErrorKind::UpstreamFailed, reason, "retry: the call may be repeated", Outcome::Unknown);
+        return fail(
+            CallerErrorKind::UpstreamFailed, reason, "retry: the call may be repeated", Outcome::Unknown);
     auto self = shared_from_this();
     m_claims.lost(*m_claim, settleDeadline(), [self, reason](bool) {
         self->fail(CallerErrorKind::OutcomeUnknown, reason,
@@ -263,10 +273,7 @@
     m_claim.reset();
 }
 
-MonotonicTime ServiceCall::settleDeadline() const
-{
-    return clockNow() + settleTimeout;
-}
+MonotonicTime ServiceCall::settleDeadline() const { return clockNow() + settleTimeout; }
 
 void ServiceCall::replyStored(const ClaimOutcome& outcome)
 {
@@ -287,8 +294,8 @@
     finish(Outcome::Completed, m_head.status);
 }
 
-void ServiceCall::fail(CallerErrorKind kind, const std::string& message, const std::string& remedy, Outcome outcome,
-    std::optional<Milliseconds> retryAfter)
+void ServiceCall::fail(CallerErrorKind kind, const std::string& message, const std::string& remedy,
+    Outcome outcome, std::optional<Milliseconds> retryAfter)
 {
     if (m_finished)
         return;
--- /dev/null
+++ b/process/testing/endtoend_test.cc
@@ -0,0 +1,275 @@
+#include "base/base.h"
+#include "process/testing/fleet.h"
+#include <doctest/doctest.h>
+
+using namespace briarwharf;
+
+namespace {
+
+constexpr std::string_view endMark = "data: [DONE]";
+
+bool looksWhole(const ClientAnswer& answer)
+{
+    return answer.result.end == ExchangeEnd::Complete && answer.body.find(endMark) != std::string::npos;
+}
+
+std::string errorType(const ClientAnswer& answer)
+{
+    auto body = parseJson(answer.body, "answer");
+    if (!body || !body.value().contains("error"))
+        return "";
+    return stringField(body.value()["error"], "type").value_or("");
+}
+
+// The engine that has taken more requests than before; -1 for none.
+int engineOfLastRequest(FleetFixture& fleet, std::vector<std::uint64_t>& counts)
+{
+    int found = -1;
+    for (std::size_t i = 0; i < counts.size(); ++i) {
+        std::uint64_t now = fleet.submitted(i);
+        if (now != counts[i])
+            found = static_cast<int>(i);
+        counts[i] = now;
+    }
+    return found;
+}
+
+} // namespace
+
+TEST_CASE("a chat that returns through another instance lands on the same engine")
+{
+    FleetFixture fleet(2, 3);
+    std::vector<std::uint64_t> counts(3, 0);
+    auto first = fleet.call(fleet.callerPort(0), fleet.chatRequest("c1", true, 6));
+    CHECK(looksWhole(*first));
+    CHECK(FleetFixture::streamText(*first) == "answer w1 w2 w3 w4 end");
+    CHECK(first->body.find(": outcome completed") != std::string::npos);
+    int engine = engineOfLastRequest(fleet, counts);
+    auto request = fleet.chatRequest("c1", false, 6);
+    request.headers.push_back({ header::residence, first->header(header::residence) });
+    auto second = fleet.call(fleet.callerPort(1), request);
+    CHECK(second->header(header::outcome) == "completed");
+    CHECK(engineOfLastRequest(fleet, counts) == engine);
+    auto body = parseJson(second->body, "answer").value();
+    CHECK(body["usage"]["prompt_tokens_details"]["cached_tokens"].get<int>() > 0);
+}
+
+// Guards against a caller that cannot tell what to correct.
+TEST_CASE("requests that cannot run are refused with a typed error and the outcome not-run")
+{
+    FleetFixture fleet(1, 1);
+    struct Case {
+        std::string name;
+        int status;
+        std::function<void(UpstreamRequest&)> change;
+    };
+    const std::vector<Case> cases {
+        { "unknown_key", 401, [](auto& request) { request.headers[0].value = "Bearer wrong"; } },
+        { "unknown_key", 401, [](auto& request) { request.headers.erase(request.headers.begin()); } },
+        { "invalid_json", 400, [](auto& request) { request.body = "{"; } },
+        { "invalid_request", 400, [](auto& request) { request.body = R"({"model":"model-1"})"; } },
+        { "invalid_request", 400,
+            [](auto& request) {
+                request.body
+                    = R"({"model":"model-1","messages":[{"role":"user","content":"x"}],"max_tokens":0})";
+            } },
+        { "unknown_model", 404,
+            [](auto& request) {
+                request.body = R"({"model":"m","messages":[{"role":"user","content":"x"}]})";
+            } },
+        { "unknown_path", 404, [](auto& request) { request.target = "/v2"; } },
+        { "unknown_pool", 404, [](auto& request) { request.target = "/v1/services/nowhere/x"; } },
+        { "method_not_allowed", 405, [](auto& request) { request.method = "PUT"; } },
+        { "body_too_large", 413, [](auto& request) { request.body.assign(5 * 1024 * 1024, ' '); } },
+        { "headers_too_large", 431,
+            [](auto& request) {
+                for (int i = 0; i < 10; ++i)
+                    request.headers.push_back({ "X-Filler", std::string(4000, 'x') });
+            } },
+        { "deadline_exceeded", 504,
+            [](auto& request) {
+                request.headers.push_back({ header::deadline, "0" });
+            } },
+        { "invalid_request", 400,
+            [](auto& request) {
+                request.headers.push_back({ header::deadline, "soon" });
+            } },
+        { "missing_idempotency_key", 400,
+            [](auto& request) { request.target = "/v1/services/desk/bookings"; } },
+    };
+    for (const auto& entry : cases) {
+        auto request = fleet.chatRequest("c1", false, 4);
+        entry.change(request);
+        auto answer = fleet.call(fleet.callerPort(0), request);
+        CHECK_MESSAGE(answer->status == entry.status, entry.name);
+        CHECK(errorType(*answer) == entry.name);
+        CHECK(answer->header(header::outcome) == "not-run");
+        CHECK(answer->body.find("\"remedy\":\"\"") == std::string::npos);
+    }
+    CHECK(fleet.submitted(0) == 0);
+}
+
+// Guards against a shortened, crossed or silent stream that looks whole, and against losing or repeating
+// tokens when it is resumed.
+TEST_CASE("a disturbed stream arrives whole, or ends as an error")
+{
+    struct Case {
+        const char* faults;
+        bool arrivesWhole;
+    };
+    const std::vector<Case> cases {
+        { R"({"silent_after":3,"count":1})", true }, // resumed at the same engine
+        { R"({"truncate_after":3,"count":1})", true },
+        { R"({"truncate_after":0,"count":1})", true }, // nothing sent yet: repeated
+        { R"({"crossed":true,"count":1})", true },
+        { R"({"refuse":true,"count":1})", true },
+        { R"({"close":true,"count":1})", true },
+        { R"({"silent":true,"count":1})", true },
+        { R"({"status":500,"count":1})", true },
+        { R"({"delay_ms":100,"count":1})", true },
+        { R"({"truncate_after":2})", false }, // every attempt is cut
+        { R"({"silent":true})", false },
+        { R"({"crossed":true})", false },
+    };
+    for (const auto& entry : cases) {
+        FleetFixture fleet(1, 2);
+        // A stream in progress, whose text a crossed answer would carry.
+        auto other = fleet.send(fleet.callerPort(0), fleet.chatRequest("other", true, 400));
+        CHECK(fleet.runUntil([&] { return !other->body.empty(); }));
+        for (std::size_t i = 0; i < 2; ++i)
+            fleet.setFaults(fleet.engine(i).port, entry.faults);
+        auto answer = fleet.call(fleet.callerPort(0), fleet.chatRequest("c1", true, 8));
+        CHECK_MESSAGE(looksWhole(*answer) == entry.arrivesWhole, entry.faults);
+        std::string text = FleetFixture::streamText(*answer);
+        if (entry.arrivesWhole)
+            CHECK_MESSAGE(text == "answer w1 w2 w3 w4 w5 w6 end", entry.faults);
+        else
+            CHECK_MESSAGE(std::string("answer w1 w2 w3 w4 w5 w6 end").rfind(text, 0) == 0, entry.faults);
+        if (!entry.arrivesWhole)
+            CHECK_MESSAGE(answer->body.find("\"error\"") != std::string::npos, entry.faults);
+    }
+}
+
+// Guards against whole answers that are another request's, cut short, or delimited by the close only.
+TEST_CASE("a disturbed whole answer is repeated elsewhere or refused")
+{
+    for (const char* faults : { R"({"crossed":true})", R"({"truncate_after":0})", R"({"unframed":true})",
+             R"({"close":true})", R"({"refuse":true})" }) {
+        FleetFixture fleet(1, 2);
+        auto other = fleet.send(fleet.callerPort(0), fleet.chatRequest("other", true, 400));
+        CHECK(fleet.runUntil([&] { return !other->body.empty(); }));
+        for (std::size_t i = 0; i < 2; ++i)
+            fleet.setFaults(fleet.engine(i).port, faults);
+        auto refused = fleet.call(fleet.callerPort(0), fleet.chatRequest("c1", false, 4));
+        CHECK_MESSAGE(refused->status >= 500, faults);
+        CHECK_MESSAGE(!errorType(*refused).empty(), faults);
+        bool ran = std::string(faults).find("refuse") == std::string::npos;
+        CHECK_MESSAGE(refused->header(header::outcome) == (ran ? "unknown" : "not-run"), faults);
+        for (std::size_t i = 0; i < 2; ++i)
+            fleet.setFaults(fleet.engine(i).port, "{}");
+        auto answer = fleet.call(fleet.callerPort(0), fleet.chatRequest("c1", false, 4));
+        CHECK_MESSAGE(answer->status == 200, faults);
+        CHECK(answer->body.find("answer w1 w2 end") != std::string::npos);
+    }
+}
+
+// Guards against a second run of a call that moves money.
+TEST_CASE("a booking runs at most once, through whichever instance it is repeated")
+{
+    FleetFixture fleet(3, 1);
+    std::vector<ClientAnswerPointer> answers;
+    for (std::size_t i = 0; i < 9; ++i)
+        answers.push_back(fleet.send(fleet.callerPort(i % 3), fleet.bookingRequest("key-1", "{\"job\":1}")));
+    CHECK(fleet.runUntil([&] {
+        return std::all_of(
+            answers.begin(), answers.end(), [](const auto& answer) { return answer->finished; });
+    }));
+    CHECK(fleet.bookingsRun() == 1);
+    for (std::size_t i = 0; i < 3; ++i) {
+        auto repeat = fleet.call(fleet.callerPort(i), fleet.bookingRequest("key-1", "{\"job\":1}"));
+        CHECK(repeat->status == 200);
+        CHECK(repeat->header(header::outcome) == "completed");
+    }
+    auto different = fleet.call(fleet.callerPort(0), fleet.bookingRequest("key-1", "{\"job\":2}"));
+    CHECK(errorType(*different) == "idempotency_key_reused");
+    CHECK(fleet.bookingsRun() == 1);
+}
+
+// Guards against repeating a call whose answer was lost, and against "not run" for a call that ran.
+TEST_CASE("a booking whose answer is lost ends as unknown and is not run again")
+{
+    for (const char* faults : { R"({"close":true,"count":1})", R"({"silent":true,"count":1})",
+             R"({"truncate_after":0,"count":1})" }) {
+        FleetFixture fleet(2, 1);
+        fleet.setFaults(fleet.servicePort(), faults);
+        auto lost = fleet.call(fleet.callerPort(0), fleet.bookingRequest("key-1", "{}"));
+        CHECK_MESSAGE(lost->header(header::outcome) == "unknown", faults);
+        auto repeat = fleet.call(fleet.callerPort(1), fleet.bookingRequest("key-1", "{}"));
+        CHECK_MESSAGE(repeat->header(header::outcome) == "unknown", faults);
+        CHECK(errorType(*repeat) == "outcome_unknown");
+        CHECK(fleet.bookingsRun() == 1);
+    }
+}
+
+TEST_CASE("a booking that the service refused did not run and may be repeated with its key")
+{
+    FleetFixture fleet(1, 1);
+    fleet.setFaults(fleet.servicePort(), R"({"refuse":true,"count":1})");
+    auto refused = fleet.call(fleet.callerPort(0), fleet.bookingRequest("key-1", "{}"));
+    CHECK(refused->header(header::outcome) == "not-run");
+    CHECK(fleet.bookingsRun() == 0);
+    CHECK(fleet.runUntil(
+        [&] { return fleet.call(fleet.callerPort(0), fleet.bookingRequest("key-1", "{}"))->status == 200; }));
+    CHECK(fleet.bookingsRun() == 1);
+}
+
+// Guards against bookings without a durable claim, and against chats that depend on the store.
+TEST_CASE("while the store is down bookings are refused as not run and chats go on")
+{
+    FleetFixture fleet(2, 1);
+    fleet.setFaults(fleet.storePort(), R"({"down":true})");
+    auto booking = fleet.call(fleet.callerPort(0), fleet.bookingRequest("key-1", "{}"));
+    CHECK(errorType(*booking) == "store_unavailable");
+    CHECK(booking->header(header::outcome) == "not-run");
+    CHECK(fleet.bookingsRun() == 0);
+    CHECK(fleet.call(fleet.callerPort(1), fleet.chatRequest("c1", false, 4))->status == 200);
+    CHECK(fleet.command(0, "DRAIN UPSTREAM engine-0")->status == 503);
+}
+
+// Guards against memory that grows with a caller that does not read.
+TEST_CASE("a caller that leaves frees its engine")
+{
+    FleetFixture fleet(1, 1);
+    auto request = fleet.chatRequest("c1", true, 100000);
+    UpstreamClient client(fleet.base(), "127.0.0.1", fleet.callerPort(0), {});
+    bool started = false;
+    request.deadline = Milliseconds(30000);
+    request.silence = Milliseconds(30000);
+    auto exchange = client.start(request, { nullptr, [&](std::string_view) { started = true; }, nullptr });
+    CHECK(fleet.runUntil([&] { return started; }));
+    exchange->cancel();
+    CHECK(fleet.runUntil([&] { return fleet.engine(0).model.state().requestsInProgress == 0; }));
+    CHECK(fleet.runUntil([&] { return fleet.daemon(0).openRequests() == 0; }));
+}
+
+// Guards against new work for an upstream that is leaving, and against cutting its requests.
+TEST_CASE("a drained engine finishes its stream and gets nothing new")
+{
+    FleetFixture fleet(2, 2);
+    std::vector<std::uint64_t> counts(2, 0);
+    auto stream = fleet.send(fleet.callerPort(0), fleet.chatRequest("c1", true, 100));
+    CHECK(fleet.runUntil([&] { return !stream->body.empty(); }));
+    int engine = engineOfLastRequest(fleet, counts);
+    CHECK(fleet.command(1, "DRAIN UPSTREAM engine-" + std::to_string(engine))->status == 200);
+    CHECK(fleet.runUntil([&] {
+        return fleet.command(0, "SHOW UPSTREAMS WHERE state = draining")->body.find("engine-")
+            != std::string::npos;
+    }));
+    for (int i = 0; i < 10; ++i)
+        CHECK(
+            fleet.call(fleet.callerPort(i % 2), fleet.chatRequest("d" + std::to_string(i), false, 2))->status
+            == 200);
+    CHECK(fleet.submitted(static_cast<std::size_t>(engine)) == counts[static_cast<std::size_t>(engine)]);
+    CHECK(fleet.runUntil([&] { return stream->finished; }));
+    CHECK(looksWhole(*stream));
+}
