--- a/request/loadledger.cc
+++ b/request/loadledger.cc
@@ -10,6 +10,9 @@
     // Successive reports that are closer say more about single requests than about growth.
     constexpr Milliseconds shortestGrowthInterval { 200 };
 
+    // Request sizes are averaged over about 200 requests.
+    constexpr double sizeMemory = 0.995;
+
     // The growth is averaged over about this many reports of each upstream.
     constexpr double growthReports = 2;
 
@@ -22,23 +25,27 @@
 
 void LoadLedger::sent(UpstreamId upstream, std::int64_t tokens, MonotonicTime now)
 {
-    Entry& entry = m_entries[upstream];
+    Entry& entry = entryOf(upstream);
     ++entry.requests;
+    auto size = static_cast<double>(tokens);
+    m_recentTokens = m_recentTokens * sizeMemory + size;
+    m_recentSquares = m_recentSquares * sizeMemory + size * size;
     change(entry, tokens, now);
 }
 
 void LoadLedger::finished(UpstreamId upstream, std::int64_t tokens, MonotonicTime now)
 {
-    auto found = m_entries.find(upstream);
-    if (found == m_entries.end() || found->second.requests == 0)
+    auto found = m_index.find(upstream);
+    if (found == m_index.end() || m_entries[found->second].requests == 0)
         return;
-    --found->second.requests;
-    change(found->second, -tokens, now);
+    Entry& entry = m_entries[found->second];
+    --entry.requests;
+    change(entry, -tokens, now);
 }
 
 void LoadLedger::report(UpstreamId upstream, std::int64_t tokens, MonotonicTime measuredAt)
 {
-    Entry& entry = m_entries[upstream];
+    Entry& entry = entryOf(upstream);
     if (entry.reported && measuredAt <= entry.measuredAt)
         return;
     if (entry.reported)
@@ -48,31 +55,65 @@
     entry.measuredAt = measuredAt;
 }
 
-void LoadLedger::fill(UpstreamView& view, MonotonicTime now) const
+void LoadLedger::fill(std::span<UpstreamView> views, MonotonicTime now) const
 {
-    auto found = m_entries.find(view.id);
-    if (found == m_entries.end()) {
+    for (std::size_t index = 0; index < views.size(); ++index) {
+        UpstreamView& view = views[index];
         view.reportAge.reset();
         view.reportedTokens = view.localTokens = view.localTokensSinceReport = view.peerTokensSinceReport = 0;
         view.localRequests = 0;
-        return;
+        if (const Entry* entry = find(view.id, index))
+            fillFrom(*entry, m_growth, now, view);
     }
-    const Entry& entry = found->second;
+}
+
+std::int64_t LoadLedger::typicalTokens() const
+{
+    return m_recentTokens > 0 ? std::llround(m_recentSquares / m_recentTokens) : 0;
+}
+
+void LoadLedger::forget(UpstreamId upstream)
+{
+    auto found = m_index.find(upstream);
+    if (found == m_index.end())
+        return;
+    std::size_t index = found->second;
+    m_index.erase(found);
+    m_entries.erase(m_entries.begin() + static_cast<std::ptrdiff_t>(index));
+    for (auto& [id, position] : m_index)
+        position -= position > index ? 1 : 0;
+}
+
+LoadLedger::Entry& LoadLedger::entryOf(UpstreamId upstream)
+{
+    auto [found, added] = m_index.try_emplace(upstream, m_entries.size());
+    if (added)
+        m_entries.emplace_back().id = upstream;
+    return m_entries[found->second];
+}
+
+const LoadLedger::Entry* LoadLedger::find(UpstreamId upstream, std::size_t expectedIndex) const
+{
+    if (expectedIndex < m_entries.size() && m_entries[expectedIndex].id == upstream)
+        return &m_entries[expectedIndex];
+    auto found = m_index.find(upstream);
+    return found == m_index.end() ? nullptr : &m_entries[found->second];
+}
+
+void LoadLedger::fillFrom(const Entry& entry, double growth, MonotonicTime now, UpstreamView& view)
+{
     view.localTokens = entry.tokens;
     view.localRequests = entry.requests;
-    view.reportAge.reset();
     if (!entry.reported)
         return;
     auto age = std::max(MonotonicTime::duration::zero(), now - entry.measuredAt);
     view.reportAge = toMilliseconds(age);
     view.reportedTokens = entry.reportedTokens;
     view.localTokensSinceReport = changeSince(entry, entry.measuredAt);
-    auto peers = static_cast<std::int64_t>(std::llround(m_growth * seconds(age)));
+    auto peers = static_cast<std::int64_t>(std::llround(growth * seconds(age)));
     view.peerTokensSinceReport = std::clamp(peers, -entry.reportedTokens, entry.reportedTokens);
 }
 
-void LoadLedger::forget(UpstreamId upstream) { m_entries.erase(upstream); }
-
 std::int64_t LoadLedger::slotOf(MonotonicTime time)
 {
     return time.time_since_epoch() / std::chrono::nanoseconds(bucketLength);
--- a/request/loadledger.h
+++ b/request/loadledger.h
@@ -3,6 +3,7 @@
 #include "base/time.h"
 #include "request/placement.h"
 #include <cstdint>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -24,8 +25,13 @@
     // A report, from the load table or from an upstream's answer. Older ones than the latest are ignored.
     void report(UpstreamId, std::int64_t tokens, MonotonicTime measuredAt);
 
-    // Sets the load fields of a view whose id is set; leaves id, weight, use and localSlots.
-    void fill(UpstreamView&, MonotonicTime now) const;
+    // Sets the load fields of views whose id is set; leaves id, weight, use and localSlots. Fastest if the
+    // views keep their order from call to call.
+    void fill(std::span<UpstreamView>, MonotonicTime now) const;
+
+    // The mean size of this instance's recent requests, each weighted by its own tokens: the size of those
+    // that make up most of the load. 0 before the first request.
+    std::int64_t typicalTokens() const;
 
     void forget(UpstreamId);
 
@@ -39,6 +45,7 @@
     };
 
     struct Entry {
+        UpstreamId id = 0;
         std::int64_t tokens = 0;
         std::uint32_t requests = 0;
         bool reported = false;
@@ -52,7 +59,14 @@
     static void change(Entry&, std::int64_t tokens, MonotonicTime now);
     static std::int64_t changeSince(const Entry&, MonotonicTime since);
 
-    std::unordered_map<UpstreamId, Entry> m_entries;
+    Entry& entryOf(UpstreamId);
+    const Entry* find(UpstreamId, std::size_t expectedIndex) const;
+    static void fillFrom(const Entry&, double growth, MonotonicTime now, UpstreamView&);
+
+    std::vector<Entry> m_entries;
+    std::unordered_map<UpstreamId, std::size_t> m_index;
+    double m_recentTokens = 0; // sum of the sizes of recent requests, fading
+    double m_recentSquares = 0; // sum of their squares, fading likewise
     double m_growth = 0; // tokens per second and upstream, smoothed
 };
 
--- a/request/placement.cc
+++ b/request/placement.cc
@@ -167,7 +167,7 @@
             PoolLoad load(m_settings, request.tokens, views);
             const UpstreamView* resident = residence(request, views);
             if (resident && slotFree(*resident)
-                && load.accepts(*resident, threshold(m_settings.returning, request.chat, resident->id)))
+                && load.accepts(*resident, stayThreshold(request, resident->id)))
                 return atResidence(request, *resident, views);
 
             Best first;
@@ -184,8 +184,7 @@
             if (!first.view())
                 return none(views);
             if (!resident && request.returning && slotFree(*first.view())
-                && load.accepts(
-                    *first.view(), threshold(m_settings.returning, request.chat, first.view()->id)))
+                && load.accepts(*first.view(), stayThreshold(request, first.view()->id)))
                 return chosen(*first.view(), PlacementReason::FirstChoice, first.view());
             if (accepting.view())
                 return chosen(*accepting.view(),
@@ -224,11 +223,27 @@
                 resident, hinted ? PlacementReason::Hint : PlacementReason::Directory, first.view());
         }
 
-        static double threshold(const SpillRange& range, ChatKey chat, UpstreamId upstream)
+        // Where the chat is in the range, from 0 to 1.
+        static double position(ChatKey chat, UpstreamId upstream)
         {
             constexpr std::uint64_t jitterSalt = 0x5b1d6f3a9c27e481ULL; // independent of the rendezvous score
-            double position = unitInterval(combineHashes(chat ^ jitterSalt, upstream));
-            return range.lower + (range.upper - range.lower) * position;
+            return unitInterval(combineHashes(chat ^ jitterSalt, upstream));
+        }
+
+        static double threshold(const SpillRange& range, ChatKey chat, UpstreamId upstream)
+        {
+            return range.lower + (range.upper - range.lower) * position(chat, upstream);
+        }
+
+        double stayThreshold(const PlacementRequest& request, UpstreamId upstream) const
+        {
+            double size = request.typicalTokens > 0
+                ? std::min(
+                    1.0, static_cast<double>(request.tokens) / static_cast<double>(request.typicalTokens))
+                : 1;
+            const SpillRange& range = m_settings.returning;
+            double fromUpper = (1 - position(request.chat, upstream)) * size;
+            return range.upper - (range.upper - range.lower) * fromUpper;
         }
 
         // No upstream accepts the chat at its threshold: any below the bound, in proportion to the room left,
--- a/request/placement.h
+++ b/request/placement.h
@@ -45,6 +45,7 @@
     std::int64_t tokens = 0; // estimated work
     std::optional<UpstreamId> hint; // from a verified residence hint only
     std::optional<UpstreamId> directory; // from the exceptions directory
+    std::int64_t typicalTokens = 0; // LoadLedger::typicalTokens(); 0: unknown
     bool returning = false; // has earlier turns, so some upstream may hold its context
     std::uint64_t nonce = 0; // differs between requests of a chat; only the randomised baselines use it
 };
@@ -68,7 +69,9 @@
 
 // Thresholds are multiples of the pool's mean load. Between `lower` and `upper` the share of chats that an
 // upstream accepts falls linearly from all to none. The position of each chat in this range is a hash of the
-// chat and the upstream, so routers that read the same stale report do not all move at once.
+// chat and the upstream, so routers that read the same stale report do not all move at once. A returning chat
+// whose request is smaller than the typical one is moved less often in proportion: it would relieve the
+// upstream little and lose its context all the same.
 struct SpillRange {
     double lower = 1;
     double upper = 1.25;
--- a/request/request.h
+++ b/request/request.h
@@ -10,12 +10,12 @@
 //   request.chat = chatKey(organisation, chat);
 //   request.tokens = promptTokens + maxTokens;
 //   request.returning = bodyHasEarlierTurns;
-//   if (hint.verdict == HintVerdict::Valid)
+//   request.typicalTokens = ledger.typicalTokens();
+//   if (hint.verdict == HintVerdict::Valid && hint.issued is not before that upstream last lost its cache)
 //       request.hint = hint.upstream;
-//   else
+//   if (request.returning && there is no hint, or its upstream does not serve)
 //       request.directory = directory.find(request.chat, now);
-//   for (UpstreamView& view : views)
-//       ledger.fill(view, now);
+//   ledger.fill(views, now);
 //   PlacementDecision decision = placement->decide(request, views);
 //   if (!decision.upstream)
 //       ... decision.reason is Saturated (admission.requeue) or NoUpstream (reject as "not run")
@@ -24,6 +24,8 @@
 //   ledger.finished(*decision.upstream, request.tokens, now);
 //   if (decision.exception)
 //       directory.put(request.chat, *decision.upstream, now);
+//   else
+//       directory.erase(request.chat);
 //   std::string next = signer.issue(organisation, chat, *decision.upstream, wallNow);
 //
 // Admitting it before:
