--- a/coordination/member.cc
+++ b/coordination/member.cc
@@ -79,6 +79,7 @@
 void Membership::seed(const std::vector<ListedInstance>& list, MonotonicTime now)
 {
     m_listed.clear();
+    bool added = false;
     for (const ListedInstance& listed : list) {
         if (listed.id == m_self.id)
             continue;
@@ -89,7 +90,10 @@
         view.address = listed.address;
         view.failureDomain = listed.failureDomain;
         add(listed.id, view, now);
+        added = true;
     }
+    if (added)
+        updateUsable();
     for (const std::string& id : m_dead) {
         Record& record = m_records.at(id);
         if (m_listed.count(id) == 0 && now - record.diedAt >= m_options.listLag)
@@ -111,7 +115,6 @@
     record.suspectedAt = now;
     m_records[id] = record;
     m_views[id] = std::move(view);
-    updateUsable();
 }
 
 // Members known from the list only have incarnation 0; they and dead ones do not count, because instances
@@ -128,13 +131,17 @@
 {
     m_usable.clear();
     m_usableHashes.clear();
-    for (const auto& [id, view] : m_views)
-        if (isUsable(view.state))
-            m_usable.push_back(id);
-    if (!m_leaving || m_usable.empty())
-        m_usable.insert(std::lower_bound(m_usable.begin(), m_usable.end(), m_self.id), m_self.id);
-    for (const std::string& id : m_usable)
-        m_usableHashes.push_back(id == m_self.id ? m_selfHash : m_views.at(id).hash);
+    for (const auto& [id, view] : m_views) {
+        if (!isUsable(view.state))
+            continue;
+        m_usable.push_back(id);
+        m_usableHashes.push_back(view.hash);
+    }
+    if (!m_leaving || m_usable.empty()) {
+        auto place = std::lower_bound(m_usable.begin(), m_usable.end(), m_self.id) - m_usable.begin();
+        m_usable.insert(m_usable.begin() + place, m_self.id);
+        m_usableHashes.insert(m_usableHashes.begin() + place, m_selfHash);
+    }
     m_linksOutdated = true;
     ++m_epoch;
 }
@@ -387,6 +394,7 @@
         if (message.state == MemberState::Dead)
             return;
         add(message.id, { message.address, message.failureDomain, message.incarnation, message.state }, now);
+        updateUsable();
         spread(message.id, source);
         ++m_changes;
         return;
