Admit a common fraction of the demand instead of a part of the limit for each instance

Cause: with a few requests per instance and window, an instance's estimate of its own rate is noise, and an allowance that falls at once and rises slowly follows its lower edge: error -23% in steady overload and -46% at 80% demand with 480 instances. The fraction entitlement / total is estimated over all instances instead, and a request earns its fraction of credit. Sums are sent by priority within a byte budget over time, so that early heartbeats do not raise the rate.

--- a/coordination/rateshare.cc
+++ b/coordination/rateshare.cc
@@ -16,6 +16,16 @@
     // A change below this part of the organisation's limit is never urgent.
     constexpr double urgentPartOfLimit = 0.02;
 
+    // An instance keeps credit for at most this many requests of the present size.
+    constexpr double maxCredit = 2;
+
+    constexpr Milliseconds longestRetry { 60000 };
+
+    // Priorities: a sum is sent from 1 on. A change counts at most this much, so that every waiting sum gets
+    // its turn.
+    constexpr double maxChangePriority = 4;
+    constexpr double newSumPriority = 4;
+
     double seconds(std::chrono::nanoseconds duration)
     {
         return std::chrono::duration<double>(duration).count();
@@ -50,8 +60,8 @@
             share = m_shares[known->second];
         } else {
             share.organisation = limit.organisation;
-            share.allowance = limit.tokensPerSecond / parts;
-            share.balance = share.allowance * seconds(m_options.burst);
+            share.bucketRate = limit.tokensPerSecond / parts;
+            share.bucket = share.bucketRate * seconds(m_options.burst);
         }
         share.limit = limit.tokensPerSecond;
         share.weight = limit.weight;
@@ -81,29 +91,39 @@
         return false;
     Share& share = m_shares[index->second];
     share.arrived += tokens;
-    if (share.balance <= 0)
+    bool limited = share.fraction < 1;
+    if (limited)
+        share.credit = std::min(share.credit + share.fraction * tokens, maxCredit * tokens);
+    if (share.bucket <= 0 || (limited && share.credit <= 0))
         return false;
-    share.balance -= tokens;
+    share.bucket -= tokens;
+    if (limited)
+        share.credit -= tokens;
     return true;
 }
 
 Milliseconds RateShare::retryAfter(std::uint32_t organisation, MonotonicTime /* now */) const
 {
-    constexpr double longest = 60; // seconds; also the answer while the allowance is zero
     auto index = m_indexes.find(organisation);
     if (index == m_indexes.end())
-        return Milliseconds(static_cast<std::int64_t>(longest * 1000));
+        return longestRetry;
     const Share& share = m_shares[index->second];
-    if (share.balance > 0)
-        return Milliseconds(0);
-    double wait = share.allowance > 0 ? std::min(-share.balance / share.allowance, longest) : longest;
-    return Milliseconds(static_cast<std::int64_t>(std::ceil(wait * 1000)) + 1);
+    auto wait = [](double missing, double rate) {
+        if (missing <= 0)
+            return Milliseconds(0);
+        double most = seconds(longestRetry);
+        double estimate = rate > 0 ? std::min(missing / rate, most) : most;
+        return Milliseconds(static_cast<std::int64_t>(std::ceil(estimate * 1000)));
+    };
+    double missingCredit = share.fraction < 1 ? -share.credit : 0;
+    return std::max(
+        wait(-share.bucket, share.bucketRate), wait(missingCredit, share.fraction * share.demand));
 }
 
-double RateShare::allowance(std::uint32_t organisation) const
+double RateShare::fraction(std::uint32_t organisation) const
 {
     auto index = m_indexes.find(organisation);
-    return index == m_indexes.end() ? 0 : m_shares[index->second].allowance;
+    return index == m_indexes.end() ? 0 : m_shares[index->second].fraction;
 }
 
 double RateShare::totalDemand(std::uint32_t organisation) const
@@ -120,7 +140,7 @@
         return;
     updateDemand(elapsed);
     updateTotals(now);
-    updateAllowances(elapsed);
+    updateFractions(elapsed);
 }
 
 void RateShare::updateDemand(double elapsed)
@@ -190,24 +210,19 @@
     return std::min(share.limit, level * share.weight);
 }
 
-void RateShare::updateAllowances(double elapsed)
+void RateShare::updateFractions(double elapsed)
 {
     double level = entitlementLevel();
     auto covered = static_cast<double>(m_covered);
     auto expected = static_cast<double>(m_membership.expectedInstances());
     double usablePart = std::min(1.0, covered / expected);
-    double rise = approach(elapsed, m_options.riseTime);
     for (Share& share : m_shares) {
-        double part = 1 / covered;
-        if (share.total >= leastDemand)
-            part = (1 - m_options.evenPart) * share.demand / share.total + m_options.evenPart / covered;
-        double target = entitlement(share, level) * usablePart * std::min(part, 1.0);
-        if (target < share.allowance)
-            share.allowance = target;
-        else
-            share.allowance += (target - share.allowance) * rise;
-        double most = share.allowance * seconds(m_options.burst);
-        share.balance = std::min(share.balance + share.allowance * elapsed, std::max(most, 0.0));
+        share.bucketRate = entitlement(share, level) * usablePart;
+        share.fraction = share.total > share.bucketRate ? share.bucketRate / share.total : 1;
+        if (share.fraction >= 1)
+            share.credit = 0;
+        share.bucket = std::min(
+            share.bucket + share.bucketRate * elapsed, share.bucketRate * seconds(m_options.burst));
     }
 }
 
@@ -219,14 +234,15 @@
     return static_cast<std::uint32_t>(std::lround(bounded));
 }
 
-bool RateShare::significant(const Sent& sent, std::uint32_t value, MonotonicTime now) const
+double RateShare::priority(const Sent& sent, std::uint32_t value, MonotonicTime now) const
 {
     if (!sent.any)
-        return value > 0;
+        return value > 0 ? newSumPriority : 0;
+    if (value == 0 && sent.value == 0)
+        return 0;
     double difference = std::abs(static_cast<double>(value) - static_cast<double>(sent.value));
-    if (difference > m_options.significantChange * static_cast<double>(sent.value) + 1)
-        return true;
-    return (value > 0 || sent.value > 0) && now - sent.at > m_options.refreshAfter;
+    double change = difference / (m_options.significantChange * static_cast<double>(sent.value) + 1);
+    return std::min(change, maxChangePriority) + seconds(now - sent.at) / seconds(m_options.refreshAfter);
 }
 
 RateShare::LinkState RateShare::freshState() const
@@ -250,18 +266,30 @@
         return;
     std::size_t covered = m_covered - (state.tree ? std::min(state.covered, m_covered - 1) : 0);
     heartbeat.usageCovered = static_cast<std::uint32_t>(covered);
-    std::size_t first = state.cursor;
-    for (std::size_t step = 0; step < m_shares.size(); ++step) {
-        std::size_t i = (first + step) % m_shares.size();
-        std::uint32_t value = outgoing(i, state);
-        if (!significant(state.sent[i], value, now))
-            continue;
-        if (heartbeat.usageSums.size() >= m_options.entriesPerHeartbeat)
-            break;
-        heartbeat.usageSums.emplace_back(m_shares[i].organisation, value);
-        state.sent[i] = { value, now, true };
-        state.cursor = i + 1;
+    double rate = m_options.bytesPerSecond / static_cast<double>(std::max<std::size_t>(link.treeLinks, 1));
+    fillSums(state, state.budget.available(rate, now), heartbeat, now);
+}
+
+void RateShare::fillSums(LinkState& state, std::size_t bytes, HeartbeatT& heartbeat, MonotonicTime now) const
+{
+    std::vector<std::pair<double, std::size_t>> waiting;
+    for (std::size_t i = 0; i < m_shares.size(); ++i) {
+        double value = priority(state.sent[i], outgoing(i, state), now);
+        if (value >= 1)
+            waiting.emplace_back(value, i);
+    }
+    std::size_t bound = bytes / sizeof(UsageSum);
+    if (waiting.size() > bound) {
+        auto middle = waiting.begin() + static_cast<std::ptrdiff_t>(bound);
+        std::nth_element(waiting.begin(), middle, waiting.end(), std::greater<>());
+        waiting.resize(bound);
+    }
+    for (const auto& [value, i] : waiting) {
+        std::uint32_t sum = outgoing(i, state);
+        heartbeat.usageSums.emplace_back(m_shares[i].organisation, sum);
+        state.sent[i] = { sum, now, true };
     }
+    state.budget.spend(waiting.size() * sizeof(UsageSum));
 }
 
 void RateShare::accept(const LinkView& link, const HeartbeatT& heartbeat, MonotonicTime /* now */)
--- a/coordination/rateshare.h
+++ b/coordination/rateshare.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/budget.h"
 #include "coordination/member.h"
 #include <unordered_map>
 
@@ -14,14 +15,12 @@
 struct RateShareOptions {
     double capacity = 0; // tokens per second over all organisations; 0: only the organisations' limits count
     Milliseconds demandWindow { 2000 }; // time constant of the demand estimate
-    Milliseconds riseTime { 2000 }; // time constant of a rising allowance; a falling one applies at once
-    Milliseconds burst { 2000 }; // an idle bucket holds this much of the allowance
+    Milliseconds burst { 1000 }; // of the entitlement that one instance may use at once
     Milliseconds keepLostLink { 3000 }; // sums of a lost link count this long
     Milliseconds refreshAfter { 10000 }; // unchanged sums are repeated
     double significantChange = 0.05; // relative change of a sum that is worth sending
     double urgentChange = 0.5; // relative change that does not wait for the next heartbeat
-    double evenPart = 0.1; // part of a share that is split evenly, for instances without demand so far
-    std::size_t entriesPerHeartbeat = 256;
+    double bytesPerSecond = 4000; // of sums, over all links
 };
 
 // Weighted, work-conserving shares of organisations without a central counter.
@@ -29,8 +28,10 @@
 // Each instance sums the demand per organisation over the aggregation tree: it sends on each tree link the
 // sum of its own demand and of what the other tree links sent. The tree has no cycles, so every demand counts
 // once. The organisation's entitlement is its limit, or less when the fleet's capacity is scarce (weighted
-// max-min); this instance's allowance is the part of it that corresponds to its part of the demand, and fills
-// a token bucket.
+// max-min). While the total demand exceeds the entitlement, every instance admits the same fraction of its
+// own demand, entitlement / total. The fraction is measured over all instances, so an instance with few
+// requests needs no estimate of its own rate. As a bound for surges that the others have not heard of, a
+// token bucket with the entitlement's rate limits each instance.
 //
 // The links also carry how many instances a sum covers. While some of the expected instances are not covered,
 // the covered ones use only their part of the limit; an instance that hears nobody uses limit / instances.
@@ -41,18 +42,18 @@
     // Organisations of the configuration in force. Buckets of known organisations are kept.
     void setLimits(const std::vector<OrganisationLimit>&, MonotonicTime now);
 
-    // Counts the demand and takes `tokens` from the bucket. True while the bucket is above zero; a large
-    // request may take it below, and later ones wait for it. Unknown organisations: false.
+    // Counts the demand and takes `tokens` if there is credit. A large request may take the credit below
+    // zero, and later ones wait for it. Unknown organisations: false.
     bool admit(std::uint32_t organisation, double tokens, MonotonicTime now);
 
-    // Time until the bucket is above zero again, for Retry-After.
+    // Estimated time until there is credit again, for Retry-After; at most 60 s.
     Milliseconds retryAfter(std::uint32_t organisation, MonotonicTime now) const;
 
-    // Adapts the allowances; call it about every 100 ms.
+    // Adapts the fractions; call it about every 100 ms.
     void tick(MonotonicTime now);
 
-    // Tokens per second that this instance may use now; 0 for unknown organisations.
-    double allowance(std::uint32_t organisation) const;
+    // Fraction of its demand that the organisation gets at present, up to 1; 0 for unknown organisations.
+    double fraction(std::uint32_t organisation) const;
     // Demand over all instances that are covered, tokens per second.
     double totalDemand(std::uint32_t organisation) const;
     std::size_t covered() const { return m_covered; }
@@ -71,8 +72,10 @@
         double arrived = 0; // tokens since the last tick
         double demand = 0; // tokens per second, smoothed
         double total = 0; // with the sums of all tree links
-        double allowance = 0; // tokens per second
-        double balance = 0; // tokens
+        double fraction = 1;
+        double credit = 0; // tokens earned by arrivals while the fraction is below 1
+        double bucketRate = 0; // tokens per second
+        double bucket = 0; // tokens
     };
     struct Sent {
         std::uint32_t value = 0;
@@ -85,17 +88,18 @@
         std::size_t covered = 0;
         bool tree = false;
         bool sending = false; // part of the tree when the latest heartbeat was filled in
-        std::size_t cursor = 0;
+        ByteBudget budget;
         std::optional<MonotonicTime> lostAt;
     };
 
     void updateDemand(double seconds);
     void updateTotals(MonotonicTime now);
-    void updateAllowances(double seconds);
+    void updateFractions(double seconds);
     double entitlementLevel() const;
     double entitlement(const Share&, double level) const;
     std::uint32_t outgoing(std::size_t index, const LinkState&) const;
-    bool significant(const Sent&, std::uint32_t value, MonotonicTime now) const;
+    void fillSums(LinkState&, std::size_t bytes, HeartbeatT&, MonotonicTime now) const;
+    double priority(const Sent&, std::uint32_t value, MonotonicTime now) const;
     LinkState freshState() const;
 
     const Membership& m_membership;
