--- a/coordination/rateshare.cc
+++ b/coordination/rateshare.cc
@@ -19,6 +19,12 @@
     // An instance keeps credit for at most this many requests of the present size.
     constexpr double maxCredit = 2;
 
+    // Part of the way that one request moves the mean size.
+    constexpr double sizePart = 0.05;
+
+    // A change of the demand by more standard deviations than this is not noise.
+    constexpr double surgeDeviations = 3;
+
     constexpr Milliseconds longestRetry { 60000 };
 
     // Priorities: a sum is sent from 1 on. A change counts at most this much, so that every waiting sum gets
@@ -91,6 +97,7 @@
         return false;
     Share& share = m_shares[index->second];
     share.arrived += tokens;
+    share.requestTokens += (tokens - share.requestTokens) * sizePart;
     bool limited = share.fraction < 1;
     if (limited)
         share.credit = std::min(share.credit + share.fraction * tokens, maxCredit * tokens);
@@ -146,12 +153,26 @@
 void RateShare::updateDemand(double elapsed)
 {
     double part = approach(elapsed, m_options.demandWindow);
+    double fastPart = approach(elapsed, m_options.fastWindow);
     for (Share& share : m_shares) {
-        share.demand += (share.arrived / elapsed - share.demand) * part;
+        double rate = share.arrived / elapsed;
         share.arrived = 0;
+        share.demand += (rate - share.demand) * part;
+        share.fastDemand += (rate - share.fastDemand) * fastPart;
+        followSurge(share);
     }
 }
 
+// Moves the estimate at once by what random arrivals do not explain. An exponential window of time constant T
+// over arrivals of rate r and mean size s has a standard deviation of sqrt(r s / 2T).
+void RateShare::followSurge(Share& share) const
+{
+    double variance = share.fastDemand * share.requestTokens / (2 * seconds(m_options.fastWindow));
+    double noise = surgeDeviations * std::sqrt(std::max(variance, 0.0));
+    share.demand = std::max(share.demand, share.fastDemand - noise);
+    share.demand = std::min(share.demand, share.fastDemand + std::max(noise, share.requestTokens));
+}
+
 void RateShare::updateTotals(MonotonicTime now)
 {
     std::erase_if(m_links, [this, now](const auto& entry) {
--- a/coordination/rateshare.h
+++ b/coordination/rateshare.h
@@ -15,6 +15,7 @@
 struct RateShareOptions {
     double capacity = 0; // tokens per second over all organisations; 0: only the organisations' limits count
     Milliseconds demandWindow { 2000 }; // time constant of the demand estimate
+    Milliseconds fastWindow { 400 }; // time constant of the estimate that notices surges
     Milliseconds burst { 1000 }; // of the entitlement that one instance may use at once
     Milliseconds keepLostLink { 3000 }; // sums of a lost link count this long
     Milliseconds refreshAfter { 10000 }; // unchanged sums are repeated
@@ -71,6 +72,8 @@
         double weight = 1;
         double arrived = 0; // tokens since the last tick
         double demand = 0; // tokens per second, smoothed
+        double fastDemand = 0; // the same over a short window
+        double requestTokens = 1; // mean size of a request
         double total = 0; // with the sums of all tree links
         double fraction = 1;
         double credit = 0; // tokens earned by arrivals while the fraction is below 1
@@ -93,6 +96,7 @@
     };
 
     void updateDemand(double seconds);
+    void followSurge(Share&) const;
     void updateTotals(MonotonicTime now);
     void updateFractions(double seconds);
     double entitlementLevel() const;
