Add the load and experiment tool

Open load of several organisations with surges, chats that return after pauses with or without the residence hint, streamed and whole answers that are checked for identity and length, at-most-once calls with repeats, and a mode that holds streams open.

--- a/connection/testing/httpstore_test.cc
+++ b/connection/testing/httpstore_test.cc
@@ -1,5 +1,6 @@
 #include "connection/httpstore.h"
 #include "standins/storeserver.h"
+#include <csignal>
 #include <doctest/doctest.h>
 #include <event2/event.h>
 
@@ -15,6 +16,13 @@
 };
 using Base = std::unique_ptr<event_base, BaseDeleter>;
 
+// A write to a connection that the other side has closed must not end the test program.
+Base makeBase()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    return Base(event_base_new());
+}
+
 // A store stand-in and an adapter on one loop.
 struct Harness {
     explicit Harness(HttpStoreOptions options = {})
@@ -71,7 +79,7 @@
     }
     void setFaults(const char* text) { CHECK(model.setFaults(parseJson(text, "faults").value())); }
 
-    Base base { event_base_new() };
+    Base base = makeBase();
     StoreModel model;
     StoreServer server { base.get(), model };
     std::unique_ptr<HttpStore> store;
--- a/connection/testing/peerlink_test.cc
+++ b/connection/testing/peerlink_test.cc
@@ -1,4 +1,5 @@
 #include "connection/peerlink.h"
+#include <csignal>
 #include <doctest/doctest.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -18,6 +19,13 @@
 };
 using Base = std::unique_ptr<event_base, BaseDeleter>;
 
+// A write to a connection that the other side has closed must not end the test program.
+Base makeBase()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    return Base(event_base_new());
+}
+
 template <typename Condition> void runUntil(event_base* base, Condition condition)
 {
     timeval guard { guardSeconds, 0 };
@@ -103,7 +111,7 @@
 
 TEST_CASE("two instances exchange Hello and frames in order")
 {
-    Base base(event_base_new());
+    Base base = makeBase();
     Side a(base.get(), "a");
     Side b(base.get(), "b");
     auto address = b.links.listen("127.0.0.1:0").value();
@@ -134,7 +142,7 @@
 // Guards against a snapshot that does not pass, and against a longer frame that breaks the link.
 TEST_CASE("a frame near the bound passes and one over it is refused by the sender")
 {
-    Base base(event_base_new());
+    Base base = makeBase();
     Side a(base.get(), "a");
     Side b(base.get(), "b");
     auto link = a.links.connect(b.links.listen("127.0.0.1:0").value()).value();
@@ -147,7 +155,7 @@
 
 TEST_CASE("a peer of an older protocol version is refused")
 {
-    Base base(event_base_new());
+    Base base = makeBase();
     Side a(base.get(), "a", { .protocolVersion = 1, .oldestProtocolVersion = 1 });
     Side b(base.get(), "b", { .protocolVersion = 2, .oldestProtocolVersion = 2 });
     a.links.connect(b.links.listen("127.0.0.1:0").value()).value();
@@ -159,7 +167,7 @@
 
 TEST_CASE("a connection that cannot be made is reported once, from the loop")
 {
-    Base base(event_base_new());
+    Base base = makeBase();
     Side a(base.get(), "a");
     std::string address;
     {
@@ -178,7 +186,7 @@
 // Guards against bytes of another protocol, corrupt frames and frames before the Hello.
 TEST_CASE("a link that breaks the protocol is closed")
 {
-    Base base(event_base_new());
+    Base base = makeBase();
     Side b(base.get(), "b");
     auto address = b.links.listen("127.0.0.1:0").value();
     std::string corrupt("\x08\0\0\0garbage!", 12);
@@ -195,7 +203,7 @@
 // Guards against connections that take a place for ever without a Hello.
 TEST_CASE("a peer that sends no Hello is closed")
 {
-    Base base(event_base_new());
+    Base base = makeBase();
     Side b(base.get(), "b", { .handshakeTimeout = Milliseconds(50) });
     RawPeer raw(base.get(), b.links.listen("127.0.0.1:0").value());
     runUntil(base.get(), [&] { return raw.ended; });
@@ -205,7 +213,7 @@
 // Guards against memory that grows with what a slow peer does not read.
 TEST_CASE("a peer that does not read is closed")
 {
-    Base base(event_base_new());
+    Base base = makeBase();
     Side b(base.get(), "b");
     RawPeer raw(base.get(), b.links.listen("127.0.0.1:0").value());
     PeerFrameT hello;
@@ -230,7 +238,7 @@
 // Guards against use of a link that its owner closed inside a callback, with more frames waiting.
 TEST_CASE("an owner may close a link while it takes a frame")
 {
-    Base base(event_base_new());
+    Base base = makeBase();
     Side a(base.get(), "a");
     Side b(base.get(), "b");
     b.closeOnFrame = true;
@@ -245,7 +253,7 @@
 
 TEST_CASE("links over the bound are refused")
 {
-    Base base(event_base_new());
+    Base base = makeBase();
     Side a(base.get(), "a");
     Side b(base.get(), "b", { .maxLinks = 1 });
     auto address = b.links.listen("127.0.0.1:0").value();
--- /dev/null
+++ b/standins/loadrunner.cc
@@ -0,0 +1,428 @@
+#include "standins/loadrunner.h"
+#include <algorithm>
+#include <event2/event.h>
+#include <numeric>
+
+namespace briarwharf {
+
+namespace {
+
+    // The caller waits this much longer than the deadline that it sends.
+    constexpr Milliseconds deadlineMargin { 2000 };
+    constexpr Milliseconds sampleInterval { 200 };
+    constexpr Milliseconds openInterval { 20 };
+    constexpr Milliseconds statsDeadline { 1000 };
+    // Tokens of message framing may differ a little between turns.
+    constexpr double reusedShare = 0.95;
+    constexpr int statusOk = 200;
+
+    std::string endName(ClientResponse::End end)
+    {
+        switch (end) {
+        case ClientResponse::End::ConnectFailed:
+            return "connect_failed";
+        case ClientResponse::End::TimedOut:
+            return "timed_out";
+        default:
+            return "closed";
+        }
+    }
+
+    // Outcome of an answer that is not 200.
+    std::string statusOutcome(const ClientResponse& response)
+    {
+        auto outcome = response.header("X-Briarwharf-Outcome");
+        if (outcome == "not-run" || response.header("X-Not-Run") == "true")
+            return "not_run";
+        if (outcome == "unknown")
+            return "unknown";
+        return "status_" + std::to_string(response.status);
+    }
+
+    timeval toTimeval(RunTime duration)
+    {
+        auto micros = std::max<std::int64_t>(
+            0, std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
+        constexpr std::int64_t microsPerSecond = 1000000;
+        return { static_cast<time_t>(micros / microsPerSecond),
+            static_cast<suseconds_t>(micros % microsPerSecond) };
+    }
+
+} // namespace
+
+struct LoadRunner::Turn {
+    PlannedTurn planned;
+    AnswerCheck check;
+    RunTime started { 0 };
+    RunTime lastChunk { 0 };
+    bool sawChunk = false;
+};
+
+// One idempotency key: its first call and perhaps a repeat.
+struct LoadRunner::ServiceKey {
+    std::string key;
+    std::size_t organisation = 0;
+    bool repeated = false;
+    bool atOnce = false; // the repeat does not wait for the first answer
+    std::string body; // of the first completed answer
+};
+
+LoadRunner::LoadRunner(event_base* base, RunnerOptions options, LoadPlan& plan, LoadReport& report)
+    : m_base(base)
+    , m_options(std::move(options))
+    , m_plan(plan)
+    , m_report(report)
+    , m_random(combineHashes(plan.options().seed, hash64("runner")))
+    , m_client(base)
+    , m_timer(event_new(
+          base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<LoadRunner*>(self)->arrive(); },
+          this))
+{
+}
+
+LoadRunner::~LoadRunner() { event_free(m_timer); }
+
+void LoadRunner::start(std::function<void()> finished)
+{
+    m_finished = std::move(finished);
+    m_start = std::chrono::steady_clock::now();
+    if (!m_options.engines.empty())
+        m_sampler = std::make_unique<Ticker>(m_base, sampleInterval, [this] { sampleEngines(); });
+    if (m_options.openStreams > 0) {
+        m_report.openStreams.wanted = m_options.openStreams;
+        m_opener = std::make_unique<Ticker>(m_base, openInterval, [this] { openMoreStreams(); });
+        return;
+    }
+    if (m_options.servicePool.empty())
+        m_nextService = RunTime::max();
+    scheduleNext();
+}
+
+RunTime LoadRunner::elapsed() const { return std::chrono::steady_clock::now() - m_start; }
+
+const std::string& LoadRunner::anyTarget()
+{
+    return m_options.targets[m_random.below(m_options.targets.size())];
+}
+
+const OrganisationLoad& LoadRunner::organisationOf(const Turn& turn) const
+{
+    return m_plan.options().organisations[turn.planned.chat->organisation];
+}
+
+void LoadRunner::scheduleNext()
+{
+    auto next = std::min(m_plan.nextArrival(), m_nextService);
+    timeval wait = toTimeval(next - elapsed());
+    event_add(m_timer, &wait);
+}
+
+void LoadRunner::arrive()
+{
+    startDue();
+    if (std::chrono::duration<double>(elapsed()).count() >= m_options.durationSeconds
+        || m_report.requests >= m_options.maxRequests) {
+        m_stopped = true;
+        return endIfDone();
+    }
+    scheduleNext();
+}
+
+void LoadRunner::startDue()
+{
+    while (m_plan.nextArrival() <= elapsed() && m_report.requests < m_options.maxRequests) {
+        auto turn = m_plan.takeArrival();
+        if (m_inFlight < m_options.maxInFlight) {
+            startTurn(std::move(turn));
+        } else {
+            ++m_report.skippedArrivals;
+            m_plan.failed(turn, elapsed());
+        }
+    }
+    while (m_nextService <= elapsed()) {
+        startService();
+        m_nextService += std::chrono::duration_cast<RunTime>(
+            std::chrono::duration<double>(m_random.exponential(1 / m_options.serviceRate)));
+    }
+}
+
+void LoadRunner::endIfDone()
+{
+    if (!m_stopped || m_inFlight > 0 || !m_finished)
+        return;
+    m_sampler.reset();
+    m_report.seconds = std::chrono::duration<double>(m_lastAnswer).count();
+    auto finished = std::exchange(m_finished, nullptr);
+    finished();
+}
+
+void LoadRunner::startTurn(PlannedTurn planned)
+{
+    const auto& chat = *planned.chat;
+    ExpectedAnswer expected { planned.nonce, planned.answerTokens, m_options.direct ? planned.nonce : "" };
+    auto turn = std::make_shared<Turn>(Turn { std::move(planned), AnswerCheck(expected), elapsed() });
+    const auto& organisation = organisationOf(*turn);
+    ClientRequest request;
+    request.target = anyTarget();
+    request.path = "/v1/chat/completions";
+    request.body = turn->planned.body;
+    request.deadline = m_options.deadline + deadlineMargin;
+    request.headers = { { "Content-Type", "application/json" }, { "X-Briarwharf-Chat", chat.name },
+        { "X-Briarwharf-Deadline-Ms", std::to_string(m_options.deadline.count()) } };
+    if (!organisation.key.empty())
+        request.headers.emplace_back("Authorization", "Bearer " + organisation.key);
+    if (m_options.direct)
+        request.headers.emplace_back("X-Request-Id", turn->planned.nonce);
+    if (chat.usesHint && !chat.hint.empty())
+        request.headers.emplace_back("X-Briarwharf-Residence", chat.hint);
+    if (turn->planned.stream)
+        request.onData = [this, turn](std::string_view bytes) { takeData(*turn, bytes); };
+    request.onDone = [this, turn](const ClientResponse& response) { finishTurn(*turn, response); };
+    ++m_report.requests;
+    ++m_report.organisations[organisation.name].requests;
+    ++m_inFlight;
+    m_client.start(std::move(request));
+}
+
+void LoadRunner::takeData(Turn& turn, std::string_view bytes)
+{
+    auto chunks = turn.check.addStreamData(bytes);
+    auto now = elapsed();
+    for (std::size_t i = 0; i < chunks; ++i) {
+        if (turn.sawChunk) {
+            m_report.betweenTokens.add(now - turn.lastChunk);
+        } else {
+            m_report.firstToken.add(now - turn.started);
+            if (!turn.planned.longRequest)
+                m_report.shortFirstToken.add(now - turn.started);
+        }
+        turn.sawChunk = true;
+        turn.lastChunk = now;
+    }
+}
+
+std::string LoadRunner::classify(Turn& turn, const ClientResponse& response)
+{
+    auto& check = turn.check;
+    bool whole = response.end == ClientResponse::End::Complete;
+    if (whole && response.status == statusOk && !turn.planned.stream)
+        check.addWhole(response.body);
+    if (!check.ownIdentifier())
+        ++m_report.foreignIdentifier;
+    if (!check.ownText()) {
+        ++m_report.foreignText;
+        return "foreign";
+    }
+    if (!whole)
+        return endName(response.end);
+    if (response.status != statusOk)
+        return statusOutcome(response);
+    if (check.errorEvent())
+        return "stream_error";
+    if (!check.ended())
+        return "truncated";
+    if (!check.wholeText() || check.malformed()) {
+        ++m_report.truncatedAsComplete;
+        return "incomplete";
+    }
+    return "completed";
+}
+
+void LoadRunner::finishTurn(Turn& turn, const ClientResponse& response)
+{
+    --m_inFlight;
+    m_lastAnswer = elapsed();
+    auto outcome = classify(turn, response);
+    auto& organisation = m_report.organisations[organisationOf(turn).name];
+    ++m_report.outcomes[outcome];
+    ++organisation.outcomes[outcome];
+    bool told = turn.planned.stream && response.status == statusOk;
+    if (!m_options.direct && response.status != 0 && !told && response.header("X-Briarwharf-Outcome").empty())
+        ++m_report.missingOutcome;
+    if (outcome == "completed")
+        recordCompleted(turn, response.header("X-Briarwharf-Residence"));
+    else
+        m_plan.failed(turn.planned, elapsed());
+    endIfDone();
+}
+
+void LoadRunner::recordCompleted(Turn& turn, const std::string& hint)
+{
+    auto& chat = *turn.planned.chat;
+    auto latency = elapsed() - turn.started;
+    bool isLong = turn.planned.longRequest;
+    auto& organisation = m_report.organisations[organisationOf(turn).name];
+    m_report.latency.add(latency);
+    (isLong ? m_report.longLatency : m_report.shortLatency).add(latency);
+    (isLong ? organisation.longLatency : organisation.shortLatency).add(latency);
+    ++m_report.completed;
+    m_report.generatedTokens += turn.planned.answerTokens;
+    auto prompt = turn.check.promptTokens();
+    auto cached = turn.check.cachedTokens();
+    m_report.promptTokens += static_cast<std::uint64_t>(prompt);
+    m_report.cachedTokens += static_cast<std::uint64_t>(cached);
+    if (chat.turn > 0) {
+        auto& reuse = chat.usesHint ? m_report.withHint : m_report.withoutHint;
+        ++reuse.returning;
+        if (static_cast<double>(cached) >= reusedShare * static_cast<double>(chat.promptTokens))
+            ++reuse.reused;
+    }
+    if (!hint.empty())
+        chat.hint = hint;
+    m_plan.answered(turn.planned, turn.check.text(), prompt, elapsed());
+}
+
+void LoadRunner::startService()
+{
+    auto key = std::make_shared<ServiceKey>();
+    key->key = m_plan.options().runId + "-call-" + std::to_string(m_serviceKeys++);
+    key->organisation = m_random.below(m_plan.options().organisations.size());
+    key->repeated = m_random.chance(m_options.repeatShare);
+    key->atOnce = m_random.chance(0.5);
+    callService(key, false);
+    if (key->repeated && key->atOnce)
+        callService(key, true);
+}
+
+void LoadRunner::callService(const std::shared_ptr<ServiceKey>& key, bool repeat)
+{
+    const auto& organisation = m_plan.options().organisations[key->organisation];
+    ClientRequest request;
+    request.target = anyTarget();
+    request.path = m_options.direct ? "/" + m_options.servicePath
+                                    : "/v1/services/" + m_options.servicePool + "/" + m_options.servicePath;
+    request.body = dumpJson({ { "item", key->key } });
+    request.deadline = m_options.deadline + deadlineMargin;
+    request.headers = { { "Content-Type", "application/json" }, { "Idempotency-Key", key->key },
+        { "X-Briarwharf-Deadline-Ms", std::to_string(m_options.deadline.count()) } };
+    if (!organisation.key.empty())
+        request.headers.emplace_back("Authorization", "Bearer " + organisation.key);
+    auto started = elapsed();
+    request.onDone = [this, key, repeat, started](
+                         const ClientResponse& response) { finishService(key, repeat, started, response); };
+    ++m_report.services.calls;
+    m_report.services.repeats += repeat ? 1 : 0;
+    ++m_inFlight;
+    m_client.start(std::move(request));
+}
+
+void LoadRunner::finishService(
+    const std::shared_ptr<ServiceKey>& key, bool repeat, RunTime started, const ClientResponse& response)
+{
+    --m_inFlight;
+    m_lastAnswer = elapsed();
+    auto& services = m_report.services;
+    bool whole = response.end == ClientResponse::End::Complete;
+    bool completed = whole && response.status == statusOk;
+    ++services.outcomes[completed ? "completed" : whole ? statusOutcome(response) : endName(response.end)];
+    if (completed) {
+        services.latency.add(elapsed() - started);
+        auto body = parseJson(response.body, "answer");
+        if (body && integerField(body.value(), "run").value_or(1) > 1)
+            ++services.ranTwice;
+        if (key->body.empty())
+            key->body = response.body;
+        else
+            ++(key->body == response.body ? services.sameAnswer : services.differentAnswer);
+    }
+    if (!repeat && key->repeated && !key->atOnce)
+        callService(key, true);
+    endIfDone();
+}
+
+void LoadRunner::sampleEngines()
+{
+    auto round = ++m_round;
+    m_roundTokens.clear();
+    for (const auto& engine : m_options.engines) {
+        ClientRequest request;
+        request.target = engine;
+        request.method = "GET";
+        request.path = "/stats";
+        request.deadline = statsDeadline;
+        request.onDone = [this, round](const ClientResponse& response) { takeSample(round, response); };
+        m_client.start(std::move(request));
+    }
+}
+
+// Counts a round once every engine that serves has answered.
+void LoadRunner::takeSample(std::uint64_t round, const ClientResponse& response)
+{
+    auto stats = parseJson(response.body, "statistics");
+    if (round != m_round || !stats)
+        return;
+    m_roundTokens.push_back(numberField(stats.value(), "tokens_in_progress").value_or(0));
+    if (m_roundTokens.size() != m_options.engines.size())
+        return;
+    double sum = std::accumulate(m_roundTokens.begin(), m_roundTokens.end(), 0.0);
+    double mean = sum / static_cast<double>(m_roundTokens.size());
+    double most = *std::max_element(m_roundTokens.begin(), m_roundTokens.end());
+    if (mean < m_options.skewFloor)
+        return;
+    auto& skew = m_report.skew;
+    ++skew.samples;
+    skew.ratios.push_back(most / mean);
+    skew.mostExcessTokens = std::max(skew.mostExcessTokens, most - m_options.loadBound * mean);
+}
+
+void LoadRunner::openMoreStreams()
+{
+    double seconds = std::chrono::duration<double>(elapsed()).count();
+    auto due = std::min(m_options.openStreams, static_cast<std::size_t>(seconds * m_options.openRate));
+    while (m_opened < due)
+        openStream();
+    if (seconds < m_options.durationSeconds)
+        return;
+    m_report.seconds = seconds;
+    m_sampler.reset();
+    auto finished = std::exchange(m_finished, nullptr);
+    if (finished)
+        finished();
+}
+
+void LoadRunner::openStream()
+{
+    const auto& organisations = m_plan.options().organisations;
+    const auto& organisation = organisations[m_opened % organisations.size()];
+    auto number = std::to_string(m_opened++);
+    Json message = { { "role", "user" }, { "content", "nonce=" + number } };
+    Json body = { { "model", m_plan.options().model }, { "stream", true },
+        { "max_tokens", m_options.openStreamTokens }, { "messages", Json::array({ message }) } };
+    ClientRequest request;
+    request.target = anyTarget();
+    request.path = "/v1/chat/completions";
+    request.body = dumpJson(body);
+    // Held to the end of the run; the deadline only bounds a stream that hangs.
+    request.deadline = Milliseconds(static_cast<std::int64_t>(m_options.durationSeconds * 1000)) * 2;
+    request.headers = { { "Content-Type", "application/json" },
+        { "X-Briarwharf-Deadline-Ms", std::to_string(request.deadline.count()) },
+        { "X-Briarwharf-Chat", m_plan.options().runId + "-open-" + number } };
+    if (!organisation.key.empty())
+        request.headers.emplace_back("Authorization", "Bearer " + organisation.key);
+    auto check = std::make_shared<AnswerCheck>(ExpectedAnswer { "nonce=" + number, 0, "" });
+    auto sawChunk = std::make_shared<bool>(false);
+    auto started = elapsed();
+    request.onData = [this, check, sawChunk, started](std::string_view bytes) {
+        auto chunks = check->addStreamData(bytes);
+        m_report.openStreams.chunks += chunks;
+        if (chunks == 0 || *sawChunk)
+            return;
+        *sawChunk = true;
+        m_report.firstToken.add(elapsed() - started);
+        ++m_report.openStreams.started;
+        m_report.openStreams.mostOpen = std::max<std::uint64_t>(m_report.openStreams.mostOpen, ++m_open);
+    };
+    request.onDone = [this, check, sawChunk](const ClientResponse& response) {
+        m_open -= *sawChunk ? 1 : 0;
+        if (!check->ownText())
+            ++m_report.foreignText;
+        bool whole = response.end == ClientResponse::End::Complete;
+        ++m_report.outcomes[!whole            ? endName(response.end)
+                : response.status == statusOk ? "ended"
+                                              : statusOutcome(response)];
+    };
+    ++m_report.requests;
+    m_client.start(std::move(request));
+}
+
+} // namespace briarwharf
--- /dev/null
+++ b/standins/loadrunner.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "standins/answercheck.h"
+#include "standins/httpclient.h"
+#include "standins/loadplan.h"
+#include "standins/loadreport.h"
+
+struct event;
+
+namespace briarwharf {
+
+struct RunnerOptions {
+    std::vector<std::string>
+        targets; // "127.0.0.1:7400"; each request goes to one at random, as a balancer does
+    bool direct = false; // targets are engines and services, not instances of the router
+    double durationSeconds = 10;
+    std::uint64_t maxRequests = 100000;
+    std::size_t maxInFlight = 2000; // arrivals beyond are skipped and counted
+    Milliseconds deadline { 30000 }; // of each request; the caller waits a little longer
+    std::string servicePool; // empty: no service calls
+    std::string servicePath = "book";
+    double serviceRate = 2; // first calls per second
+    double repeatShare = 0.5; // of the calls, repeated with their key, half of them at the same time
+    std::vector<std::string> engines; // sampled for skew through their /stats
+    double loadBound = 1.25;
+    double skewFloor = 2000; // mean tokens in progress below which a sample says nothing
+    std::size_t openStreams = 0; // > 0: only holds so many streams open
+    double openRate = 500; // streams opened per second
+    std::uint32_t openStreamTokens = 100000; // asked for on each
+};
+
+// Runs a load plan against targets on an event loop and fills a report.
+class LoadRunner {
+public:
+    LoadRunner(event_base*, RunnerOptions, LoadPlan&, LoadReport&);
+    ~LoadRunner();
+    LoadRunner(const LoadRunner&) = delete;
+    LoadRunner& operator=(const LoadRunner&) = delete;
+
+    // Starts the run; the callback comes once, when it has ended.
+    void start(std::function<void()> finished);
+
+private:
+    struct Turn;
+    struct ServiceKey;
+
+    void scheduleNext();
+    void arrive();
+    void startDue();
+    RunTime elapsed() const;
+    const std::string& anyTarget();
+    const OrganisationLoad& organisationOf(const Turn&) const;
+
+    void startTurn(PlannedTurn);
+    void takeData(Turn&, std::string_view);
+    void finishTurn(Turn&, const ClientResponse&);
+    std::string classify(Turn&, const ClientResponse&);
+    void recordCompleted(Turn&, const std::string& hint);
+
+    void startService();
+    void callService(const std::shared_ptr<ServiceKey>&, bool repeat);
+    void finishService(
+        const std::shared_ptr<ServiceKey>&, bool repeat, RunTime started, const ClientResponse&);
+
+    void sampleEngines();
+    void takeSample(std::uint64_t round, const ClientResponse&);
+    void openMoreStreams();
+    void openStream();
+    void endIfDone();
+
+    event_base* m_base;
+    RunnerOptions m_options;
+    LoadPlan& m_plan;
+    LoadReport& m_report;
+    Random m_random;
+    HttpClient m_client;
+    std::function<void()> m_finished;
+    event* m_timer;
+    std::unique_ptr<Ticker> m_sampler;
+    std::unique_ptr<Ticker> m_opener;
+    MonotonicTime m_start;
+    RunTime m_nextService { 0 };
+    RunTime m_lastAnswer { 0 };
+    std::uint64_t m_serviceKeys = 0;
+    std::size_t m_inFlight = 0;
+    bool m_stopped = false;
+    std::uint64_t m_round = 0;
+    std::vector<double> m_roundTokens;
+    std::size_t m_opened = 0;
+    std::size_t m_open = 0;
+};
+
+} // namespace briarwharf
--- a/standins/program.cc
+++ b/standins/program.cc
@@ -18,7 +18,8 @@
     try {
         boost::program_options::store(
             boost::program_options::parse_command_line(argc, argv, options), values);
-        boost::program_options::notify(values);
+        if (values.count("help") == 0)
+            boost::program_options::notify(values);
     } catch (const boost::program_options::error& error) {
         std::cerr << error.what() << ": see --help\n";
         return usageStatus;
