--- a/process/testing/drainer_test.cc
+++ b/process/testing/drainer_test.cc
@@ -431,7 +431,7 @@
 };
 
 void runOne(
-    TableResult& result, Kind kind, std::vector<Injection> injections, Mistake mistake = Mistake::None)
+    TableResult& result, Kind kind, const std::vector<Injection>& injections, Mistake mistake = Mistake::None)
 {
     World world(kind, injections, mistake);
     world.run();
@@ -526,7 +526,7 @@
         input.wallNow += later;
         input.config = &config;
         input.current = true;
-        input.facts["e1"].report = EngineReport { input.now, draining, requests };
+        input.facts["e1"].report = DrainReport { input.now, draining, requests };
         input.facts["e1"].routedRequests = requests;
         return drainer.step(input);
     }
--- a/version/testing/corpus_test.cc
+++ b/version/testing/corpus_test.cc
@@ -8,10 +8,10 @@
 
 namespace {
 
-// The corpus, from the folder that the compiler was given for this file or from the working folder's parents.
-std::filesystem::path corpusFolder(std::string_view name)
+// A path of the source tree, from the folder that the compiler was given for this file or from the working
+// folder's parents.
+std::filesystem::path sourcePath(const std::filesystem::path& relative)
 {
-    std::filesystem::path relative = std::filesystem::path("fuzz") / "corpus" / name;
     std::filesystem::path source = std::filesystem::path(__FILE__).parent_path() / ".." / "..";
     for (const std::filesystem::path& root :
         { source, std::filesystem::path("."), std::filesystem::path("..") }) {
@@ -25,7 +25,8 @@
 std::size_t replay(std::string_view name, void (*exercise)(std::string_view))
 {
     std::size_t count = 0;
-    for (const auto& entry : std::filesystem::directory_iterator(corpusFolder(name))) {
+    for (const auto& entry :
+        std::filesystem::directory_iterator(sourcePath(std::filesystem::path("fuzz") / "corpus" / name))) {
         std::ifstream file(entry.path(), std::ios::binary);
         std::string bytes((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
         exercise(bytes);
@@ -45,3 +46,24 @@
     CHECK(replay("command", testing::exerciseCommands) >= 7);
     CHECK(replay("record", testing::exerciseRecords) >= 6);
 }
+
+// Guards against a page whose examples the parser refuses.
+TEST_CASE("the examples of docs/commands.md are commands")
+{
+    std::ifstream page(sourcePath("docs/commands.md"));
+    int examples = 0;
+    bool inStatements = false;
+    bool inBlock = false;
+    for (std::string line; std::getline(page, line);) {
+        if (line.rfind("## ", 0) == 0)
+            inStatements = line == "## Statements";
+        if (line.rfind("```", 0) == 0) {
+            inBlock = !inBlock;
+        } else if (inStatements && inBlock) {
+            auto command = parseCommand(line);
+            CHECK_MESSAGE(command.has_value(), line);
+            ++examples;
+        }
+    }
+    CHECK(examples > 30);
+}
