Let a change of the configuration settle the drainer's commands

After the lost answer of a drain command the drainer waited for its timeout of 5 s before it ordered the engine, although the configuration already showed the drain.

--- a/process/drainer.cc
+++ b/process/drainer.cc
@@ -150,8 +150,27 @@
         progress.fenceKnown = true;
 }
 
+// A change of the configuration settles the commands that were under way: a lost answer must not delay the
+// next step until its timeout.
+void Drainer::noteChange(Context& context)
+{
+    Progress& progress = context.progress;
+    const Upstream& upstream = context.upstream;
+    if (progress.state == upstream.state && progress.empty == upstream.empty)
+        return;
+    progress.state = upstream.state;
+    progress.empty = upstream.empty;
+    progress.retryAt.reset();
+    progress.failures = 0;
+    std::erase_if(m_pending, [&](const auto& entry) {
+        return entry.second.upstream == upstream.name
+            && std::holds_alternative<AppendCommand>(entry.second.task);
+    });
+}
+
 void Drainer::stepUpstream(Context& context)
 {
+    noteChange(context);
     if (context.upstream.state == UpstreamState::Draining)
         return carryOutDrain(context);
     context.progress.drainSeenAt.reset();
--- a/process/drainer.h
+++ b/process/drainer.h
@@ -179,6 +179,8 @@
 
     // Timers and attempts of one drain; lost with the holder at no harm.
     struct Progress {
+        UpstreamState state = UpstreamState::Serving; // in the configuration at the last step
+        bool empty = false;
         std::uint64_t drainRevision = 0;
         WallTime window {};
         std::optional<MonotonicTime> drainSeenAt; // the configuration says draining
@@ -196,6 +198,7 @@
     void beginTenure(MonotonicTime now);
     void expireActions(MonotonicTime now);
     void stepUpstream(Context&);
+    void noteChange(Context&);
     void startWindow(Context&, const DrainWindow&);
     void carryOutDrain(Context&);
     void observeDrain(Context&);
--- a/process/testing/drainer_test.cc
+++ b/process/testing/drainer_test.cc
@@ -24,7 +24,7 @@
     EngineRefuses,
     EngineSilent,
 };
-enum class Kind { ChecksFence, IgnoresFence, Restarts, Service };
+enum class Kind { ChecksFence, IgnoresFence, Restarts, Service, Immediate }; // Immediate: an operator's drain
 
 constexpr Step steps[] = { Step::Move, Step::DrainCommand, Step::DrainOrder, Step::MarkEmpty,
     Step::UndrainCommand, Step::UndrainOrder };
@@ -35,7 +35,7 @@
     = { "move", "drain command", "drain order", "mark empty", "undrain command", "undrain order" };
 constexpr const char* faultNames[] = { "answer lost", "holder paused", "holder paused long",
     "holder killed before", "holder killed after", "store down", "engine refuses", "engine silent" };
-constexpr const char* kindNames[] = { "checks fence", "ignores fence", "restarts", "service" };
+constexpr const char* kindNames[] = { "checks fence", "ignores fence", "restarts", "service", "immediate" };
 
 struct Injection {
     Step step;
@@ -48,6 +48,7 @@
     NoWaits, // marks the upstream empty without waiting for the other instances and the report's lag
     NoWindowGuard, // a late command of a window that was carried out drains once more
     NoReread, // takes the engine's state as ordered once an order was carried out
+    LateRelay, // one instance learns of the drain too late
     NoRequestCount, // takes the instances' requests in progress as zero and the engine's report as current
 };
 
@@ -60,6 +61,8 @@
 constexpr seconds reportDelay { 1 };
 constexpr seconds inForceLimit { 3 };
 constexpr seconds cleaning { 20 };
+constexpr seconds operatorDrains { 60 };
+constexpr seconds operatorUndrains { 360 };
 constexpr seconds total { 640 };
 
 struct World;
@@ -114,8 +117,13 @@
         }
         std::string text = kind == Kind::Service ? "CREATE POOL p KIND service;" : "CREATE POOL p MODEL m;";
         text += "ADD UPSTREAM e1 POOL p ADDRESS 10.0.0.1:80 DOMAIN a;"
-                "ADD UPSTREAM e2 POOL p ADDRESS 10.0.0.2:80 DOMAIN b;"
-                "PLAN DRAIN UPSTREAM e1 EVERY MON AT 02:00 FOR 5m";
+                "ADD UPSTREAM e2 POOL p ADDRESS 10.0.0.2:80 DOMAIN b;";
+        if (kind == Kind::Immediate) {
+            at(now + operatorDrains, [this] { operate("DRAIN UPSTREAM e1"); });
+            at(now + operatorUndrains, [this] { operate("UNDRAIN UPSTREAM e1"); });
+        } else {
+            text += "PLAN DRAIN UPSTREAM e1 EVERY MON AT 02:00 FOR 5m";
+        }
         if (kind == Kind::IgnoresFence)
             text += "; ALTER UPSTREAM e1 CHECKS_FENCE false";
         revisions.push_back(
@@ -184,7 +192,8 @@
     // Three instances learn of a revision at different times, the last one just within the limit of G5.
     void routeRequests()
     {
-        for (Milliseconds delay : { Milliseconds(0), Milliseconds(1000), Milliseconds(2500) }) {
+        Milliseconds last(mistake == Mistake::LateRelay ? 8000 : 2500);
+        for (Milliseconds delay : { Milliseconds(0), Milliseconds(1000), last }) {
             bool serving = configSeenBy(delay).upstreams.at("e1").state == UpstreamState::Serving;
             // Services are quiet now and then, so that a drain without waits has a moment to go wrong.
             if (!serving || !random.chance(kind == Kind::Service ? 0.1 : 0.3))
@@ -373,6 +382,13 @@
         return ActionResult::Done;
     }
 
+    // An operator repeats a command until the store takes it.
+    void operate(const char* text)
+    {
+        if (appendToLog(parseCommand(text).value()) != ActionResult::Done)
+            at(now + seconds(1), [this, text] { operate(text); });
+    }
+
     ActionResult appendToLog(Command command)
     {
         if (storeIsDown())
@@ -454,7 +470,8 @@
 TableResult runSingles(Mistake mistake)
 {
     TableResult result;
-    for (Kind kind : { Kind::ChecksFence, Kind::IgnoresFence, Kind::Restarts, Kind::Service }) {
+    for (Kind kind :
+        { Kind::ChecksFence, Kind::IgnoresFence, Kind::Restarts, Kind::Service, Kind::Immediate }) {
         runOne(result, kind, {}, mistake);
         for (const Injection& injection : allInjections())
             runOne(result, kind, { injection }, mistake);
@@ -497,8 +514,8 @@
 // Guards against checks that pass whatever the drainer does.
 TEST_CASE("the checks catch a drainer with a deliberate mistake")
 {
-    for (Mistake mistake :
-        { Mistake::NoWaits, Mistake::NoWindowGuard, Mistake::NoReread, Mistake::NoRequestCount }) {
+    for (Mistake mistake : { Mistake::NoWaits, Mistake::NoWindowGuard, Mistake::NoReread, Mistake::LateRelay,
+             Mistake::NoRequestCount }) {
         TableResult result = runSingles(mistake);
         CHECK_FALSE(result.violations.empty());
         MESSAGE(result.violations.size(), " of ", result.runs,
