Retry at the same engine when no other is left; start with a full retry budget

Cause: the end-to-end tests failed for faults that meet both engines of a pool: a second retry was refused, because a quiet instance could save only one retry although the settings say ten seconds' worth, and because a request never went back to an engine that had failed it. Change: the budget's capacity is the larger of the minimum and the live share over the window; up to three attempts, the last ones at any engine. Conclusion: disturbed answers arrive whole or end as errors.

--- a/process/chatcall.cc
+++ b/process/chatcall.cc
@@ -12,6 +12,8 @@
     // parsing every event.
     constexpr std::size_t identifierSearchBytes = 256;
 
+    constexpr int maxAttempts = 3;
+
     constexpr std::size_t maxEventBytes = 1024 * 1024;
     constexpr std::string_view endMark = "[DONE]";
     constexpr Milliseconds cancelDeadline { 2000 };
@@ -147,6 +149,7 @@
 void ChatCall::beginAttempt(UpstreamRuntime& upstream)
 {
     m_upstream = m_router.upstreams().all().at(upstream.settings.name);
+    ++m_attempts;
     ++m_upstream->requestsInProgress;
     m_pool->ledger().sent(m_upstream->id, m_tokens, clockNow());
     m_wholeBody.clear();
@@ -402,7 +405,7 @@
         return failCaller(CallerErrorKind::DeadlineExceeded, "the request's deadline passed while it ran",
             "send a longer " + std::string(header::deadline) + " or ask for fewer tokens");
     }
-    bool wasCut = end == ExchangeEnd::Truncated || end == ExchangeEnd::Silent;
+    bool wasCut = m_streamStarted || end == ExchangeEnd::Truncated || end == ExchangeEnd::Silent;
     failCaller(wasCut ? CallerErrorKind::AnswerTruncated : CallerErrorKind::UpstreamFailed,
         "the engine's answer could not be completed ("
             + (m_crossed ? std::string("crossed") : std::string(exchangeEndName(end))) + ")",
@@ -411,7 +414,7 @@
 
 bool ChatCall::retryElsewhere(ExchangeEnd end, bool notRun)
 {
-    if (end == ExchangeEnd::DeadlineExceeded)
+    if (end == ExchangeEnd::DeadlineExceeded || m_attempts >= maxAttempts)
         return false;
     RetrySituation situation;
     situation.repeatable = true;
@@ -430,6 +433,10 @@
     auto mayGetWork = [this](const UpstreamRuntime& upstream) { return m_router.mayGetNewWork(upstream); };
     auto isHealthy = [this](const UpstreamRuntime& upstream) { return m_router.isHealthy(upstream); };
     PlacementDecision decision = m_pool->place(m_placement, m_tried, mayGetWork, isHealthy);
+    // Where no other upstream is left, the same one gets another attempt: a reused connection may have been
+    // closed just as the request was written.
+    if (!decision.upstream)
+        decision = m_pool->place(m_placement, {}, mayGetWork, isHealthy);
     UpstreamRuntime* upstream = decision.upstream ? m_router.upstreams().find(*decision.upstream) : nullptr;
     if (!upstream)
         return false;
--- a/process/chatcall.h
+++ b/process/chatcall.h
@@ -91,6 +91,7 @@
     std::string m_contentType;
     std::size_t m_contentEvents = 0; // forwarded; the offset for a resume
     std::size_t m_bytesWritten = 0;
+    int m_attempts = 0;
     int m_resumes = 0;
     bool m_earlierUnknown = false;
     bool m_exception = false; // placed elsewhere than the rendezvous order says
--- a/process/drainer.h
+++ b/process/drainer.h
@@ -49,7 +49,7 @@
 };
 
 // One answer of the engine's load interface.
-struct EngineReport {
+struct DrainReport {
     MonotonicTime polledAt; // when this instance sent the poll
     bool draining = false;
     std::uint64_t requestsInProgress = 0;
@@ -57,7 +57,7 @@
 
 // What is known of one upstream besides the configuration.
 struct DrainFacts {
-    std::optional<EngineReport> report;
+    std::optional<DrainReport> report;
     // Requests in progress, queued ones included, as counted by all instances; nullopt while any instance
     // has not been heard within the last seconds.
     std::optional<std::uint64_t> routedRequests;
--- a/process/pools.cc
+++ b/process/pools.cc
@@ -145,10 +145,10 @@
             view.use = UpstreamUse::Draining;
         else if (tried.count(upstream->id) || !mayGetWork(*upstream) || (anyHealthy && !isHealthy(*upstream)))
             view.use = UpstreamUse::Unusable;
-        m_ledger.fill(view, now);
         view.localRequests = upstream->requestsInProgress;
         result.push_back(view);
     }
+    m_ledger.fill(result, now);
     return result;
 }
 
--- a/process/testing/fleet.h
+++ b/process/testing/fleet.h
@@ -62,6 +62,7 @@
     Daemon& daemon(std::size_t instance) { return *m_daemons.at(instance); }
     void killDaemon(std::size_t instance) { m_daemons.at(instance).reset(); }
     std::uint16_t callerPort(std::size_t instance) { return daemon(instance).callerPort(); }
+    void stopEngine(std::size_t number) { m_engines.at(number).reset(); }
     EngineFixture& engine(std::size_t number) { return *m_engines.at(number); }
     // Calls that the service has run.
     int bookingsRun() const { return m_service.report(false)["total"].get<int>(); }
--- a/request/retry.cc
+++ b/request/retry.cc
@@ -15,7 +15,7 @@
 RetryBudget::RetryBudget(RetrySettings settings, MonotonicTime now)
     : m_settings(settings)
     , m_updated(now)
-    , m_tokens(std::max(1.0, settings.minimumPerSecond))
+    , m_tokens(capacity())
 {
 }
 
@@ -54,8 +54,8 @@
 double RetryBudget::capacity() const
 {
     double seconds = std::chrono::duration<double>(m_settings.window).count();
-    double live = m_settings.share * m_requestsPerSecond * seconds;
-    return std::max(1.0, std::max(m_settings.minimumPerSecond, live));
+    double perSecond = std::max(m_settings.minimumPerSecond, m_settings.share * m_requestsPerSecond);
+    return std::max(1.0, perSecond * seconds);
 }
 
 } // namespace briarwharf
--- a/standins/loadrunner.h
+++ b/standins/loadrunner.h
@@ -76,8 +76,8 @@
     HttpClient m_client;
     std::function<void()> m_finished;
     event* m_timer;
-    std::unique_ptr<Ticker> m_sampler;
-    std::unique_ptr<Ticker> m_opener;
+    std::unique_ptr<RepeatingCall> m_sampler;
+    std::unique_ptr<RepeatingCall> m_opener;
     MonotonicTime m_start;
     RunTime m_nextService { 0 };
     RunTime m_lastAnswer { 0 };
