Placement drive: deliver every report; pool growth as a quotient of sums

Reports were lost where the floating-point age fell between two ticks; some instances never heard of an engine (seen in a trace as report ages of up to 20 s).

--- a/bench/placementdrive.h
+++ b/bench/placementdrive.h
@@ -415,7 +415,7 @@
         MonotonicTime measuredAt = clock() - std::chrono::microseconds(std::llround(age * 1e6));
         for (std::size_t group = 0; group < delaySteps; ++group) {
             double due = m_settings.lagMinimum + step * static_cast<double>(group);
-            if (age < due || age >= due + tick)
+            if (std::llround(age / tick) != std::llround(due / tick))
                 continue;
             for (std::size_t instance : m_reportGroups[index * delaySteps + group]) {
                 m_instances[instance].ledger.report(engine.id, engine.measured, measuredAt);
--- a/request/loadledger.cc
+++ b/request/loadledger.cc
@@ -64,7 +64,7 @@
         view.reportedTokens = view.localTokens = view.localTokensSinceReport = view.peerTokensSinceReport = 0;
         view.localRequests = 0;
         if (const Entry* entry = find(view.id, index))
-            fillFrom(*entry, m_growth, now, view);
+            fillFrom(*entry, growth(), now, view);
     }
 }
 
@@ -153,9 +153,11 @@
     if (interval < shortestGrowthInterval)
         return;
     std::int64_t local = changeSince(entry, entry.measuredAt) - changeSince(entry, measuredAt);
-    double sample = static_cast<double>(tokens - entry.reportedTokens - local) / seconds(interval);
-    double share = 1 / (1 + growthReports * static_cast<double>(m_entries.size()));
-    m_growth += share * (sample - m_growth);
+    double keep = 1 - 1 / (1 + growthReports * static_cast<double>(m_entries.size()));
+    m_grownTokens = m_grownTokens * keep + static_cast<double>(tokens - entry.reportedTokens - local);
+    m_grownSeconds = m_grownSeconds * keep + seconds(interval);
 }
 
+double LoadLedger::growth() const { return m_grownSeconds > 0 ? m_grownTokens / m_grownSeconds : 0; }
+
 } // namespace briarwharf
--- a/request/loadledger.h
+++ b/request/loadledger.h
@@ -56,6 +56,7 @@
         std::vector<Bucket> changes; // oldest first; only slots with a change
     };
 
+    double growth() const; // of the peers' part, tokens per second and upstream
     static std::int64_t slotOf(MonotonicTime);
     void learnGrowth(const Entry&, std::int64_t tokens, MonotonicTime measuredAt);
     static void change(Entry&, std::int64_t tokens, MonotonicTime now);
@@ -69,7 +70,9 @@
     std::unordered_map<UpstreamId, std::size_t> m_index;
     double m_recentLoad = 0; // sum of tokens times output of recent requests, fading
     double m_recentOutput = 0; // the same times the output once more
-    double m_growth = 0; // tokens per second and upstream, smoothed
+    double m_grownTokens
+        = 0; // sums over recent reports, fading; their quotient is less noisy than a mean of rates
+    double m_grownSeconds = 0;
 };
 
 } // namespace briarwharf
--- a/request/placement.cc
+++ b/request/placement.cc
@@ -240,7 +240,8 @@
             double size = 1;
             if (request.outputTokens > 0 && request.typicalOutputTokens > 0)
                 size = std::min(1.0,
-                    static_cast<double>(request.outputTokens) / static_cast<double>(request.typicalOutputTokens));
+                    static_cast<double>(request.outputTokens)
+                        / static_cast<double>(request.typicalOutputTokens));
             double longStay = threshold(m_settings.returning, request.chat, upstream);
             return m_settings.shortStay - (m_settings.shortStay - longStay) * size;
         }
