Dial a substitute parent, and take an omission from the platform's list as final for listed members

After the death of a tree node its subtree had no parent until the death was declared, and a dead member counted for 10 s more.

--- a/coordination/member.cc
+++ b/coordination/member.cc
@@ -94,9 +94,15 @@
     }
     if (added)
         updateUsable();
+    for (const std::string& id : m_listed) {
+        auto record = m_records.find(id);
+        if (record != m_records.end())
+            record->second.everListed = true;
+    }
     for (const std::string& id : m_dead) {
+        // A member that was never listed may be too new for the lagging list.
         Record& record = m_records.at(id);
-        if (m_listed.count(id) == 0 && now - record.diedAt >= m_options.listLag)
+        if (m_listed.count(id) == 0 && (record.everListed || now - record.diedAt >= m_options.listLag))
             record.confirmedGone = true;
     }
 }
@@ -517,6 +523,8 @@
     for (const PendingProbe& probe : m_probes)
         if (m_views.count(probe.target) > 0)
             peers.insert(probe.target);
+    if (m_views.count(m_substituteParent) > 0)
+        peers.insert(m_substituteParent);
     if (m_rescued && m_views.count(*m_rescued) > 0)
         peers.insert(*m_rescued);
     return { peers.begin(), peers.end() };
@@ -604,32 +612,64 @@
 }
 
 // The designated parent while its link carries heartbeats, otherwise another linked peer of lower rank.
-void Membership::chooseParent(MonotonicTime now)
+std::string Membership::linkedParent(MonotonicTime now) const
 {
-    auto lives = [this, now](const std::string& peer) {
-        auto link = m_links.find(peer);
-        return link != m_links.end() && now - link->second.lastHeard <= m_options.silentAfter;
-    };
+    if (heardWithin(m_designatedParent, m_options.silentAfter, now))
+        return m_designatedParent;
     std::string chosen;
-    if (lives(m_designatedParent)) {
-        chosen = m_designatedParent;
-    } else {
-        std::uint64_t ownRank = treeRank(m_self.id);
-        std::uint64_t bestScore = 0;
-        for (const auto& [peer, link] : m_links) {
-            auto view = m_views.find(peer);
-            if (view == m_views.end() || !isUsable(view->second.state) || !lives(peer)
-                || treeRank(peer) >= ownRank)
-                continue;
-            std::uint64_t score = combineHashes(m_selfHash, view->second.hash);
-            if (chosen.empty() || score > bestScore) {
-                chosen = peer;
-                bestScore = score;
-            }
+    std::uint64_t ownRank = treeRank(m_self.id);
+    std::uint64_t bestScore = 0;
+    for (const auto& [peer, link] : m_links) {
+        auto found = m_views.find(peer);
+        bool suits = found != m_views.end() && isUsable(found->second.state)
+            && heardWithin(peer, m_options.silentAfter, now) && treeRank(peer) < ownRank;
+        if (!suits)
+            continue;
+        std::uint64_t score = combineHashes(m_selfHash, found->second.hash);
+        if (chosen.empty() || score > bestScore) {
+            chosen = peer;
+            bestScore = score;
         }
     }
-    if (chosen == m_parent)
+    return chosen;
+}
+
+// Without a parent, this instance's side of the tree is cut off until the designated parent is declared dead.
+void Membership::chooseSubstitute(MonotonicTime now)
+{
+    if (m_designatedParent.empty() || heardWithin(m_designatedParent, m_options.silentAfter, now)) {
+        m_parentMissingSince.reset();
+        m_substituteParent.clear();
+        return;
+    }
+    if (!m_parentMissingSince)
+        m_parentMissingSince = now;
+    if (!m_parent.empty() || !m_substituteParent.empty()
+        || now - *m_parentMissingSince < m_options.substituteAfter)
         return;
+    std::uint64_t ownRank = treeRank(m_self.id);
+    std::uint64_t bestScore = 0;
+    for (const std::string& peer : m_usable) {
+        if (peer == m_designatedParent || peer == m_self.id || treeRank(peer) >= ownRank)
+            continue;
+        std::uint64_t score = combineHashes(m_selfHash, m_views.at(peer).hash);
+        if (m_substituteParent.empty() || score > bestScore) {
+            m_substituteParent = peer;
+            bestScore = score;
+        }
+    }
+}
+
+void Membership::chooseParent(MonotonicTime now)
+{
+    std::string chosen = linkedParent(now);
+    if (chosen != m_parent)
+        changeParent(chosen);
+    chooseSubstitute(now);
+}
+
+void Membership::changeParent(const std::string& chosen)
+{
     for (const std::string& peer : { m_parent, chosen }) {
         auto link = m_links.find(peer);
         if (link != m_links.end())
--- a/coordination/member.h
+++ b/coordination/member.h
@@ -32,13 +32,16 @@
     Milliseconds heartbeatInterval { 1000 };
     Milliseconds earlyHeartbeatGap { 200 }; // least time between two heartbeats on a link
     Milliseconds silentAfter { 3200 }; // three heartbeats and a margin
+    Milliseconds substituteAfter { 1000 }; // without a parent in the aggregation tree, another is dialled
     Milliseconds probeTimeout { 1500 }; // for the answers to indirect probes
     Milliseconds suspicionTimeout { 4000 }; // for the suspect to refute
     Milliseconds isolatedSuspicionAfter { 15000 }; // suspicion without a peer that could be asked
     Milliseconds pauseThreshold { 1500 }; // a longer gap between ticks is a pause of this instance
     Milliseconds rescueInterval { 5000 }; // between attempts to reach a member believed dead
     Milliseconds forgetAfter { 60000 }; // dead members that the platform's list has dropped
-    Milliseconds listLag { 10000 }; // a list this much newer than a death confirms it by omission
+    Milliseconds listLag {
+        10000
+    }; // for members that never were in the list; others are gone when it drops them
     std::size_t fullMeshLimit = 12; // up to this many instances, every pair holds a link
     std::size_t linksWithin = 1; // links chosen within the own failure domain in a partial mesh
     std::size_t linksAcross = 1; // links chosen to other failure domains
@@ -172,6 +175,7 @@
         std::uint64_t probeNonce = 0;
         bool probeRepeated = false;
         bool confirmedGone = false;
+        bool everListed = false; // in some list of the platform
     };
     struct Link {
         MonotonicTime lastHeard;
@@ -209,6 +213,9 @@
     void chooseLinks(MonotonicTime now);
     void choosePartialMesh(const std::vector<std::string>& peers);
     void chooseParent(MonotonicTime now);
+    std::string linkedParent(MonotonicTime now) const;
+    void changeParent(const std::string& chosen);
+    void chooseSubstitute(MonotonicTime now);
     void queueAllMembers(Link&);
     void handleBody(const PeerFrameT&, MonotonicTime now);
     void handleHello(const HelloT&, const std::string& sender, MonotonicTime now);
@@ -252,6 +259,8 @@
     std::vector<std::uint64_t> m_usableHashes;
     std::set<std::string> m_chosen; // links chosen by hash
     std::string m_designatedParent;
+    std::string m_substituteParent; // dialled while the designated one does not answer and no other is linked
+    std::optional<MonotonicTime> m_parentMissingSince;
     std::string m_parent; // linked parent in the tree, empty for none
     std::optional<std::string> m_rescued;
     MonotonicTime m_rescueStarted;
