--- a/coordination/rateshare.cc
+++ b/coordination/rateshare.cc
@@ -25,6 +25,9 @@
     // A change of the demand by more standard deviations than this is not noise.
     constexpr double surgeDeviations = 3;
 
+    // Bounds the effect of a wrong count of instances.
+    constexpr double maxRepeatedCount = 4;
+
     constexpr Milliseconds longestRetry { 60000 };
 
     // Priorities: a sum is sent from 1 on. A change counts at most this much, so that every waiting sum gets
@@ -237,9 +240,13 @@
     auto covered = static_cast<double>(m_covered);
     auto expected = static_cast<double>(m_membership.expectedInstances());
     double usablePart = std::min(1.0, covered / expected);
+    // While the tree changes, a part of it may count more than once, in the demand as in the number of instances.
+    // The mean demand per covered instance stays right.
+    double counted = std::clamp(covered / expected, 1.0, maxRepeatedCount);
     for (Share& share : m_shares) {
         share.bucketRate = entitlement(share, level) * usablePart;
-        share.fraction = share.total > share.bucketRate ? share.bucketRate / share.total : 1;
+        double total = share.total / counted;
+        share.fraction = total > share.bucketRate ? share.bucketRate / total : 1;
         if (share.fraction >= 1)
             share.credit = 0;
         share.bucket = std::min(
