--- /dev/null
+++ b/process/process.h
@@ -0,0 +1,12 @@
+#pragma once
+
+// The public header of the process library: settings, and the daemon that they configure.
+//
+//   auto settings = loadSettings("entry-1.ini");
+//   if (!settings)
+//       fail(settings.error().message);
+//   Daemon daemon(base, settings.value(), HintSigner::create(...).value());
+//   daemon.start();
+
+#include "process/daemon.h"
+#include "process/settings.h"
--- /dev/null
+++ b/request/loadledger.cc
@@ -0,0 +1,157 @@
+#include "request/loadledger.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace briarwharf {
+
+namespace {
+
+    // Successive reports that are closer say more about single requests than about growth.
+    constexpr Milliseconds shortestGrowthInterval { 200 };
+
+    // Request sizes are averaged over about 200 requests.
+    constexpr double sizeMemory = 0.995;
+
+    // The growth is averaged over about this many reports of each upstream.
+    constexpr double growthReports = 2;
+
+    double seconds(std::chrono::nanoseconds duration)
+    {
+        return std::chrono::duration<double>(duration).count();
+    }
+
+} // namespace
+
+void LoadLedger::sent(UpstreamId upstream, std::int64_t tokens, MonotonicTime now)
+{
+    Entry& entry = entryOf(upstream);
+    ++entry.requests;
+    auto size = static_cast<double>(tokens);
+    m_recentTokens = m_recentTokens * sizeMemory + size;
+    m_recentSquares = m_recentSquares * sizeMemory + size * size;
+    change(entry, tokens, now);
+}
+
+void LoadLedger::finished(UpstreamId upstream, std::int64_t tokens, MonotonicTime now)
+{
+    auto found = m_index.find(upstream);
+    if (found == m_index.end() || m_entries[found->second].requests == 0)
+        return;
+    Entry& entry = m_entries[found->second];
+    --entry.requests;
+    change(entry, -tokens, now);
+}
+
+void LoadLedger::report(UpstreamId upstream, std::int64_t tokens, MonotonicTime measuredAt)
+{
+    Entry& entry = entryOf(upstream);
+    if (entry.reported && measuredAt <= entry.measuredAt)
+        return;
+    if (entry.reported)
+        learnGrowth(entry, tokens, measuredAt);
+    entry.reported = true;
+    entry.reportedTokens = std::max<std::int64_t>(0, tokens);
+    entry.measuredAt = measuredAt;
+}
+
+void LoadLedger::fill(std::span<UpstreamView> views, MonotonicTime now) const
+{
+    for (std::size_t index = 0; index < views.size(); ++index) {
+        UpstreamView& view = views[index];
+        view.reportAge.reset();
+        view.reportedTokens = view.localTokens = view.localTokensSinceReport = view.peerTokensSinceReport = 0;
+        view.localRequests = 0;
+        if (const Entry* entry = find(view.id, index))
+            fillFrom(*entry, m_growth, now, view);
+    }
+}
+
+std::int64_t LoadLedger::typicalTokens() const
+{
+    return m_recentTokens > 0 ? std::llround(m_recentSquares / m_recentTokens) : 0;
+}
+
+void LoadLedger::forget(UpstreamId upstream)
+{
+    auto found = m_index.find(upstream);
+    if (found == m_index.end())
+        return;
+    std::size_t index = found->second;
+    m_index.erase(found);
+    m_entries.erase(m_entries.begin() + static_cast<std::ptrdiff_t>(index));
+    for (auto& [id, position] : m_index)
+        position -= position > index ? 1 : 0;
+}
+
+LoadLedger::Entry& LoadLedger::entryOf(UpstreamId upstream)
+{
+    auto [found, added] = m_index.try_emplace(upstream, m_entries.size());
+    if (added)
+        m_entries.emplace_back().id = upstream;
+    return m_entries[found->second];
+}
+
+const LoadLedger::Entry* LoadLedger::find(UpstreamId upstream, std::size_t expectedIndex) const
+{
+    if (expectedIndex < m_entries.size() && m_entries[expectedIndex].id == upstream)
+        return &m_entries[expectedIndex];
+    auto found = m_index.find(upstream);
+    return found == m_index.end() ? nullptr : &m_entries[found->second];
+}
+
+void LoadLedger::fillFrom(const Entry& entry, double growth, MonotonicTime now, UpstreamView& view)
+{
+    view.localTokens = entry.tokens;
+    view.localRequests = entry.requests;
+    if (!entry.reported)
+        return;
+    auto age = std::max(MonotonicTime::duration::zero(), now - entry.measuredAt);
+    view.reportAge = toMilliseconds(age);
+    view.reportedTokens = entry.reportedTokens;
+    view.localTokensSinceReport = changeSince(entry, entry.measuredAt);
+    auto peers = static_cast<std::int64_t>(std::llround(growth * seconds(age)));
+    view.peerTokensSinceReport = std::clamp(peers, -entry.reportedTokens, entry.reportedTokens);
+}
+
+std::int64_t LoadLedger::slotOf(MonotonicTime time)
+{
+    return time.time_since_epoch() / std::chrono::nanoseconds(bucketLength);
+}
+
+void LoadLedger::change(Entry& entry, std::int64_t tokens, MonotonicTime now)
+{
+    entry.tokens += tokens;
+    std::int64_t slot = slotOf(now);
+    if (!entry.changes.empty() && entry.changes.back().slot >= slot) {
+        entry.changes.back().tokens += tokens;
+        return;
+    }
+    if (entry.changes.size() >= maxBuckets)
+        entry.changes.erase(entry.changes.begin(), entry.changes.begin() + maxBuckets / 2);
+    entry.changes.push_back({ slot, tokens });
+}
+
+std::int64_t LoadLedger::changeSince(const Entry& entry, MonotonicTime since)
+{
+    // The slot that contains `since` counts if more than half of it lies after.
+    std::int64_t firstSlot = slotOf(since + bucketLength / 2);
+    std::int64_t sum = 0;
+    for (auto bucket = entry.changes.rbegin(); bucket != entry.changes.rend() && bucket->slot >= firstSlot;
+         ++bucket)
+        sum += bucket->tokens;
+    return sum;
+}
+
+void LoadLedger::learnGrowth(const Entry& entry, std::int64_t tokens, MonotonicTime measuredAt)
+{
+    auto interval = measuredAt - entry.measuredAt;
+    if (interval < shortestGrowthInterval)
+        return;
+    std::int64_t local = changeSince(entry, entry.measuredAt) - changeSince(entry, measuredAt);
+    double sample = static_cast<double>(tokens - entry.reportedTokens - local) / seconds(interval);
+    double share = 1 / (1 + growthReports * static_cast<double>(m_entries.size()));
+    m_growth += share * (sample - m_growth);
+}
+
+} // namespace briarwharf
