Placement: thresholds of the strategies; notices of large requests between instances

Instances of a small fleet tell each other about requests of at least 4000 tokens, so a burst through several instances within one report's lag is seen after 0.3 s.

--- a/bench/placement_bench_main.cc
+++ b/bench/placement_bench_main.cc
@@ -137,11 +137,13 @@
 
 void print(const std::string& label, DriveResult& result)
 {
-    std::printf(
-        "%-34s skew p50 %.3f p99 %.3f p99.9 %.3f peak %.3f | over %.4f%% worst %.3f | reuse %.2f%% of %llu",
+    std::printf("%-34s skew p50 %.3f p99 %.3f p99.9 %.3f peak %.3f | over %.4f%% settled %.4f%% worst %.3f | "
+                "reuse %.2f%% of %llu",
         label.c_str(), result.skew.at(0.5), result.skew.at(0.99), result.skew.at(0.999), result.skew.at(1),
         100 * static_cast<double>(result.overBound)
             / static_cast<double>(std::max<std::uint64_t>(1, result.samples)),
+        100 * static_cast<double>(result.overBoundSettled)
+            / static_cast<double>(std::max<std::uint64_t>(1, result.samples)),
         result.worstOver, percent(result.reused, result.returning),
         static_cast<unsigned long long>(result.returning));
     std::printf(" | control %.0f B/s | decide %.2f us | mean %.0f", result.controlBytesPerSecond,
@@ -221,6 +223,8 @@
     add("seed", options::value(&defaults.seed)->default_value(1), "seed");
     add("instances", options::value<std::size_t>(), "number of instances");
     add("trace", "prints every engine sample above the bound");
+    add("notices", "instances tell each other what they send");
+    add("notice-tokens", options::value(&defaults.noticeTokens), "smallest request that is noticed");
     add("no-hints", "callers return no hint");
     add("no-feedback", "answers carry no load");
     add("interval", options::value(&defaults.reportInterval), "seconds between reports");
@@ -251,6 +255,7 @@
             drive.kind = policyRow.kind;
             drive.placement = placementSettings(policyRow.strategy).value();
             drive.trace = given.count("trace") > 0;
+            drive.notices = given.count("notices") > 0;
             drive.hints = given.count("no-hints") == 0;
             drive.answerFeedback = given.count("no-feedback") == 0;
             if (given.count("instances") > 0)
--- a/bench/placementdrive.h
+++ b/bench/placementdrive.h
@@ -53,6 +53,9 @@
     double surgeFactor = 10;
     bool hints = true;
     bool answerFeedback = true; // each answer carries the engine's load
+    bool notices = false; // instances tell each other what they send and what ended
+    std::int64_t noticeTokens = 4000; // smaller requests are not worth a notice
+    double noticeDelay = 0.3; // longest time until a notice arrives
     double reportInterval = 1;
     double lagMinimum = 0.5; // seconds from the measurement of a report to its arrival
     double lagMaximum = 1;
@@ -95,6 +98,7 @@
     Percentiles skew; // busiest engine over mean, sampled each 100 ms
     std::uint64_t samples = 0; // engine samples
     std::uint64_t overBound = 0; // of these, above the bound and its slack
+    std::uint64_t overBoundSettled = 0; // of these, later than 10 s after the last change of the members
     double worstOver = 0; // largest load over what the bound and its slack allow
     double meanLoad = 0;
     Percentiles shortWait; // seconds in the instance's and the engine's queue
@@ -118,6 +122,7 @@
     static constexpr double tick = 0.02;
     static constexpr std::size_t delaySteps = 10;
     static constexpr double reportBytes = 28; // a LoadEntry on the wire
+    static constexpr double noticeBytes = 24; // upstream, tokens and age in a frame that is sent anyway
     static constexpr double directoryBytes = 96; // a query with its answer, or an update
 
     struct Chat {
@@ -170,6 +175,14 @@
         bool returning = false;
     };
 
+    struct Notice {
+        double at = 0;
+        std::size_t instance = 0;
+        UpstreamId upstream = 0;
+        std::int64_t tokens = 0;
+        MonotonicTime changedAt;
+    };
+
     struct Learning {
         double at = 0;
         std::size_t instance = 0;
@@ -216,6 +229,8 @@
     void advanceEngines();
     void finish(std::uint64_t ticket);
     void sample();
+    void notify(const Job&, std::int64_t tokens);
+    void deliverNotices();
     ResidenceDirectory& shardOf(std::uint64_t chat)
     {
         return *m_instances[chat % m_instances.size()].directory;
@@ -233,6 +248,7 @@
     std::vector<std::vector<std::uint64_t>> m_idle; // by organisation and class
     std::unordered_map<std::uint64_t, Job> m_jobs;
     std::vector<Learning> m_learnings;
+    std::vector<Notice> m_notices;
     std::size_t m_nextEvent = 0;
     std::uint64_t m_nextChat = 0;
     std::uint64_t m_nextTicket = 0;
@@ -351,6 +367,7 @@
     for (std::uint64_t ticket : lost) {
         const Job& job = m_jobs[ticket];
         m_instances[job.instance].ledger.finished(m_engines[engine].id, job.load, clock());
+        notify(job, -job.load);
         if (m_instances[job.instance].admission) {
             m_instances[job.instance].admission->finished(ticket, clock());
         }
@@ -614,6 +631,7 @@
     countReuse(job, chat, job.engine);
     chat.handedTo = noEngine;
     instance.ledger.sent(engine.id, job.load, clock(), job.load - job.prompt);
+    notify(job, job.load);
     engine.model.submit({ ticket, job.chat, job.prompt, job.output, job.load });
     engine.largest = std::max(engine.largest, job.load);
     if (m_settings.kind == PlacementKind::BoundedRendezvous) {
@@ -664,6 +682,7 @@
     if (job.measured && !chat.isLong)
         m_result.shortTime.values.push_back(m_now - job.arrived);
     instance.ledger.finished(engine.id, job.load, clock());
+    notify(job, -job.load);
     if (m_settings.answerFeedback)
         instance.ledger.report(engine.id, engine.model.load(), clock());
     constexpr std::int64_t longestContext = 8000;
@@ -692,6 +711,29 @@
     }
 }
 
+inline void PlacementDrive::notify(const Job& job, std::int64_t tokens)
+{
+    if (!m_settings.notices || job.load < m_settings.noticeTokens)
+        return;
+    for (std::size_t instance = 0; instance < m_instances.size(); ++instance) {
+        if (instance == job.instance)
+            continue;
+        double delay = m_settings.noticeDelay * (0.2 + 0.8 * m_random.unit());
+        m_notices.push_back({ m_now + delay, instance, m_engines[job.engine].id, tokens, clock() });
+        m_controlBytes += measuring() ? noticeBytes : 0;
+    }
+}
+
+inline void PlacementDrive::deliverNotices()
+{
+    std::erase_if(m_notices, [this](const Notice& notice) {
+        if (notice.at > m_now)
+            return false;
+        m_instances[notice.instance].ledger.peerChanged(notice.upstream, notice.tokens, notice.changedAt);
+        return true;
+    });
+}
+
 inline void PlacementDrive::sample()
 {
     double sum = 0;
@@ -705,6 +747,9 @@
     double mean = sum / std::max(1.0, count);
     if (mean <= 0)
         return;
+    constexpr double settleSeconds = 10;
+    bool settled = std::all_of(m_engines.begin(), m_engines.end(),
+        [this](const Engine& engine) { return m_now - engine.changedAt > settleSeconds; });
     double busiest = 0;
     for (const Engine& engine : m_engines) {
         if (!accepts(engine))
@@ -715,6 +760,7 @@
         double allowed = std::max(m_settings.placement.loadBound * mean, mean + slack);
         ++m_result.samples;
         m_result.overBound += load > allowed ? 1 : 0;
+        m_result.overBoundSettled += load > allowed && settled ? 1 : 0;
         if (m_settings.trace && load > allowed)
             std::printf("%.1f s engine %zu load %.0f mean %.0f ratio %.3f\n", m_now,
                 static_cast<std::size_t>(&engine - m_engines.data()), load, mean, load / mean);
@@ -731,6 +777,7 @@
     while (m_now < m_settings.warmup + m_settings.duration) {
         applyEvents();
         deliverReports();
+        deliverNotices();
         arrive();
         advanceEngines();
         if (measuring() && step % stepsPerSample == 0)
--- a/request/loadledger.cc
+++ b/request/loadledger.cc
@@ -31,7 +31,8 @@
     double load = static_cast<double>(tokens) * output;
     m_recentLoad = m_recentLoad * sizeMemory + load;
     m_recentOutput = m_recentOutput * sizeMemory + load * output;
-    change(entry, tokens, now);
+    entry.tokens += tokens;
+    entry.local.add(tokens, now);
 }
 
 void LoadLedger::finished(UpstreamId upstream, std::int64_t tokens, MonotonicTime now)
@@ -41,7 +42,8 @@
         return;
     Entry& entry = m_entries[found->second];
     --entry.requests;
-    change(entry, -tokens, now);
+    entry.tokens -= tokens;
+    entry.local.add(-tokens, now);
 }
 
 void LoadLedger::report(UpstreamId upstream, std::int64_t tokens, MonotonicTime measuredAt)
@@ -56,6 +58,11 @@
     entry.measuredAt = measuredAt;
 }
 
+void LoadLedger::peerChanged(UpstreamId upstream, std::int64_t tokens, MonotonicTime at)
+{
+    entryOf(upstream).peers.add(tokens, at);
+}
+
 void LoadLedger::fill(std::span<UpstreamView> views, MonotonicTime now) const
 {
     for (std::size_t index = 0; index < views.size(); ++index) {
@@ -64,7 +71,7 @@
         view.reportedTokens = view.localTokens = view.localTokensSinceReport = view.peerTokensSinceReport = 0;
         view.localRequests = 0;
         if (const Entry* entry = find(view.id, index))
-            fillFrom(*entry, growth(), now, view);
+            fillFrom(*entry, now, view);
     }
 }
 
@@ -101,7 +108,7 @@
     return found == m_index.end() ? nullptr : &m_entries[found->second];
 }
 
-void LoadLedger::fillFrom(const Entry& entry, double growth, MonotonicTime now, UpstreamView& view)
+void LoadLedger::fillFrom(const Entry& entry, MonotonicTime now, UpstreamView& view) const
 {
     view.localTokens = entry.tokens;
     view.localRequests = entry.requests;
@@ -110,8 +117,8 @@
     auto age = std::max(MonotonicTime::duration::zero(), now - entry.measuredAt);
     view.reportAge = toMilliseconds(age);
     view.reportedTokens = entry.reportedTokens;
-    view.localTokensSinceReport = changeSince(entry, entry.measuredAt);
-    auto peers = static_cast<std::int64_t>(std::llround(growth * seconds(age)));
+    view.localTokensSinceReport = entry.local.since(entry.measuredAt);
+    std::int64_t peers = entry.peers.since(entry.measuredAt) + std::llround(growth() * seconds(age));
     view.peerTokensSinceReport = std::clamp(peers, -entry.reportedTokens, entry.reportedTokens);
 }
 
@@ -120,29 +127,27 @@
     return time.time_since_epoch() / std::chrono::nanoseconds(bucketLength);
 }
 
-void LoadLedger::change(Entry& entry, std::int64_t tokens, MonotonicTime now)
+void LoadLedger::Changes::add(std::int64_t tokens, MonotonicTime at)
 {
-    entry.tokens += tokens;
-    std::int64_t slot = slotOf(now);
-    if (!entry.changes.empty() && entry.changes.back().slot >= slot) {
-        entry.changes.back().tokens += tokens;
+    std::int64_t slot = slotOf(at);
+    if (!m_buckets.empty() && m_buckets.back().slot >= slot) {
+        m_buckets.back().tokens += tokens;
         return;
     }
-    if (entry.changes.size() >= maxBuckets)
-        entry.changes.erase(entry.changes.begin(), entry.changes.begin() + maxBuckets / 2);
-    entry.changes.push_back({ slot, tokens });
-    entry.lastChange = slot;
+    if (m_buckets.size() >= maxBuckets)
+        m_buckets.erase(m_buckets.begin(), m_buckets.begin() + maxBuckets / 2);
+    m_buckets.push_back({ slot, tokens });
+    m_lastSlot = slot;
 }
 
-std::int64_t LoadLedger::changeSince(const Entry& entry, MonotonicTime since)
+std::int64_t LoadLedger::Changes::since(MonotonicTime time) const
 {
-    // The slot that contains `since` counts if more than half of it lies after.
-    std::int64_t firstSlot = slotOf(since + bucketLength / 2);
+    // The slot that contains `time` counts if more than half of it lies after.
+    std::int64_t firstSlot = slotOf(time + bucketLength / 2);
     std::int64_t sum = 0;
-    if (entry.lastChange < firstSlot)
+    if (m_lastSlot < firstSlot)
         return sum;
-    for (auto bucket = entry.changes.rbegin(); bucket != entry.changes.rend() && bucket->slot >= firstSlot;
-         ++bucket)
+    for (auto bucket = m_buckets.rbegin(); bucket != m_buckets.rend() && bucket->slot >= firstSlot; ++bucket)
         sum += bucket->tokens;
     return sum;
 }
@@ -152,9 +157,10 @@
     auto interval = measuredAt - entry.measuredAt;
     if (interval < shortestGrowthInterval)
         return;
-    std::int64_t local = changeSince(entry, entry.measuredAt) - changeSince(entry, measuredAt);
+    std::int64_t known = entry.local.since(entry.measuredAt) - entry.local.since(measuredAt)
+        + entry.peers.since(entry.measuredAt) - entry.peers.since(measuredAt);
     double keep = 1 - 1 / (1 + growthReports * static_cast<double>(m_entries.size()));
-    m_grownTokens = m_grownTokens * keep + static_cast<double>(tokens - entry.reportedTokens - local);
+    m_grownTokens = m_grownTokens * keep + static_cast<double>(tokens - entry.reportedTokens - known);
     m_grownSeconds = m_grownSeconds * keep + seconds(interval);
 }
 
--- a/request/loadledger.h
+++ b/request/loadledger.h
@@ -26,6 +26,10 @@
     // A report, from the load table or from an upstream's answer. Older ones than the latest are ignored.
     void report(UpstreamId, std::int64_t tokens, MonotonicTime measuredAt);
 
+    // A peer says that its tokens in progress changed at that time. Worth the traffic among a few instances
+    // and for large requests; the growth of the pool stands for what is not noticed.
+    void peerChanged(UpstreamId, std::int64_t tokens, MonotonicTime at);
+
     // Sets the load fields of views whose id is set; leaves id, weight, use and localSlots. Fastest if the
     // views keep their order from call to call.
     void fill(std::span<UpstreamView>, MonotonicTime now) const;
@@ -45,6 +49,17 @@
         std::int64_t tokens = 0;
     };
 
+    // Changes by time; the oldest are dropped.
+    class Changes {
+    public:
+        void add(std::int64_t tokens, MonotonicTime at);
+        std::int64_t since(MonotonicTime) const;
+
+    private:
+        std::int64_t m_lastSlot = 0; // spares a look at the buckets when the last change is old
+        std::vector<Bucket> m_buckets; // oldest first; only slots with a change
+    };
+
     struct Entry {
         UpstreamId id = 0;
         std::int64_t tokens = 0;
@@ -52,19 +67,17 @@
         bool reported = false;
         std::int64_t reportedTokens = 0;
         MonotonicTime measuredAt;
-        std::int64_t lastChange = 0; // slot of the last bucket; spares a look at the buckets when it is old
-        std::vector<Bucket> changes; // oldest first; only slots with a change
+        Changes local;
+        Changes peers;
     };
 
     double growth() const; // of the peers' part, tokens per second and upstream
     static std::int64_t slotOf(MonotonicTime);
     void learnGrowth(const Entry&, std::int64_t tokens, MonotonicTime measuredAt);
-    static void change(Entry&, std::int64_t tokens, MonotonicTime now);
-    static std::int64_t changeSince(const Entry&, MonotonicTime since);
 
     Entry& entryOf(UpstreamId);
     const Entry* find(UpstreamId, std::size_t expectedIndex) const;
-    static void fillFrom(const Entry&, double growth, MonotonicTime now, UpstreamView&);
+    void fillFrom(const Entry&, MonotonicTime now, UpstreamView&) const;
 
     std::vector<Entry> m_entries;
     std::unordered_map<UpstreamId, std::size_t> m_index;
--- a/request/placement.cc
+++ b/request/placement.cc
@@ -418,9 +418,9 @@
     };
 
     constexpr std::array strategyRows {
-        StrategyRow { "balanced", { -0.6, 0.0 }, { 0.0, 0.5 }, 0.92 },
-        StrategyRow { "skew", { -0.6, 0.0 }, { -0.2, 0.3 }, 0.8 },
-        StrategyRow { "reuse", { -0.6, 0.2 }, { 0.2, 0.7 }, 0.96 },
+        StrategyRow { "balanced", { -0.6, 0.2 }, { 0.0, 0.6 }, 0.8 },
+        StrategyRow { "skew", { -0.6, 0.0 }, { -0.2, 0.4 }, 0.5 },
+        StrategyRow { "reuse", { -0.6, 0.2 }, { 0.2, 0.7 }, 0.9 },
     };
 
     SpillRange scaled(const SpillRange& range, double loadBound)
