Drop a former parent's sums at once, and prove coverage by a digest of the covered ids

Cause: for up to one heartbeat after a change of parent, an instance passed the former parent's sums (the demand of nearly all instances) on to the new one; with several such changes the total reached 28 times the demand.

--- a/coordination/member.cc
+++ b/coordination/member.cc
@@ -183,6 +183,20 @@
     return peers;
 }
 
+std::uint64_t Membership::expectedDigest() const
+{
+    std::uint64_t digest = m_selfHash;
+    for (const auto& [id, record] : m_records)
+        digest += record.confirmedGone ? 0 : m_views.find(id)->second.hash;
+    return digest;
+}
+
+bool Membership::inTree(const std::string& peer) const
+{
+    auto link = m_links.find(peer);
+    return link != m_links.end() && (link->second.peerIsChild || peer == m_parent);
+}
+
 std::vector<std::string> Membership::linkedPeers() const
 {
     std::vector<std::string> peers;
--- a/coordination/member.h
+++ b/coordination/member.h
@@ -147,6 +147,9 @@
     // partition alone.
     std::size_t expectedInstances() const;
     std::vector<std::string> expectedPeers() const;
+    // Sum of the hashes of their ids, modulo 2^64.
+    std::uint64_t expectedDigest() const;
+    std::uint64_t selfHash() const { return m_selfHash; }
 
     // Usable instance with the highest rendezvous score for the key; this instance when alone. Instances that
     // disagree on one member disagree on the keys of that member only.
@@ -156,6 +159,10 @@
     std::vector<std::string> linkedPeers() const;
     bool linked(const std::string& peer) const { return m_links.count(peer) > 0; }
     std::size_t treeLinkCount() const;
+    // Whether the link to the peer is part of the aggregation tree now.
+    bool inTree(const std::string& peer) const;
+    // The linked parent in the aggregation tree; empty for the root or while there is none.
+    const std::string& parent() const { return m_parent; }
     std::size_t memberChanges() const { return m_changes; }
 
     // Whether another process with this id and a newer incarnation runs at another address: this one must
--- a/coordination/peer_generated.h
+++ b/coordination/peer_generated.h
@@ -1020,6 +1020,7 @@
   std::vector<briarwharf::UpstreamEvidence> evidence{};
   uint32_t usageCovered = 0;
   uint32_t covered = 0;
+  uint64_t coveredDigest = 0;
   uint32_t coveredOldestMs = 0;
   uint64_t coveredRevision = 0;
   HeartbeatT() = default;
@@ -1050,8 +1051,9 @@
     VT_EVIDENCE = 34,
     VT_USAGECOVERED = 36,
     VT_COVERED = 38,
-    VT_COVEREDOLDESTMS = 40,
-    VT_COVEREDREVISION = 42
+    VT_COVEREDDIGEST = 40,
+    VT_COVEREDOLDESTMS = 42,
+    VT_COVEREDREVISION = 44
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1098,6 +1100,9 @@
   uint32_t covered() const {
     return GetField<uint32_t>(VT_COVERED, 0);
   }
+  uint64_t coveredDigest() const {
+    return GetField<uint64_t>(VT_COVEREDDIGEST, 0);
+  }
   uint32_t coveredOldestMs() const {
     return GetField<uint32_t>(VT_COVEREDOLDESTMS, 0);
   }
@@ -1126,6 +1131,7 @@
            verifier.VerifyVector(evidence()) &&
            VerifyField<uint32_t>(verifier, VT_USAGECOVERED, 4) &&
            VerifyField<uint32_t>(verifier, VT_COVERED, 4) &&
+           VerifyField<uint64_t>(verifier, VT_COVEREDDIGEST, 8) &&
            VerifyField<uint32_t>(verifier, VT_COVEREDOLDESTMS, 4) &&
            VerifyField<uint64_t>(verifier, VT_COVEREDREVISION, 8) &&
            verifier.EndTable();
@@ -1184,6 +1190,9 @@
   void add_covered(uint32_t covered) {
     fbb_.AddElement<uint32_t>(Heartbeat::VT_COVERED, covered, 0);
   }
+  void add_coveredDigest(uint64_t coveredDigest) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_COVEREDDIGEST, coveredDigest, 0);
+  }
   void add_coveredOldestMs(uint32_t coveredOldestMs) {
     fbb_.AddElement<uint32_t>(Heartbeat::VT_COVEREDOLDESTMS, coveredOldestMs, 0);
   }
@@ -1218,10 +1227,12 @@
     flatbuffers::Offset<flatbuffers::Vector<const briarwharf::UpstreamEvidence *>> evidence = 0,
     uint32_t usageCovered = 0,
     uint32_t covered = 0,
+    uint64_t coveredDigest = 0,
     uint32_t coveredOldestMs = 0,
     uint64_t coveredRevision = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_coveredRevision(coveredRevision);
+  builder_.add_coveredDigest(coveredDigest);
   builder_.add_revision(revision);
   builder_.add_acknowledged(acknowledged);
   builder_.add_sequence(sequence);
@@ -1258,6 +1269,7 @@
     const std::vector<briarwharf::UpstreamEvidence> *evidence = nullptr,
     uint32_t usageCovered = 0,
     uint32_t covered = 0,
+    uint64_t coveredDigest = 0,
     uint32_t coveredOldestMs = 0,
     uint64_t coveredRevision = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::Member>>(*members) : 0;
@@ -1281,6 +1293,7 @@
       evidence__,
       usageCovered,
       covered,
+      coveredDigest,
       coveredOldestMs,
       coveredRevision);
 }
@@ -2879,6 +2892,7 @@
         evidence(o.evidence),
         usageCovered(o.usageCovered),
         covered(o.covered),
+        coveredDigest(o.coveredDigest),
         coveredOldestMs(o.coveredOldestMs),
         coveredRevision(o.coveredRevision) {
   members.reserve(o.members.size());
@@ -2901,6 +2915,7 @@
   std::swap(evidence, o.evidence);
   std::swap(usageCovered, o.usageCovered);
   std::swap(covered, o.covered);
+  std::swap(coveredDigest, o.coveredDigest);
   std::swap(coveredOldestMs, o.coveredOldestMs);
   std::swap(coveredRevision, o.coveredRevision);
   return *this;
@@ -2930,6 +2945,7 @@
   { auto _e = evidence(); if (_e) { _o->evidence.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evidence[_i] = *_e->Get(_i); } } }
   { auto _e = usageCovered(); _o->usageCovered = _e; }
   { auto _e = covered(); _o->covered = _e; }
+  { auto _e = coveredDigest(); _o->coveredDigest = _e; }
   { auto _e = coveredOldestMs(); _o->coveredOldestMs = _e; }
   { auto _e = coveredRevision(); _o->coveredRevision = _e; }
 }
@@ -2957,6 +2973,7 @@
   auto _evidence = _o->evidence.size() ? _fbb.CreateVectorOfStructs(_o->evidence) : 0;
   auto _usageCovered = _o->usageCovered;
   auto _covered = _o->covered;
+  auto _coveredDigest = _o->coveredDigest;
   auto _coveredOldestMs = _o->coveredOldestMs;
   auto _coveredRevision = _o->coveredRevision;
   return briarwharf::CreateHeartbeat(
@@ -2976,6 +2993,7 @@
       _evidence,
       _usageCovered,
       _covered,
+      _coveredDigest,
       _coveredOldestMs,
       _coveredRevision);
 }
--- a/coordination/rateshare.cc
+++ b/coordination/rateshare.cc
@@ -176,11 +176,27 @@
     share.demand = std::min(share.demand, share.fastDemand + std::max(noise, share.requestTokens));
 }
 
+// The sums of a former parent hold the demand of nearly all instances; passed on to a new parent, they would
+// count twice there. Those of a lost child count on, because it may come back.
+bool RateShare::outdated(const std::string& peer, const LinkState& state) const
+{
+    if (!state.lostAt)
+        return !m_membership.inTree(peer);
+    return state.parent && !m_membership.parent().empty();
+}
+
 void RateShare::updateTotals(MonotonicTime now)
 {
     std::erase_if(m_links, [this, now](const auto& entry) {
         return entry.second.lostAt && now - *entry.second.lostAt > m_options.keepLostLink;
     });
+    for (auto& [peer, state] : m_links) {
+        if (!state.tree || !outdated(peer, state))
+            continue;
+        state.received.assign(m_shares.size(), 0);
+        state.covered = 0;
+        state.tree = false;
+    }
     m_covered = 1;
     for (Share& share : m_shares)
         share.total = share.demand;
@@ -240,8 +256,8 @@
     auto covered = static_cast<double>(m_covered);
     auto expected = static_cast<double>(m_membership.expectedInstances());
     double usablePart = std::min(1.0, covered / expected);
-    // While the tree changes, a part of it may count more than once, in the demand as in the number of instances.
-    // The mean demand per covered instance stays right.
+    // While the tree changes, a part of it may count more than once, in the demand as in the number of
+    // instances. The mean demand per covered instance stays right.
     double counted = std::clamp(covered / expected, 1.0, maxRepeatedCount);
     for (Share& share : m_shares) {
         share.bucketRate = entitlement(share, level) * usablePart;
@@ -331,6 +347,7 @@
         state.covered = 0;
     }
     state.tree = link.tree;
+    state.parent = link.parent;
     if (!link.tree)
         return;
     // The bound keeps a wrong count, such as one counted twice while the tree changes, from growing.
--- a/coordination/rateshare.h
+++ b/coordination/rateshare.h
@@ -90,6 +90,7 @@
         std::vector<Sent> sent;
         std::size_t covered = 0;
         bool tree = false;
+        bool parent = false; // the peer was this instance's parent
         bool sending = false; // part of the tree when the latest heartbeat was filled in
         ByteBudget budget;
         std::optional<MonotonicTime> lostAt;
@@ -104,6 +105,7 @@
     std::uint32_t outgoing(std::size_t index, const LinkState&) const;
     void fillSums(LinkState&, std::size_t bytes, HeartbeatT&, MonotonicTime now) const;
     double priority(const Sent&, std::uint32_t value, MonotonicTime now) const;
+    bool outdated(const std::string& peer, const LinkState&) const;
     LinkState freshState() const;
 
     const Membership& m_membership;
--- a/coordination/relay.cc
+++ b/coordination/relay.cc
@@ -36,7 +36,9 @@
     {
         // An instance that hears nobody cannot tell an outage of the store from being cut off.
         bool hearsPeers = question.heard.instances > 1;
-        bool hearsAll = question.heard.instances >= question.expectedInstances;
+        // While the tree changes, a part of it may count twice and hide a missing one; the digest shows it.
+        bool hearsAll = question.heard.instances == question.expectedInstances
+            && question.heard.digest == question.expectedDigest;
         bool recently = question.heard.oldest <= currencyLimit;
         bool nothingNewer = question.heard.revision <= question.revision;
         return hearsPeers && hearsAll && recently && nothingNewer ? NewWorkAnswer::NoChangePossible
@@ -267,12 +269,13 @@
 
 Coverage ConfigurationRelay::directCoverage(MonotonicTime now) const
 {
-    Coverage coverage { 1, Milliseconds(0), knownHead() };
+    Coverage coverage { 1, m_membership.selfHash(), Milliseconds(0), knownHead() };
     for (const std::string& id : m_membership.expectedPeers()) {
         auto found = m_peers.find(id);
         if (found == m_peers.end() || !found->second.stated || !found->second.notCurrent)
             continue;
         ++coverage.instances;
+        coverage.digest += m_membership.members().at(id).hash;
         coverage.oldest = std::max(coverage.oldest, roundedUp(now - *found->second.stated));
         coverage.revision = std::max(coverage.revision, found->second.knownHead);
     }
@@ -281,11 +284,12 @@
 
 Coverage ConfigurationRelay::treeCoverage(const std::string& except, MonotonicTime now) const
 {
-    Coverage coverage { 1, Milliseconds(0), knownHead() };
+    Coverage coverage { 1, m_membership.selfHash(), Milliseconds(0), knownHead() };
     for (const auto& [peer, state] : m_peers) {
-        if (peer == except || !state.tree || state.covered == 0)
+        if (peer == except || state.covered == 0 || !m_membership.inTree(peer))
             continue;
         coverage.instances += state.covered;
+        coverage.digest += state.coveredDigest;
         coverage.oldest = std::max(coverage.oldest, roundedUp(now - state.coveredOldest));
         coverage.revision = std::max(coverage.revision, state.knownHead);
     }
@@ -304,6 +308,7 @@
         return;
     Coverage coverage = treeCoverage(link.peer, now);
     heartbeat.covered = static_cast<std::uint32_t>(coverage.instances);
+    heartbeat.coveredDigest = coverage.digest;
     heartbeat.coveredOldestMs = wireMilliseconds(coverage.oldest);
     if (coverage.revision > m_revision)
         heartbeat.coveredRevision = coverage.revision;
@@ -313,7 +318,6 @@
 {
     Peer& peer = m_peers[link.peer];
     peer.revision = std::max(peer.revision, heartbeat.revision);
-    peer.tree = link.tree;
     peer.covered = 0;
     if (!link.transit)
         return; // how old the statement is cannot be bounded
@@ -324,6 +328,7 @@
     peer.knownHead = std::max(heartbeat.revision, heartbeat.coveredRevision);
     if (link.tree && peer.notCurrent && heartbeat.covered > 0) {
         peer.covered = heartbeat.covered;
+        peer.coveredDigest = heartbeat.coveredDigest;
         peer.coveredOldest = stated - Milliseconds(heartbeat.coveredOldestMs);
     }
     if (heartbeat.headConfirmedMs == 0)
--- a/coordination/relay.h
+++ b/coordination/relay.h
@@ -9,6 +9,7 @@
 // What instances say about the configuration, folded over some of them.
 struct Coverage {
     std::size_t instances = 0; // this one included
+    std::uint64_t digest = 0; // sum of the hashes of their ids; tells sets of equal size apart
     Milliseconds oldest { 0 }; // age of the oldest statement
     std::uint64_t revision = 0; // highest revision in force among them
 };
@@ -21,6 +22,7 @@
     bool ownReportServing = false;
     std::uint64_t revision = 0; // in force here
     std::size_t expectedInstances = 0; // of the last known membership, this one included
+    std::uint64_t expectedDigest = 0; // sum of the hashes of their ids
     Coverage heard; // instances whose latest statement says that they are not current, and this one
 };
 
@@ -124,8 +126,8 @@
         std::optional<MonotonicTime> stated; // when the peer made its latest statement, at the earliest
         std::optional<MonotonicTime> told; // the confirmation that the latest heartbeat to the peer carried
         bool notCurrent = false; // by its latest statement
-        bool tree = false;
         std::size_t covered = 0;
+        std::uint64_t coveredDigest = 0;
         MonotonicTime coveredOldest;
         std::uint64_t knownHead = 0; // on the peer's side of the link
         std::uint64_t pushed = 0; // highest record pushed to the peer
