Send load entries in 8 bytes within a byte rate, and bound how many upstreams an instance polls

Cause: early heartbeats each had the full budget (worst instance at 480: 16.0 KB/s of loads, 35.9 KB/s in total), and plain rendezvous gave five of 16 upstreams to one of nine instances. The benchmark warms up for 60 s above 100 instances, because members that start together spread until then.

--- a/bench/membership_bench_main.cc
+++ b/bench/membership_bench_main.cc
@@ -16,7 +16,6 @@
 using namespace briarwharf;
 using namespace briarwharf::testing;
 
-constexpr Milliseconds warmUp { 20000 };
 constexpr double requestTokens = 500;
 
 // Bytes that an instance sends for one call: request line and headers, TCP and IP headers of the request and
@@ -38,6 +37,12 @@
     int duration = 60; // seconds of injected time
 };
 
+// Until the members that start together know each other; a large fleet takes longer.
+Milliseconds warmUp(const Settings& settings)
+{
+    return Milliseconds(settings.instances > 100 ? 60000 : 20000);
+}
+
 ExchangeOptions exchangeOptions(const Settings& settings)
 {
     ExchangeOptions options;
@@ -177,7 +182,7 @@
     WanderingLoads loads(settings.seed);
     exchange.tokensOf = [&loads](std::uint32_t upstream, MonotonicTime) { return loads.next(upstream); };
     Demand demand(exchange, settings.seed, 4000.0 * static_cast<double>(settings.instances));
-    exchange.run(warmUp, [&demand] { demand.step(); });
+    exchange.run(warmUp(settings), [&demand] { demand.step(); });
     resetTraffic(exchange);
     std::clock_t cpu = std::clock();
     exchange.run(std::chrono::seconds(settings.duration), [&demand] { demand.step(); });
@@ -275,7 +280,7 @@
 {
     heading("false suspicions", settings);
     Exchange exchange(exchangeOptions(settings));
-    exchange.run(warmUp);
+    exchange.run(warmUp(settings));
     std::map<std::pair<std::size_t, std::string>, MemberState> last;
     std::size_t suspicions = 0;
     std::size_t deaths = 0;
@@ -307,7 +312,7 @@
 {
     heading("configuration spread", settings);
     Exchange exchange(exchangeOptions(settings));
-    exchange.run(warmUp);
+    exchange.run(warmUp(settings));
     std::size_t watchers = 0;
     for (std::size_t i = 0; i < exchange.size(); ++i)
         watchers += exchange.at(i).relay.watches() ? 1 : 0;
--- a/coordination/loadtable.cc
+++ b/coordination/loadtable.cc
@@ -3,6 +3,7 @@
 #include "base/hash.h"
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace briarwharf {
 
@@ -10,8 +11,33 @@
 
     constexpr std::uint8_t servingFlag = 1;
     constexpr std::uint8_t reachableFlag = 2;
-    constexpr Milliseconds ageUnit { 250 };
-    constexpr std::uint8_t oldestAge = 255;
+    constexpr std::uint8_t flagBits = 2;
+    constexpr std::uint8_t flagMask = 3;
+    constexpr Milliseconds ageUnit { 500 };
+    constexpr std::uint8_t oldestAge = 63;
+
+    // Sequence numbers have 8 bits: with fewer than 127 reports until an entry expires, a newer one is
+    // recognised.
+    constexpr Milliseconds leastReportInterval { 500 };
+
+    constexpr unsigned mantissaBits = 12;
+
+    // Rounds down to 12 significant bits.
+    std::uint16_t packTokens(std::uint32_t tokens)
+    {
+        constexpr unsigned maxExponent = 15;
+        unsigned exponent = 0;
+        while ((tokens >> exponent) >= (1U << mantissaBits) && exponent < maxExponent)
+            ++exponent;
+        std::uint32_t mantissa = std::min(tokens >> exponent, (1U << mantissaBits) - 1);
+        return static_cast<std::uint16_t>((exponent << mantissaBits) | mantissa);
+    }
+
+    std::uint32_t unpackTokens(std::uint16_t packed)
+    {
+        std::uint32_t mantissa = packed & ((1U << mantissaBits) - 1);
+        return mantissa << (packed >> mantissaBits);
+    }
 
     // Priorities: an entry is sent from 1 on. A change counts at most this much, so that a waiting entry
     // overtakes any changing one after a bounded number of refresh times.
@@ -68,8 +94,30 @@
     m_ownedEpoch = m_membership.epoch();
     m_owned.clear();
     m_isOwned.assign(m_upstreams.size(), false);
-    for (std::size_t i = 0; i < m_upstreams.size(); ++i) {
-        if (m_membership.leaving() || !m_membership.owns(m_upstreams[i]))
+    const std::vector<std::string>& instances = m_membership.usable();
+    std::vector<std::uint64_t> hashes;
+    for (const std::string& id : instances)
+        hashes.push_back(hash64(id));
+    double mean = static_cast<double>(m_upstreams.size()) / static_cast<double>(instances.size());
+    auto bound = static_cast<std::size_t>(std::ceil(mean * m_options.ownerBound));
+    std::vector<std::size_t> polled(instances.size(), 0);
+    // In order of the hashes, so that the result does not depend on the order of the configuration.
+    std::vector<std::size_t> order(m_upstreams.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::sort(order.begin(), order.end(),
+        [this](std::size_t left, std::size_t right) { return m_upstreams[left] < m_upstreams[right]; });
+    for (std::size_t i : order) {
+        std::size_t best = instances.size();
+        std::uint64_t bestScore = 0;
+        for (std::size_t k = 0; k < instances.size(); ++k) {
+            std::uint64_t score = combineHashes(m_upstreams[i], hashes[k]);
+            if (polled[k] >= bound || (best < instances.size() && score <= bestScore))
+                continue;
+            best = k;
+            bestScore = score;
+        }
+        ++polled[best];
+        if (m_membership.leaving() || instances[best] != m_membership.self().id)
             continue;
         m_owned.push_back(m_upstreams[i]);
         m_isOwned[i] = true;
@@ -91,7 +139,10 @@
         return;
     Entry& entry = m_entries[index->second];
     auto flags = static_cast<std::uint8_t>((serving ? servingFlag : 0) | (reachable ? reachableFlag : 0));
-    if (entry.known && entry.flags != flags)
+    bool changed = entry.known && entry.flags != flags;
+    if (entry.known && !changed && now - entry.polled < leastReportInterval)
+        return;
+    if (changed)
         flagsChanged({});
     entry.known = true;
     entry.tokens = tokens;
@@ -117,10 +168,10 @@
 }
 
 // An expired entry gives way to any sequence number: its owner may have started again from a low one.
-bool LoadTable::newer(const Entry& entry, std::uint16_t sequence, MonotonicTime now) const
+bool LoadTable::newer(const Entry& entry, std::uint8_t sequence, MonotonicTime now) const
 {
     bool expired = now - entry.polled > m_options.expireAfter;
-    auto difference = static_cast<std::int16_t>(static_cast<std::uint16_t>(sequence - entry.sequence));
+    auto difference = static_cast<std::int8_t>(static_cast<std::uint8_t>(sequence - entry.sequence));
     return !entry.known || expired || difference > 0;
 }
 
@@ -143,7 +194,8 @@
     const Entry& entry = m_entries[index];
     auto units = static_cast<std::int64_t>(std::ceil(inUnits(now - entry.polled, ageUnit)));
     auto age = static_cast<std::uint8_t>(std::clamp<std::int64_t>(units, 0, oldestAge));
-    return { m_upstreams[index], entry.tokens, entry.sequence, age, entry.flags };
+    auto state = static_cast<std::uint8_t>((age << flagBits) | entry.flags);
+    return { m_upstreams[index], packTokens(entry.tokens), entry.sequence, state };
 }
 
 void LoadTable::fill(const LinkView& link, HeartbeatT& heartbeat, MonotonicTime now)
@@ -163,12 +215,14 @@
             waiting.emplace_back(value, i);
     }
     std::size_t links = std::max<std::size_t>(link.treeLinks, 1);
-    std::size_t bound = std::max<std::size_t>(m_options.bytesPerHeartbeat / links / sizeof(LoadReport), 1);
+    double rate = m_options.bytesPerSecond / static_cast<double>(links);
+    std::size_t bound = state.budget.available(rate, now) / sizeof(LoadReport);
     if (waiting.size() > bound) {
         auto middle = waiting.begin() + static_cast<std::ptrdiff_t>(bound);
         std::nth_element(waiting.begin(), middle, waiting.end(), std::greater<>());
         waiting.resize(bound);
     }
+    state.budget.spend(waiting.size() * sizeof(LoadReport));
     for (const auto& [value, index] : waiting) {
         const Entry& entry = m_entries[index];
         heartbeat.loadReports.push_back(toReport(index, now));
@@ -182,19 +236,22 @@
     state.sent.resize(m_entries.size());
     for (const LoadReport& report : heartbeat.loadReports) {
         auto index = m_indexes.find(report.upstream());
-        if (index == m_indexes.end() || report.age() == oldestAge)
+        auto age = static_cast<std::uint8_t>(report.state() >> flagBits);
+        auto flags = static_cast<std::uint8_t>(report.state() & flagMask);
+        std::uint32_t tokens = unpackTokens(report.tokens());
+        if (index == m_indexes.end() || age == oldestAge)
             continue;
         Entry& entry = m_entries[index->second];
-        state.sent[index->second] = { report.tokens(), report.sequence(), report.flags(), true, now };
+        state.sent[index->second] = { tokens, report.sequence(), flags, true, now };
         if (!newer(entry, report.sequence(), now))
             continue;
-        if (entry.known && entry.flags != report.flags())
+        if (entry.known && entry.flags != flags)
             flagsChanged(link.peer);
         entry.known = true;
-        entry.tokens = report.tokens();
+        entry.tokens = tokens;
         entry.sequence = report.sequence();
-        entry.flags = report.flags();
-        entry.polled = now - ageUnit * report.age() - link.transit.value_or(Milliseconds(0));
+        entry.flags = flags;
+        entry.polled = now - ageUnit * age - link.transit.value_or(Milliseconds(0));
     }
 }
 
--- a/coordination/loadtable.h
+++ b/coordination/loadtable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/budget.h"
 #include "coordination/member.h"
 #include <unordered_map>
 
@@ -10,7 +11,8 @@
     std::uint32_t significantTokens = 200; // and the least absolute one
     Milliseconds refreshAfter { 10000 }; // unchanged entries are repeated
     Milliseconds expireAfter { 60000 }; // entries without news are dropped
-    std::size_t bytesPerHeartbeat = 16000; // over all links of a heartbeat interval
+    double bytesPerSecond = 12000; // of entries, over all links
+    double ownerBound = 1.25; // no instance polls more than this times the mean number of upstreams
 };
 
 struct UpstreamLoad {
@@ -34,7 +36,8 @@
     // The upstreams of the configuration in force, as nameHash of their names. Others are not relayed.
     void setUpstreams(const std::vector<std::uint32_t>&);
 
-    // Upstreams that this instance polls. Changes with the members' epoch.
+    // Upstreams that this instance polls, by rendezvous hash with a bound on each instance's number. Changes
+    // with the members' epoch.
     const std::vector<std::uint32_t>& owned() const;
 
     // Result of an own poll. Ignored for upstreams that another instance owns: a sequence number has one
@@ -57,13 +60,13 @@
     struct Entry {
         MonotonicTime polled; // at the owner
         std::uint32_t tokens = 0;
-        std::uint16_t sequence = 0;
+        std::uint8_t sequence = 0;
         std::uint8_t flags = 0;
         bool known = false;
     };
     struct Sent { // per link and entry
         std::uint32_t tokens = 0;
-        std::uint16_t sequence = 0;
+        std::uint8_t sequence = 0;
         std::uint8_t flags = 0;
         bool any = false;
         MonotonicTime at;
@@ -71,9 +74,10 @@
     struct LinkState {
         std::vector<Sent> sent; // what the peer knows, by index of the upstream
         bool flagsChanged = false;
+        ByteBudget budget;
     };
 
-    bool newer(const Entry&, std::uint16_t sequence, MonotonicTime now) const;
+    bool newer(const Entry&, std::uint8_t sequence, MonotonicTime now) const;
     double priority(const Entry&, const Sent&, MonotonicTime now) const;
     void flagsChanged(const std::string& source);
     void updateOwned() const;
--- a/coordination/peer_generated.h
+++ b/coordination/peer_generated.h
@@ -527,10 +527,9 @@
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) LoadReport FLATBUFFERS_FINAL_CLASS {
  private:
   uint32_t upstream_;
-  uint32_t tokens_;
-  uint16_t sequence_;
-  uint8_t age_;
-  uint8_t flags_;
+  uint16_t tokens_;
+  uint8_t sequence_;
+  uint8_t state_;
 
  public:
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
@@ -540,33 +539,28 @@
       : upstream_(0),
         tokens_(0),
         sequence_(0),
-        age_(0),
-        flags_(0) {
+        state_(0) {
   }
-  LoadReport(uint32_t _upstream, uint32_t _tokens, uint16_t _sequence, uint8_t _age, uint8_t _flags)
+  LoadReport(uint32_t _upstream, uint16_t _tokens, uint8_t _sequence, uint8_t _state)
       : upstream_(flatbuffers::EndianScalar(_upstream)),
         tokens_(flatbuffers::EndianScalar(_tokens)),
         sequence_(flatbuffers::EndianScalar(_sequence)),
-        age_(flatbuffers::EndianScalar(_age)),
-        flags_(flatbuffers::EndianScalar(_flags)) {
+        state_(flatbuffers::EndianScalar(_state)) {
   }
   uint32_t upstream() const {
     return flatbuffers::EndianScalar(upstream_);
   }
-  uint32_t tokens() const {
+  uint16_t tokens() const {
     return flatbuffers::EndianScalar(tokens_);
   }
-  uint16_t sequence() const {
+  uint8_t sequence() const {
     return flatbuffers::EndianScalar(sequence_);
   }
-  uint8_t age() const {
-    return flatbuffers::EndianScalar(age_);
-  }
-  uint8_t flags() const {
-    return flatbuffers::EndianScalar(flags_);
+  uint8_t state() const {
+    return flatbuffers::EndianScalar(state_);
   }
 };
-FLATBUFFERS_STRUCT_END(LoadReport, 12);
+FLATBUFFERS_STRUCT_END(LoadReport, 8);
 
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) UsageSum FLATBUFFERS_FINAL_CLASS {
  private:
