Follow the renamed types of the stand-ins' server in the load tool

The report of a load run is now LoadRunReport, as peer.fbs has a table named LoadReport in the same namespace.

--- a/standins/briarwharf_load_main.cc
+++ b/standins/briarwharf_load_main.cc
@@ -108,7 +108,7 @@
         { "deadline_ms", settings.deadlineMs } };
 }
 
-int print(const Settings& settings, const LoadReport& report)
+int print(const Settings& settings, const LoadRunReport& report)
 {
     if (!settings.quiet)
         std::cout << report.toTable();
@@ -143,7 +143,7 @@
     // A target that closes early must not end the run.
     std::signal(SIGPIPE, SIG_IGN);
     event_base* base = event_base_new();
-    LoadReport report;
+    LoadRunReport report;
     report.settings = describeRun(settings);
     {
         LoadPlan plan(settings.load);
--- a/standins/httpclient.h
+++ b/standins/httpclient.h
@@ -16,7 +16,7 @@
 
     End end = End::Closed;
     int status = 0; // 0: no headers came
-    HttpHeaders headers;
+    StandinHeaders headers;
     std::string body;
 
     // Value of the header, without regard to case; "" if absent.
@@ -27,7 +27,7 @@
     std::string target; // "127.0.0.1:7400"
     std::string method = "POST"; // or "GET"
     std::string path; // with its query, percent-encoded
-    HttpHeaders headers;
+    StandinHeaders headers;
     std::string body;
     Milliseconds deadline { 30000 };
     std::function<void(std::string_view)> onData; // each part of the body as it comes; may be empty
--- a/standins/loadreport.cc
+++ b/standins/loadreport.cc
@@ -23,7 +23,7 @@
         return sorted[std::min(index, sorted.size() - 1)];
     }
 
-    Json summarizeSkew(const LoadReport::Skew& skew)
+    Json summarizeSkew(const LoadRunReport::Skew& skew)
     {
         Json summary = { { "samples", skew.samples }, { "most_excess_tokens", skew.mostExcessTokens } };
         if (skew.ratios.empty())
@@ -85,7 +85,7 @@
     return { { "returning", returning }, { "reused", reused }, { "share", share(reused, returning) } };
 }
 
-Json LoadReport::toJson() const
+Json LoadRunReport::toJson() const
 {
     Json perOrganisation = Json::object();
     for (const auto& [name, organisation] : organisations) {
@@ -121,7 +121,7 @@
         { "skew", summarizeSkew(skew) } };
 }
 
-std::string LoadReport::toTable() const
+std::string LoadRunReport::toTable() const
 {
     Json json = toJson();
     std::ostringstream out;
--- a/standins/loadreport.h
+++ b/standins/loadreport.h
@@ -29,7 +29,7 @@
 };
 
 // Everything that a run measures. The keys of the JSON form are stable; scripts read them.
-struct LoadReport {
+struct LoadRunReport {
     struct Organisation {
         std::uint64_t requests = 0;
         std::map<std::string, std::uint64_t> outcomes;
--- a/standins/loadrunner.cc
+++ b/standins/loadrunner.cc
@@ -67,7 +67,7 @@
     std::string body; // of the first completed answer
 };
 
-LoadRunner::LoadRunner(event_base* base, RunnerOptions options, LoadPlan& plan, LoadReport& report)
+LoadRunner::LoadRunner(event_base* base, RunnerOptions options, LoadPlan& plan, LoadRunReport& report)
     : m_base(base)
     , m_options(std::move(options))
     , m_plan(plan)
@@ -87,10 +87,10 @@
     m_finished = std::move(finished);
     m_start = std::chrono::steady_clock::now();
     if (!m_options.engines.empty())
-        m_sampler = std::make_unique<Ticker>(m_base, sampleInterval, [this] { sampleEngines(); });
+        m_sampler = std::make_unique<RepeatingCall>(m_base, sampleInterval, [this] { sampleEngines(); });
     if (m_options.openStreams > 0) {
         m_report.openStreams.wanted = m_options.openStreams;
-        m_opener = std::make_unique<Ticker>(m_base, openInterval, [this] { openMoreStreams(); });
+        m_opener = std::make_unique<RepeatingCall>(m_base, openInterval, [this] { openMoreStreams(); });
         return;
     }
     if (m_options.servicePool.empty())
--- a/standins/loadrunner.h
+++ b/standins/loadrunner.h
@@ -32,7 +32,7 @@
 // Runs a load plan against targets on an event loop and fills a report.
 class LoadRunner {
 public:
-    LoadRunner(event_base*, RunnerOptions, LoadPlan&, LoadReport&);
+    LoadRunner(event_base*, RunnerOptions, LoadPlan&, LoadRunReport&);
     ~LoadRunner();
     LoadRunner(const LoadRunner&) = delete;
     LoadRunner& operator=(const LoadRunner&) = delete;
@@ -71,13 +71,13 @@
     event_base* m_base;
     RunnerOptions m_options;
     LoadPlan& m_plan;
-    LoadReport& m_report;
+    LoadRunReport& m_report;
     Random m_random;
     HttpClient m_client;
     std::function<void()> m_finished;
     event* m_timer;
-    std::unique_ptr<Ticker> m_sampler;
-    std::unique_ptr<Ticker> m_opener;
+    std::unique_ptr<RepeatingCall> m_sampler;
+    std::unique_ptr<RepeatingCall> m_opener;
     MonotonicTime m_start;
     RunTime m_nextService { 0 };
     RunTime m_lastAnswer { 0 };
--- a/standins/testing/load_test.cc
+++ b/standins/testing/load_test.cc
@@ -127,7 +127,7 @@
 // Guards against renamed keys: scripts/measure.sh and the measurements page read them.
 TEST_CASE("the report's keys are stable")
 {
-    LoadReport report;
+    LoadRunReport report;
     report.latency.add(std::chrono::milliseconds(5));
     report.organisations["a"].requests = 1;
     auto json = report.toJson();
--- a/standins/testing/server_test.cc
+++ b/standins/testing/server_test.cc
@@ -60,8 +60,8 @@
         return *response;
     }
 
-    ClientResponse post(
-        const std::string& target, const std::string& path, const Json& body, const HttpHeaders& headers = {})
+    ClientResponse post(const std::string& target, const std::string& path, const Json& body,
+        const StandinHeaders& headers = {})
     {
         ClientRequest request;
         request.target = target;
@@ -255,7 +255,7 @@
 TEST_CASE("the service counts the runs of each key, whether or not its answer arrives")
 {
     Harness harness;
-    HttpHeaders key { { "Idempotency-Key", "k" } };
+    StandinHeaders key { { "Idempotency-Key", "k" } };
     CHECK(harness.post(harness.serviceAddress, "/book", Json::object(), key).status == 200);
     harness.post(harness.serviceAddress, "/faults", { { "close", true }, { "count", 1 } });
     CHECK(harness.post(harness.serviceAddress, "/book", Json::object(), key).end
@@ -283,7 +283,7 @@
     runner.durationSeconds = 1000;
     auto run = [&] {
         LoadPlan plan(options);
-        LoadReport report;
+        LoadRunReport report;
         LoadRunner loadRunner(harness.base.get(), runner, plan, report);
         bool finished = false;
         loadRunner.start([&] { finished = true; });
