--- a/standins/loadrunner.cc
+++ b/standins/loadrunner.cc
@@ -67,7 +67,7 @@
     std::string body; // of the first completed answer
 };
 
-LoadRunner::LoadRunner(event_base* base, RunnerOptions options, LoadPlan& plan, LoadReport& report)
+LoadRunner::LoadRunner(event_base* base, RunnerOptions options, LoadPlan& plan, LoadRunReport& report)
     : m_base(base)
     , m_options(std::move(options))
     , m_plan(plan)
--- a/standins/testing/server_test.cc
+++ b/standins/testing/server_test.cc
@@ -283,7 +283,7 @@
     runner.durationSeconds = 1000;
     auto run = [&] {
         LoadPlan plan(options);
-        LoadReport report;
+        LoadRunReport report;
         LoadRunner loadRunner(harness.base.get(), runner, plan, report);
         bool finished = false;
         loadRunner.start([&] { finished = true; });
