--- a/coordination/peer_generated.h
+++ b/coordination/peer_generated.h
@@ -89,6 +89,26 @@
 struct ResidenceAnswerBuilder;
 struct ResidenceAnswerT;
 
+struct LoadNotice;
+struct LoadNoticeBuilder;
+struct LoadNoticeT;
+
+struct LoadNotices;
+struct LoadNoticesBuilder;
+struct LoadNoticesT;
+
+struct DrainQuery;
+struct DrainQueryBuilder;
+struct DrainQueryT;
+
+struct ResidentEntry;
+struct ResidentEntryBuilder;
+struct ResidentEntryT;
+
+struct DrainAnswer;
+struct DrainAnswerBuilder;
+struct DrainAnswerT;
+
 struct PeerFrame;
 struct PeerFrameBuilder;
 struct PeerFrameT;
@@ -222,11 +242,14 @@
   ResidenceUpdate = 11,
   ResidenceQuery = 12,
   ResidenceAnswer = 13,
+  LoadNotices = 14,
+  DrainQuery = 15,
+  DrainAnswer = 16,
   MIN = NONE,
-  MAX = ResidenceAnswer
+  MAX = DrainAnswer
 };
 
-inline const PeerBody (&EnumValuesPeerBody())[14] {
+inline const PeerBody (&EnumValuesPeerBody())[17] {
   static const PeerBody values[] = {
     PeerBody::NONE,
     PeerBody::Hello,
@@ -241,13 +264,16 @@
     PeerBody::SettleResponse,
     PeerBody::ResidenceUpdate,
     PeerBody::ResidenceQuery,
-    PeerBody::ResidenceAnswer
+    PeerBody::ResidenceAnswer,
+    PeerBody::LoadNotices,
+    PeerBody::DrainQuery,
+    PeerBody::DrainAnswer
   };
   return values;
 }
 
 inline const char * const *EnumNamesPeerBody() {
-  static const char * const names[15] = {
+  static const char * const names[18] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -262,13 +288,16 @@
     "ResidenceUpdate",
     "ResidenceQuery",
     "ResidenceAnswer",
+    "LoadNotices",
+    "DrainQuery",
+    "DrainAnswer",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamePeerBody(PeerBody e) {
-  if (flatbuffers::IsOutRange(e, PeerBody::NONE, PeerBody::ResidenceAnswer)) return "";
+  if (flatbuffers::IsOutRange(e, PeerBody::NONE, PeerBody::DrainAnswer)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesPeerBody()[index];
 }
@@ -329,6 +358,18 @@
   static const PeerBody enum_value = PeerBody::ResidenceAnswer;
 };
 
+template<> struct PeerBodyTraits<briarwharf::LoadNotices> {
+  static const PeerBody enum_value = PeerBody::LoadNotices;
+};
+
+template<> struct PeerBodyTraits<briarwharf::DrainQuery> {
+  static const PeerBody enum_value = PeerBody::DrainQuery;
+};
+
+template<> struct PeerBodyTraits<briarwharf::DrainAnswer> {
+  static const PeerBody enum_value = PeerBody::DrainAnswer;
+};
+
 template<typename T> struct PeerBodyUnionTraits {
   static const PeerBody enum_value = PeerBody::NONE;
 };
@@ -385,6 +426,18 @@
   static const PeerBody enum_value = PeerBody::ResidenceAnswer;
 };
 
+template<> struct PeerBodyUnionTraits<briarwharf::LoadNoticesT> {
+  static const PeerBody enum_value = PeerBody::LoadNotices;
+};
+
+template<> struct PeerBodyUnionTraits<briarwharf::DrainQueryT> {
+  static const PeerBody enum_value = PeerBody::DrainQuery;
+};
+
+template<> struct PeerBodyUnionTraits<briarwharf::DrainAnswerT> {
+  static const PeerBody enum_value = PeerBody::DrainAnswer;
+};
+
 struct PeerBodyUnion {
   PeerBody type;
   void *value;
@@ -519,6 +572,30 @@
     return type == PeerBody::ResidenceAnswer ?
       reinterpret_cast<const briarwharf::ResidenceAnswerT *>(value) : nullptr;
   }
+  briarwharf::LoadNoticesT *AsLoadNotices() {
+    return type == PeerBody::LoadNotices ?
+      reinterpret_cast<briarwharf::LoadNoticesT *>(value) : nullptr;
+  }
+  const briarwharf::LoadNoticesT *AsLoadNotices() const {
+    return type == PeerBody::LoadNotices ?
+      reinterpret_cast<const briarwharf::LoadNoticesT *>(value) : nullptr;
+  }
+  briarwharf::DrainQueryT *AsDrainQuery() {
+    return type == PeerBody::DrainQuery ?
+      reinterpret_cast<briarwharf::DrainQueryT *>(value) : nullptr;
+  }
+  const briarwharf::DrainQueryT *AsDrainQuery() const {
+    return type == PeerBody::DrainQuery ?
+      reinterpret_cast<const briarwharf::DrainQueryT *>(value) : nullptr;
+  }
+  briarwharf::DrainAnswerT *AsDrainAnswer() {
+    return type == PeerBody::DrainAnswer ?
+      reinterpret_cast<briarwharf::DrainAnswerT *>(value) : nullptr;
+  }
+  const briarwharf::DrainAnswerT *AsDrainAnswer() const {
+    return type == PeerBody::DrainAnswer ?
+      reinterpret_cast<const briarwharf::DrainAnswerT *>(value) : nullptr;
+  }
 };
 
 bool VerifyPeerBody(flatbuffers::Verifier &verifier, const void *obj, PeerBody type);
@@ -2440,7 +2517,7 @@
   }
   uint64_t nonce = 0;
   uint64_t chat = 0;
-  std::string upstream{};
+  uint64_t upstream = 0;
 };
 
 struct ResidenceAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2460,15 +2537,14 @@
   uint64_t chat() const {
     return GetField<uint64_t>(VT_CHAT, 0);
   }
-  const flatbuffers::String *upstream() const {
-    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  uint64_t upstream() const {
+    return GetField<uint64_t>(VT_UPSTREAM, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
            VerifyField<uint64_t>(verifier, VT_CHAT, 8) &&
-           VerifyOffset(verifier, VT_UPSTREAM) &&
-           verifier.VerifyString(upstream()) &&
+           VerifyField<uint64_t>(verifier, VT_UPSTREAM, 8) &&
            verifier.EndTable();
   }
   ResidenceAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2486,8 +2562,8 @@
   void add_chat(uint64_t chat) {
     fbb_.AddElement<uint64_t>(ResidenceAnswer::VT_CHAT, chat, 0);
   }
-  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
-    fbb_.AddOffset(ResidenceAnswer::VT_UPSTREAM, upstream);
+  void add_upstream(uint64_t upstream) {
+    fbb_.AddElement<uint64_t>(ResidenceAnswer::VT_UPSTREAM, upstream, 0);
   }
   explicit ResidenceAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -2504,28 +2580,485 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t nonce = 0,
     uint64_t chat = 0,
-    flatbuffers::Offset<flatbuffers::String> upstream = 0) {
+    uint64_t upstream = 0) {
   ResidenceAnswerBuilder builder_(_fbb);
+  builder_.add_upstream(upstream);
   builder_.add_chat(chat);
   builder_.add_nonce(nonce);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<ResidenceAnswer> CreateResidenceAnswer(flatbuffers::FlatBufferBuilder &_fbb, const ResidenceAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct LoadNoticeT : public flatbuffers::NativeTable {
+  typedef LoadNotice TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.LoadNoticeT";
+  }
+  uint32_t upstream = 0;
+  int32_t tokens = 0;
+  uint32_t ageMs = 0;
+};
+
+struct LoadNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LoadNoticeT NativeTableType;
+  typedef LoadNoticeBuilder Builder;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.LoadNotice";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_UPSTREAM = 4,
+    VT_TOKENS = 6,
+    VT_AGEMS = 8
+  };
+  uint32_t upstream() const {
+    return GetField<uint32_t>(VT_UPSTREAM, 0);
+  }
+  int32_t tokens() const {
+    return GetField<int32_t>(VT_TOKENS, 0);
+  }
+  uint32_t ageMs() const {
+    return GetField<uint32_t>(VT_AGEMS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_UPSTREAM, 4) &&
+           VerifyField<int32_t>(verifier, VT_TOKENS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_AGEMS, 4) &&
+           verifier.EndTable();
+  }
+  LoadNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LoadNoticeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LoadNotice> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LoadNoticeBuilder {
+  typedef LoadNotice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_upstream(uint32_t upstream) {
+    fbb_.AddElement<uint32_t>(LoadNotice::VT_UPSTREAM, upstream, 0);
+  }
+  void add_tokens(int32_t tokens) {
+    fbb_.AddElement<int32_t>(LoadNotice::VT_TOKENS, tokens, 0);
+  }
+  void add_ageMs(uint32_t ageMs) {
+    fbb_.AddElement<uint32_t>(LoadNotice::VT_AGEMS, ageMs, 0);
+  }
+  explicit LoadNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LoadNotice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LoadNotice>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LoadNotice> CreateLoadNotice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t upstream = 0,
+    int32_t tokens = 0,
+    uint32_t ageMs = 0) {
+  LoadNoticeBuilder builder_(_fbb);
+  builder_.add_ageMs(ageMs);
+  builder_.add_tokens(tokens);
+  builder_.add_upstream(upstream);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<LoadNotice> CreateLoadNotice(flatbuffers::FlatBufferBuilder &_fbb, const LoadNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct LoadNoticesT : public flatbuffers::NativeTable {
+  typedef LoadNotices TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.LoadNoticesT";
+  }
+  std::vector<std::unique_ptr<briarwharf::LoadNoticeT>> notices{};
+  LoadNoticesT() = default;
+  LoadNoticesT(const LoadNoticesT &o);
+  LoadNoticesT(LoadNoticesT&&) FLATBUFFERS_NOEXCEPT = default;
+  LoadNoticesT &operator=(LoadNoticesT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct LoadNotices FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LoadNoticesT NativeTableType;
+  typedef LoadNoticesBuilder Builder;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.LoadNotices";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NOTICES = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<briarwharf::LoadNotice>> *notices() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<briarwharf::LoadNotice>> *>(VT_NOTICES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NOTICES) &&
+           verifier.VerifyVector(notices()) &&
+           verifier.VerifyVectorOfTables(notices()) &&
+           verifier.EndTable();
+  }
+  LoadNoticesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LoadNoticesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LoadNotices> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadNoticesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LoadNoticesBuilder {
+  typedef LoadNotices Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_notices(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::LoadNotice>>> notices) {
+    fbb_.AddOffset(LoadNotices::VT_NOTICES, notices);
+  }
+  explicit LoadNoticesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LoadNotices> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LoadNotices>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LoadNotices> CreateLoadNotices(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::LoadNotice>>> notices = 0) {
+  LoadNoticesBuilder builder_(_fbb);
+  builder_.add_notices(notices);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<LoadNotices> CreateLoadNoticesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<briarwharf::LoadNotice>> *notices = nullptr) {
+  auto notices__ = notices ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::LoadNotice>>(*notices) : 0;
+  return briarwharf::CreateLoadNotices(
+      _fbb,
+      notices__);
+}
+
+flatbuffers::Offset<LoadNotices> CreateLoadNotices(flatbuffers::FlatBufferBuilder &_fbb, const LoadNoticesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct DrainQueryT : public flatbuffers::NativeTable {
+  typedef DrainQuery TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.DrainQueryT";
+  }
+  uint64_t nonce = 0;
+  std::string upstream{};
+  bool withResidents = false;
+};
+
+struct DrainQuery FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DrainQueryT NativeTableType;
+  typedef DrainQueryBuilder Builder;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.DrainQuery";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NONCE = 4,
+    VT_UPSTREAM = 6,
+    VT_WITHRESIDENTS = 8
+  };
+  uint64_t nonce() const {
+    return GetField<uint64_t>(VT_NONCE, 0);
+  }
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  bool withResidents() const {
+    return GetField<uint8_t>(VT_WITHRESIDENTS, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           VerifyField<uint8_t>(verifier, VT_WITHRESIDENTS, 1) &&
+           verifier.EndTable();
+  }
+  DrainQueryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DrainQueryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<DrainQuery> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DrainQueryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct DrainQueryBuilder {
+  typedef DrainQuery Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_nonce(uint64_t nonce) {
+    fbb_.AddElement<uint64_t>(DrainQuery::VT_NONCE, nonce, 0);
+  }
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(DrainQuery::VT_UPSTREAM, upstream);
+  }
+  void add_withResidents(bool withResidents) {
+    fbb_.AddElement<uint8_t>(DrainQuery::VT_WITHRESIDENTS, static_cast<uint8_t>(withResidents), 0);
+  }
+  explicit DrainQueryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DrainQuery> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DrainQuery>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DrainQuery> CreateDrainQuery(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    bool withResidents = false) {
+  DrainQueryBuilder builder_(_fbb);
+  builder_.add_nonce(nonce);
   builder_.add_upstream(upstream);
+  builder_.add_withResidents(withResidents);
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<ResidenceAnswer> CreateResidenceAnswerDirect(
+inline flatbuffers::Offset<DrainQuery> CreateDrainQueryDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t nonce = 0,
-    uint64_t chat = 0,
-    const char *upstream = nullptr) {
+    const char *upstream = nullptr,
+    bool withResidents = false) {
   auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
-  return briarwharf::CreateResidenceAnswer(
+  return briarwharf::CreateDrainQuery(
       _fbb,
       nonce,
-      chat,
-      upstream__);
+      upstream__,
+      withResidents);
 }
 
-flatbuffers::Offset<ResidenceAnswer> CreateResidenceAnswer(flatbuffers::FlatBufferBuilder &_fbb, const ResidenceAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<DrainQuery> CreateDrainQuery(flatbuffers::FlatBufferBuilder &_fbb, const DrainQueryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ResidentEntryT : public flatbuffers::NativeTable {
+  typedef ResidentEntry TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.ResidentEntryT";
+  }
+  std::string organisation{};
+  std::string chat{};
+  uint32_t idleMs = 0;
+};
+
+struct ResidentEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ResidentEntryT NativeTableType;
+  typedef ResidentEntryBuilder Builder;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.ResidentEntry";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ORGANISATION = 4,
+    VT_CHAT = 6,
+    VT_IDLEMS = 8
+  };
+  const flatbuffers::String *organisation() const {
+    return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
+  }
+  const flatbuffers::String *chat() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHAT);
+  }
+  uint32_t idleMs() const {
+    return GetField<uint32_t>(VT_IDLEMS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ORGANISATION) &&
+           verifier.VerifyString(organisation()) &&
+           VerifyOffset(verifier, VT_CHAT) &&
+           verifier.VerifyString(chat()) &&
+           VerifyField<uint32_t>(verifier, VT_IDLEMS, 4) &&
+           verifier.EndTable();
+  }
+  ResidentEntryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ResidentEntryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ResidentEntry> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ResidentEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ResidentEntryBuilder {
+  typedef ResidentEntry Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_organisation(flatbuffers::Offset<flatbuffers::String> organisation) {
+    fbb_.AddOffset(ResidentEntry::VT_ORGANISATION, organisation);
+  }
+  void add_chat(flatbuffers::Offset<flatbuffers::String> chat) {
+    fbb_.AddOffset(ResidentEntry::VT_CHAT, chat);
+  }
+  void add_idleMs(uint32_t idleMs) {
+    fbb_.AddElement<uint32_t>(ResidentEntry::VT_IDLEMS, idleMs, 0);
+  }
+  explicit ResidentEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ResidentEntry> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ResidentEntry>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ResidentEntry> CreateResidentEntry(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> organisation = 0,
+    flatbuffers::Offset<flatbuffers::String> chat = 0,
+    uint32_t idleMs = 0) {
+  ResidentEntryBuilder builder_(_fbb);
+  builder_.add_idleMs(idleMs);
+  builder_.add_chat(chat);
+  builder_.add_organisation(organisation);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ResidentEntry> CreateResidentEntryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *organisation = nullptr,
+    const char *chat = nullptr,
+    uint32_t idleMs = 0) {
+  auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
+  auto chat__ = chat ? _fbb.CreateString(chat) : 0;
+  return briarwharf::CreateResidentEntry(
+      _fbb,
+      organisation__,
+      chat__,
+      idleMs);
+}
+
+flatbuffers::Offset<ResidentEntry> CreateResidentEntry(flatbuffers::FlatBufferBuilder &_fbb, const ResidentEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct DrainAnswerT : public flatbuffers::NativeTable {
+  typedef DrainAnswer TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.DrainAnswerT";
+  }
+  uint64_t nonce = 0;
+  std::string upstream{};
+  uint64_t revision = 0;
+  uint32_t requests = 0;
+  std::vector<std::unique_ptr<briarwharf::ResidentEntryT>> residents{};
+  DrainAnswerT() = default;
+  DrainAnswerT(const DrainAnswerT &o);
+  DrainAnswerT(DrainAnswerT&&) FLATBUFFERS_NOEXCEPT = default;
+  DrainAnswerT &operator=(DrainAnswerT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct DrainAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DrainAnswerT NativeTableType;
+  typedef DrainAnswerBuilder Builder;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.DrainAnswer";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NONCE = 4,
+    VT_UPSTREAM = 6,
+    VT_REVISION = 8,
+    VT_REQUESTS = 10,
+    VT_RESIDENTS = 12
+  };
+  uint64_t nonce() const {
+    return GetField<uint64_t>(VT_NONCE, 0);
+  }
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  uint32_t requests() const {
+    return GetField<uint32_t>(VT_REQUESTS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<briarwharf::ResidentEntry>> *residents() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<briarwharf::ResidentEntry>> *>(VT_RESIDENTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_REQUESTS, 4) &&
+           VerifyOffset(verifier, VT_RESIDENTS) &&
+           verifier.VerifyVector(residents()) &&
+           verifier.VerifyVectorOfTables(residents()) &&
+           verifier.EndTable();
+  }
+  DrainAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DrainAnswerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<DrainAnswer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DrainAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct DrainAnswerBuilder {
+  typedef DrainAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_nonce(uint64_t nonce) {
+    fbb_.AddElement<uint64_t>(DrainAnswer::VT_NONCE, nonce, 0);
+  }
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(DrainAnswer::VT_UPSTREAM, upstream);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(DrainAnswer::VT_REVISION, revision, 0);
+  }
+  void add_requests(uint32_t requests) {
+    fbb_.AddElement<uint32_t>(DrainAnswer::VT_REQUESTS, requests, 0);
+  }
+  void add_residents(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::ResidentEntry>>> residents) {
+    fbb_.AddOffset(DrainAnswer::VT_RESIDENTS, residents);
+  }
+  explicit DrainAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DrainAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DrainAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DrainAnswer> CreateDrainAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    uint64_t revision = 0,
+    uint32_t requests = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::ResidentEntry>>> residents = 0) {
+  DrainAnswerBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_nonce(nonce);
+  builder_.add_residents(residents);
+  builder_.add_requests(requests);
+  builder_.add_upstream(upstream);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<DrainAnswer> CreateDrainAnswerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    const char *upstream = nullptr,
+    uint64_t revision = 0,
+    uint32_t requests = 0,
+    const std::vector<flatbuffers::Offset<briarwharf::ResidentEntry>> *residents = nullptr) {
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  auto residents__ = residents ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::ResidentEntry>>(*residents) : 0;
+  return briarwharf::CreateDrainAnswer(
+      _fbb,
+      nonce,
+      upstream__,
+      revision,
+      requests,
+      residents__);
+}
+
+flatbuffers::Offset<DrainAnswer> CreateDrainAnswer(flatbuffers::FlatBufferBuilder &_fbb, const DrainAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct PeerFrameT : public flatbuffers::NativeTable {
   typedef PeerFrame TableType;
@@ -2601,6 +3134,15 @@
   const briarwharf::ResidenceAnswer *body_as_ResidenceAnswer() const {
     return body_type() == briarwharf::PeerBody::ResidenceAnswer ? static_cast<const briarwharf::ResidenceAnswer *>(body()) : nullptr;
   }
+  const briarwharf::LoadNotices *body_as_LoadNotices() const {
+    return body_type() == briarwharf::PeerBody::LoadNotices ? static_cast<const briarwharf::LoadNotices *>(body()) : nullptr;
+  }
+  const briarwharf::DrainQuery *body_as_DrainQuery() const {
+    return body_type() == briarwharf::PeerBody::DrainQuery ? static_cast<const briarwharf::DrainQuery *>(body()) : nullptr;
+  }
+  const briarwharf::DrainAnswer *body_as_DrainAnswer() const {
+    return body_type() == briarwharf::PeerBody::DrainAnswer ? static_cast<const briarwharf::DrainAnswer *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -2668,6 +3210,18 @@
   return body_as_ResidenceAnswer();
 }
 
+template<> inline const briarwharf::LoadNotices *PeerFrame::body_as<briarwharf::LoadNotices>() const {
+  return body_as_LoadNotices();
+}
+
+template<> inline const briarwharf::DrainQuery *PeerFrame::body_as<briarwharf::DrainQuery>() const {
+  return body_as_DrainQuery();
+}
+
+template<> inline const briarwharf::DrainAnswer *PeerFrame::body_as<briarwharf::DrainAnswer>() const {
+  return body_as_DrainAnswer();
+}
+
 struct PeerFrameBuilder {
   typedef PeerFrame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3397,7 +3951,7 @@
   (void)_resolver;
   { auto _e = nonce(); _o->nonce = _e; }
   { auto _e = chat(); _o->chat = _e; }
-  { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
+  { auto _e = upstream(); _o->upstream = _e; }
 }
 
 inline flatbuffers::Offset<ResidenceAnswer> ResidenceAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ResidenceAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3410,7 +3964,7 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ResidenceAnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _nonce = _o->nonce;
   auto _chat = _o->chat;
-  auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
+  auto _upstream = _o->upstream;
   return briarwharf::CreateResidenceAnswer(
       _fbb,
       _nonce,
@@ -3418,6 +3972,194 @@
       _upstream);
 }
 
+inline LoadNoticeT *LoadNotice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<LoadNoticeT>(new LoadNoticeT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LoadNotice::UnPackTo(LoadNoticeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = upstream(); _o->upstream = _e; }
+  { auto _e = tokens(); _o->tokens = _e; }
+  { auto _e = ageMs(); _o->ageMs = _e; }
+}
+
+inline flatbuffers::Offset<LoadNotice> LoadNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLoadNotice(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LoadNotice> CreateLoadNotice(flatbuffers::FlatBufferBuilder &_fbb, const LoadNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LoadNoticeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _upstream = _o->upstream;
+  auto _tokens = _o->tokens;
+  auto _ageMs = _o->ageMs;
+  return briarwharf::CreateLoadNotice(
+      _fbb,
+      _upstream,
+      _tokens,
+      _ageMs);
+}
+
+inline LoadNoticesT::LoadNoticesT(const LoadNoticesT &o) {
+  notices.reserve(o.notices.size());
+  for (const auto &notices_ : o.notices) { notices.emplace_back((notices_) ? new briarwharf::LoadNoticeT(*notices_) : nullptr); }
+}
+
+inline LoadNoticesT &LoadNoticesT::operator=(LoadNoticesT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(notices, o.notices);
+  return *this;
+}
+
+inline LoadNoticesT *LoadNotices::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<LoadNoticesT>(new LoadNoticesT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LoadNotices::UnPackTo(LoadNoticesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = notices(); if (_e) { _o->notices.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->notices[_i] = std::unique_ptr<briarwharf::LoadNoticeT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<LoadNotices> LoadNotices::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadNoticesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLoadNotices(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LoadNotices> CreateLoadNotices(flatbuffers::FlatBufferBuilder &_fbb, const LoadNoticesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LoadNoticesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _notices = _o->notices.size() ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::LoadNotice>> (_o->notices.size(), [](size_t i, _VectorArgs *__va) { return CreateLoadNotice(*__va->__fbb, __va->__o->notices[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return briarwharf::CreateLoadNotices(
+      _fbb,
+      _notices);
+}
+
+inline DrainQueryT *DrainQuery::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<DrainQueryT>(new DrainQueryT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void DrainQuery::UnPackTo(DrainQueryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = nonce(); _o->nonce = _e; }
+  { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
+  { auto _e = withResidents(); _o->withResidents = _e; }
+}
+
+inline flatbuffers::Offset<DrainQuery> DrainQuery::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DrainQueryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateDrainQuery(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<DrainQuery> CreateDrainQuery(flatbuffers::FlatBufferBuilder &_fbb, const DrainQueryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DrainQueryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _nonce = _o->nonce;
+  auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
+  auto _withResidents = _o->withResidents;
+  return briarwharf::CreateDrainQuery(
+      _fbb,
+      _nonce,
+      _upstream,
+      _withResidents);
+}
+
+inline ResidentEntryT *ResidentEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<ResidentEntryT>(new ResidentEntryT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ResidentEntry::UnPackTo(ResidentEntryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = organisation(); if (_e) _o->organisation = _e->str(); }
+  { auto _e = chat(); if (_e) _o->chat = _e->str(); }
+  { auto _e = idleMs(); _o->idleMs = _e; }
+}
+
+inline flatbuffers::Offset<ResidentEntry> ResidentEntry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ResidentEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateResidentEntry(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ResidentEntry> CreateResidentEntry(flatbuffers::FlatBufferBuilder &_fbb, const ResidentEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ResidentEntryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _organisation = _o->organisation.empty() ? 0 : _fbb.CreateString(_o->organisation);
+  auto _chat = _o->chat.empty() ? 0 : _fbb.CreateString(_o->chat);
+  auto _idleMs = _o->idleMs;
+  return briarwharf::CreateResidentEntry(
+      _fbb,
+      _organisation,
+      _chat,
+      _idleMs);
+}
+
+inline DrainAnswerT::DrainAnswerT(const DrainAnswerT &o)
+      : nonce(o.nonce),
+        upstream(o.upstream),
+        revision(o.revision),
+        requests(o.requests) {
+  residents.reserve(o.residents.size());
+  for (const auto &residents_ : o.residents) { residents.emplace_back((residents_) ? new briarwharf::ResidentEntryT(*residents_) : nullptr); }
+}
+
+inline DrainAnswerT &DrainAnswerT::operator=(DrainAnswerT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(nonce, o.nonce);
+  std::swap(upstream, o.upstream);
+  std::swap(revision, o.revision);
+  std::swap(requests, o.requests);
+  std::swap(residents, o.residents);
+  return *this;
+}
+
+inline DrainAnswerT *DrainAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<DrainAnswerT>(new DrainAnswerT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void DrainAnswer::UnPackTo(DrainAnswerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = nonce(); _o->nonce = _e; }
+  { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
+  { auto _e = revision(); _o->revision = _e; }
+  { auto _e = requests(); _o->requests = _e; }
+  { auto _e = residents(); if (_e) { _o->residents.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->residents[_i] = std::unique_ptr<briarwharf::ResidentEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<DrainAnswer> DrainAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DrainAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateDrainAnswer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<DrainAnswer> CreateDrainAnswer(flatbuffers::FlatBufferBuilder &_fbb, const DrainAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DrainAnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _nonce = _o->nonce;
+  auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
+  auto _revision = _o->revision;
+  auto _requests = _o->requests;
+  auto _residents = _o->residents.size() ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::ResidentEntry>> (_o->residents.size(), [](size_t i, _VectorArgs *__va) { return CreateResidentEntry(*__va->__fbb, __va->__o->residents[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return briarwharf::CreateDrainAnswer(
+      _fbb,
+      _nonce,
+      _upstream,
+      _revision,
+      _requests,
+      _residents);
+}
+
 inline PeerFrameT *PeerFrame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<PeerFrameT>(new PeerFrameT());
   UnPackTo(_o.get(), _resolver);
@@ -3510,6 +4252,18 @@
       auto ptr = reinterpret_cast<const briarwharf::ResidenceAnswer *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case PeerBody::LoadNotices: {
+      auto ptr = reinterpret_cast<const briarwharf::LoadNotices *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case PeerBody::DrainQuery: {
+      auto ptr = reinterpret_cast<const briarwharf::DrainQuery *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case PeerBody::DrainAnswer: {
+      auto ptr = reinterpret_cast<const briarwharf::DrainAnswer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -3581,6 +4335,18 @@
       auto ptr = reinterpret_cast<const briarwharf::ResidenceAnswer *>(obj);
       return ptr->UnPack(resolver);
     }
+    case PeerBody::LoadNotices: {
+      auto ptr = reinterpret_cast<const briarwharf::LoadNotices *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case PeerBody::DrainQuery: {
+      auto ptr = reinterpret_cast<const briarwharf::DrainQuery *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case PeerBody::DrainAnswer: {
+      auto ptr = reinterpret_cast<const briarwharf::DrainAnswer *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -3640,6 +4406,18 @@
       auto ptr = reinterpret_cast<const briarwharf::ResidenceAnswerT *>(value);
       return CreateResidenceAnswer(_fbb, ptr, _rehasher).Union();
     }
+    case PeerBody::LoadNotices: {
+      auto ptr = reinterpret_cast<const briarwharf::LoadNoticesT *>(value);
+      return CreateLoadNotices(_fbb, ptr, _rehasher).Union();
+    }
+    case PeerBody::DrainQuery: {
+      auto ptr = reinterpret_cast<const briarwharf::DrainQueryT *>(value);
+      return CreateDrainQuery(_fbb, ptr, _rehasher).Union();
+    }
+    case PeerBody::DrainAnswer: {
+      auto ptr = reinterpret_cast<const briarwharf::DrainAnswerT *>(value);
+      return CreateDrainAnswer(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -3698,6 +4476,18 @@
       value = new briarwharf::ResidenceAnswerT(*reinterpret_cast<briarwharf::ResidenceAnswerT *>(u.value));
       break;
     }
+    case PeerBody::LoadNotices: {
+      value = new briarwharf::LoadNoticesT(*reinterpret_cast<briarwharf::LoadNoticesT *>(u.value));
+      break;
+    }
+    case PeerBody::DrainQuery: {
+      value = new briarwharf::DrainQueryT(*reinterpret_cast<briarwharf::DrainQueryT *>(u.value));
+      break;
+    }
+    case PeerBody::DrainAnswer: {
+      value = new briarwharf::DrainAnswerT(*reinterpret_cast<briarwharf::DrainAnswerT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -3770,6 +4560,21 @@
       delete ptr;
       break;
     }
+    case PeerBody::LoadNotices: {
+      auto ptr = reinterpret_cast<briarwharf::LoadNoticesT *>(value);
+      delete ptr;
+      break;
+    }
+    case PeerBody::DrainQuery: {
+      auto ptr = reinterpret_cast<briarwharf::DrainQueryT *>(value);
+      delete ptr;
+      break;
+    }
+    case PeerBody::DrainAnswer: {
+      auto ptr = reinterpret_cast<briarwharf::DrainAnswerT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/coordination/relay.cc
+++ b/coordination/relay.cc
@@ -258,6 +258,19 @@
     return m_ahead ? std::max(m_revision, m_ahead->head) : m_revision;
 }
 
+std::optional<PeerStatement> ConfigurationRelay::statement(const std::string& peer, MonotonicTime now) const
+{
+    auto found = m_peers.find(peer);
+    if (found == m_peers.end() || !found->second.stated)
+        return std::nullopt;
+    PeerStatement statement;
+    statement.revision = found->second.revision;
+    statement.current = !found->second.notCurrent;
+    if (found->second.confirmed)
+        statement.confirmedAge = toMilliseconds(now - *found->second.confirmed);
+    return statement;
+}
+
 Coverage ConfigurationRelay::notCurrentPeers(MonotonicTime now) const
 {
     Coverage direct = directCoverage(now);
--- a/coordination/relay.h
+++ b/coordination/relay.h
@@ -61,6 +61,13 @@
     std::uint64_t nonce = 0;
 };
 
+// What a linked instance last said about its configuration.
+struct PeerStatement {
+    std::uint64_t revision = 0; // in force there
+    bool current = false;
+    std::optional<Milliseconds> confirmedAge;
+};
+
 // Decides how configuration records travel from the few instances that watch the store to all others, and
 // knows how fresh the configuration in force is.
 //
@@ -109,6 +116,9 @@
     std::optional<Milliseconds> confirmedAge(MonotonicTime now) const;
     bool current(MonotonicTime now) const;
 
+    // nullopt: no link, or nothing said yet.
+    std::optional<PeerStatement> statement(const std::string& peer, MonotonicTime now) const;
+
     // Statements of other instances that are not current, with this one: from the direct links or from the
     // aggregation tree, whichever covers more.
     Coverage notCurrentPeers(MonotonicTime now) const;
--- a/process/chatcall.cc
+++ b/process/chatcall.cc
@@ -65,6 +65,7 @@
     m_placement.chat = chatKey(m_input.organisation->name, m_input.chat);
     m_placement.tokens = m_tokens;
     m_placement.returning = m_input.request.returning;
+    m_placement.outputTokens = m_input.request.maxTokens;
     m_placement.nonce = hash64(m_input.requestId);
 }
 
@@ -78,11 +79,35 @@
     HintCheck hint
         = m_router.hints().verify(hintText.value_or(""), m_input.organisation->name, m_input.chat, wallNow());
     m_router.metrics().countHint(std::string(hintVerdictName(hint.verdict)));
-    if (hint.verdict == HintVerdict::Valid)
-        m_placement.hint = hint.upstream;
-    else
-        m_placement.directory = m_pool->directory().find(m_placement.chat, clockNow());
     m_router.retryBudget().requestStarted(clockNow());
+    if (hintIsUsable(hint)) {
+        m_placement.hint = hint.upstream;
+        return submit();
+    }
+    if (!m_input.request.returning)
+        return submit();
+    m_router.findResidence(m_placement.chat, [self](std::optional<UpstreamId> upstream) {
+        self->m_placement.directory = upstream;
+        self->m_wasException = upstream.has_value();
+        self->submit();
+    });
+}
+
+// A hint from before its engine lost its cache would only keep the chat from its rendezvous order.
+bool ChatCall::hintIsUsable(const HintCheck& hint) const
+{
+    if (hint.verdict != HintVerdict::Valid)
+        return false;
+    const UpstreamRuntime* upstream = m_router.upstreams().find(hint.upstream);
+    return upstream && upstream->settings.state == UpstreamState::Serving
+        && (!upstream->cacheLostAt || hint.issued >= *upstream->cacheLostAt);
+}
+
+void ChatCall::submit()
+{
+    if (m_finished)
+        return;
+    m_placement.typicalOutputTokens = m_pool->ledger().typicalOutputTokens();
     AdmissionRequest entry;
     entry.ticket = m_ticket;
     entry.organisation = m_input.organisation->name;
@@ -90,7 +115,7 @@
     entry.requestClass = m_class;
     entry.tokens = m_tokens;
     entry.deadline = m_input.deadline;
-    m_pool->submit(std::move(entry), self);
+    m_pool->submit(std::move(entry), shared_from_this());
 }
 
 bool ChatCall::run()
@@ -151,7 +176,8 @@
     m_upstream = m_router.upstreams().all().at(upstream.settings.name);
     ++m_attempts;
     ++m_upstream->requestsInProgress;
-    m_pool->ledger().sent(m_upstream->id, m_tokens, clockNow());
+    m_pool->ledger().sent(m_upstream->id, m_tokens, clockNow(), m_input.request.maxTokens);
+    m_router.loadChanged(*m_upstream, m_tokens);
     m_wholeBody.clear();
     m_doneSeen = false;
     m_parser = EventStreamParser(maxEventBytes, [this](std::string_view data) { eventReceived(data); });
@@ -480,6 +506,7 @@
         return;
     --m_upstream->requestsInProgress;
     m_pool->ledger().finished(m_upstream->id, m_tokens, clockNow());
+    m_router.loadChanged(*m_upstream, -m_tokens);
 }
 
 void ChatCall::finish(Outcome outcome, int status)
@@ -489,12 +516,12 @@
     m_finished = true;
     m_slowCallerTimer.stop();
     if (outcome == Outcome::Completed && m_upstream) {
-        MonotonicTime now = clockNow();
-        if (m_exception)
-            m_pool->directory().put(m_placement.chat, m_upstream->id, now);
-        else
-            m_pool->directory().erase(m_placement.chat);
-        m_pool->residents().spoke(m_input.organisation->name, m_input.chat, m_upstream->id, m_tokens, now);
+        if (m_exception && m_placement.directory != m_upstream->id)
+            m_router.updateResidence(m_placement.chat, m_upstream->settings.name);
+        else if (!m_exception && m_wasException)
+            m_router.updateResidence(m_placement.chat, {});
+        m_pool->residents().spoke(
+            m_input.organisation->name, m_input.chat, m_upstream->id, m_tokens, clockNow());
     }
     m_router.metrics().observeDuration(className(), clockNow() - m_startedAt);
     m_router.metrics().countRequest(
--- a/process/chatcall.h
+++ b/process/chatcall.h
@@ -39,6 +39,8 @@
     void refuse(AdmissionOutcome, Milliseconds retryAfter) override;
 
 private:
+    bool hintIsUsable(const HintCheck&) const;
+    void submit();
     void beginAttempt(UpstreamRuntime&);
     void sendAttempt();
     void resume();
@@ -95,6 +97,7 @@
     int m_resumes = 0;
     bool m_earlierUnknown = false;
     bool m_exception = false; // placed elsewhere than the rendezvous order says
+    bool m_wasException = false; // according to the directory
     bool m_streamStarted = false; // towards the caller
     bool m_doneSeen = false;
     bool m_paused = false;
--- a/process/daemon.cc
+++ b/process/daemon.cc
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr Milliseconds tickInterval { 50 };
+    constexpr Milliseconds stepInterval { 200 };
     constexpr Milliseconds pollInterval { 1000 };
     constexpr Milliseconds metricsInterval { 5000 };
 
@@ -74,16 +75,17 @@
     , m_config(m_store, m_settings.store.prefix, &clockNow,
           [this](std::shared_ptr<const ConfigIndex> index) { configurationChanged(std::move(index)); })
     , m_peers(base, m_settings, m_store, m_config,
-          [this](const std::string& peer, const PeerFrameT& frame) { m_claims.receive(peer, frame); })
+          [this](const std::string& peer, const PeerFrameT& frame) { frameReceived(peer, frame); })
     , m_claims(m_store, m_peers, m_settings.store.prefix, &clockNow)
     , m_upstreams(base,
           [this](const UpstreamRuntime& upstream, bool reached, std::uint32_t tokens) {
               upstreamPolled(upstream, reached, tokens);
           })
     , m_rates(m_peers.shares())
-    , m_router({ base, &m_settings, &m_metrics, &m_tracer, &m_upstreams, &m_peers.health(), &m_rates,
-                   [this](const UpstreamRuntime& upstream) { return mayGetNewWork(upstream); } },
-          std::move(hints))
+    , m_residence(m_peers)
+    , m_router(routerParts(), std::move(hints))
+    , m_notices(m_peers, m_router)
+    , m_drains(m_store, m_settings.store.prefix, &clockNow, m_config, m_peers, m_router)
     , m_callerApi(m_router, m_claims.client())
     , m_adminApi(m_router, m_config, m_peers, [this] { return facts(); })
     , m_callerServer(base, callerServerOptions(m_settings),
@@ -91,11 +93,43 @@
     , m_adminServer(base, adminServerOptions(),
           [this](const std::shared_ptr<HttpExchange>& exchange) { m_adminApi.handle(exchange); })
     , m_ticker(base, tickInterval, [this] { tick(); })
+    , m_stepTicker(base, stepInterval, [this] { step(); })
     , m_pollTicker(base, pollInterval, [this] { pollUpstreams(); })
     , m_metricsTicker(base, metricsInterval, [this] { updateMetrics(); })
 {
 }
 
+Router::Parts Daemon::routerParts()
+{
+    Router::Parts parts;
+    parts.base = m_base;
+    parts.settings = &m_settings;
+    parts.metrics = &m_metrics;
+    parts.tracer = &m_tracer;
+    parts.upstreams = &m_upstreams;
+    parts.health = &m_peers.health();
+    parts.allowance = &m_rates;
+    parts.mayGetNewWork = [this](const UpstreamRuntime& upstream) { return mayGetNewWork(upstream); };
+    parts.findResidence = [this](ChatKey chat, ResidenceService::FindCallback callback) {
+        m_residence.find(chat, std::move(callback));
+    };
+    parts.updateResidence
+        = [this](ChatKey chat, const std::string& upstream) { m_residence.update(chat, upstream); };
+    parts.loadChanged = [this](const UpstreamRuntime& upstream, std::int64_t tokens) {
+        m_notices.changed(upstream, tokens);
+    };
+    return parts;
+}
+
+// Each part looks at the messages that are its own.
+void Daemon::frameReceived(const std::string& peer, const PeerFrameT& frame)
+{
+    m_claims.receive(peer, frame);
+    m_residence.receive(peer, frame);
+    m_notices.receive(frame);
+    m_drains.receive(peer, frame);
+}
+
 Status Daemon::start()
 {
     BOOST_OUTCOME_TRYV(m_peers.start());
@@ -166,12 +200,20 @@
     m_config.publish();
     m_peers.tick();
     m_claims.tick();
+    m_residence.tick();
+    m_drains.tick();
     readLoads();
     m_router.setInstances(m_peers.membership().usable().size());
     m_router.tick();
     checkShutdown();
 }
 
+void Daemon::step()
+{
+    m_notices.flush();
+    m_drains.step();
+}
+
 // An instance polls the upstreams that it owns in the load table; while the configuration is not current it
 // polls every engine that it may use, since only the engine can then say that it is leaving.
 void Daemon::pollUpstreams()
@@ -252,6 +294,11 @@
         other.address = member.address;
         other.failureDomain = member.failureDomain;
         other.state = stateNames[static_cast<std::size_t>(member.state)];
+        if (auto statement = m_peers.relay().statement(id, now)) {
+            other.revision = statement->revision;
+            other.current = statement->current;
+            other.confirmedAgo = statement->confirmedAge;
+        }
         facts.instances.push_back(other);
     }
     for (const auto& [name, upstream] : m_upstreams.all())
@@ -263,7 +310,12 @@
 {
     UpstreamFacts facts;
     facts.requestsInProgress = upstream.requestsInProgress;
-    auto load = const_cast<PeerService&>(m_peers).loads().load(upstream.shortId, now);
+    auto phase = m_drains.phases().find(upstream.settings.name);
+    if (phase != m_drains.phases().end())
+        facts.drainPhase = drainPhaseName(phase->second);
+    auto load = m_peers.loads().load(upstream.shortId, now);
+    if (auto pool = m_router.pools().find(upstream.settings.pool); pool != m_router.pools().end())
+        facts.residentChats = pool->second->residents().count(upstream.id);
     if (load) {
         facts.tokensInProgress = load->tokens;
         facts.reportAge = load->age;
--- a/process/daemon.h
+++ b/process/daemon.h
@@ -5,7 +5,10 @@
 #include "process/callerapi.h"
 #include "process/claims.h"
 #include "process/configservice.h"
+#include "process/drainservice.h"
+#include "process/loadnotices.h"
 #include "process/peers.h"
+#include "process/residence.h"
 #include "process/router.h"
 #include "process/settings.h"
 #include <memory>
@@ -59,7 +62,10 @@
     void configurationChanged(std::shared_ptr<const ConfigIndex>);
     void upstreamPolled(const UpstreamRuntime&, bool reached, std::uint32_t tokens);
     bool mayGetNewWork(const UpstreamRuntime&) const;
+    Router::Parts routerParts();
+    void frameReceived(const std::string& peer, const PeerFrameT&);
     void tick();
+    void step();
     void pollUpstreams();
     void readLoads();
     void updateMetrics();
@@ -78,12 +84,16 @@
     ClaimGateway m_claims;
     UpstreamSet m_upstreams;
     SharedRates m_rates;
+    ResidenceService m_residence;
     Router m_router;
+    LoadNoticeService m_notices;
+    DrainService m_drains;
     CallerApi m_callerApi;
     AdminApi m_adminApi;
     HttpServer m_callerServer;
     HttpServer m_adminServer;
     Ticker m_ticker;
+    Ticker m_stepTicker;
     Ticker m_pollTicker;
     Ticker m_metricsTicker;
     std::uint16_t m_callerPort = 0;
--- a/process/peers.h
+++ b/process/peers.h
@@ -55,6 +55,7 @@
     const Membership& membership() const { return m_membership; }
     const ConfigurationRelay& relay() const { return m_relay; }
     LoadTable& loads() { return m_loads; }
+    const LoadTable& loads() const { return m_loads; }
     RateShare& shares() { return m_shares; }
     UpstreamHealth& health() { return m_health; }
 
--- a/process/pools.cc
+++ b/process/pools.cc
@@ -8,7 +8,6 @@
 
 namespace {
 
-    constexpr std::size_t directoryBytes = 16 * 1024 * 1024;
     constexpr std::size_t residentBytes = 32 * 1024 * 1024;
 
     // The platform's balancer spreads callers unevenly, so one instance may use up to this multiple of its
@@ -46,7 +45,6 @@
     : m_policy(policy)
     , m_admission(admissionFor(policy), allowance)
     , m_placement(placementFor(policy))
-    , m_directory(directoryBytes)
     , m_residents(residentBytes)
 {
 }
@@ -59,7 +57,6 @@
     for (const auto& former : m_upstreams) {
         if (std::find(upstreams.begin(), upstreams.end(), former) == upstreams.end()) {
             m_ledger.forget(former->id);
-            m_directory.eraseUpstream(former->id);
             m_residents.forgetUpstream(former->id);
         }
     }
--- a/process/pools.h
+++ b/process/pools.h
@@ -56,7 +56,6 @@
         std::uint64_t nonce, const std::set<UpstreamId>& tried, const NewWorkCheck&, const HealthCheck&);
 
     LoadLedger& ledger() { return m_ledger; }
-    ResidenceDirectory& directory() { return m_directory; }
     ResidentChats& residents() { return m_residents; }
 
     std::size_t waiting() const;
@@ -73,7 +72,6 @@
     Admission m_admission;
     std::unique_ptr<Placement> m_placement;
     LoadLedger m_ledger;
-    ResidenceDirectory m_directory;
     ResidentChats m_residents;
     std::map<AdmissionTicket, std::shared_ptr<AdmittedCall>> m_calls;
     bool m_dispatching = false;
--- a/process/router.h
+++ b/process/router.h
@@ -27,6 +27,12 @@
         UpstreamHealth* health = nullptr;
         RateAllowance* allowance = nullptr;
         NewWorkCheck mayGetNewWork; // the rule on currency
+        // Where the context of a chat is, for a caller without a hint; calls back once.
+        std::function<void(ChatKey, std::function<void(std::optional<UpstreamId>)>)> findResidence;
+        // The chat's context is at the upstream; empty: at its first choice again.
+        std::function<void(ChatKey, const std::string& upstream)> updateResidence;
+        // The tokens in progress from this instance changed.
+        std::function<void(const UpstreamRuntime&, std::int64_t tokens)> loadChanged;
     };
 
     Router(Parts, HintSigner);
@@ -51,6 +57,19 @@
     const std::map<std::string, std::shared_ptr<PoolRuntime>>& pools() const { return m_pools; }
 
     bool mayGetNewWork(const UpstreamRuntime& upstream) const { return m_parts.mayGetNewWork(upstream); }
+    void findResidence(ChatKey chat, std::function<void(std::optional<UpstreamId>)> callback)
+    {
+        m_parts.findResidence(chat, std::move(callback));
+    }
+    void updateResidence(ChatKey chat, const std::string& upstream)
+    {
+        m_parts.updateResidence(chat, upstream);
+    }
+    void loadChanged(const UpstreamRuntime& upstream, std::int64_t tokens)
+    {
+        m_parts.loadChanged(upstream, tokens);
+    }
+
     bool isHealthy(const UpstreamRuntime&) const;
     void reportSuccess(const UpstreamRuntime&);
     void reportFailure(const UpstreamRuntime&, ExchangeEnd);
--- a/process/testing/endtoend_test.cc
+++ b/process/testing/endtoend_test.cc
@@ -127,7 +127,8 @@
         { R"({"silent":true,"count":1})", true },
         { R"({"status":500,"count":1})", true },
         { R"({"delay_ms":100,"count":1})", true },
-        { R"({"truncate_after":2})", true }, // the stand-in disturbs first attempts only, so the resume is whole
+        { R"({"truncate_after":2})",
+            true }, // the stand-in disturbs first attempts only, so the resume is whole
         { R"({"silent":true})", false },
         { R"({"crossed":true})", false },
     };
@@ -167,8 +168,8 @@
 // Guards against whole answers that are another request's, cut short, or delimited by the close only.
 TEST_CASE("a disturbed whole answer is repeated elsewhere or refused")
 {
-    for (const std::string faults : { R"({"crossed":true})", R"({"truncate_after":0})", R"({"unframed":true})",
-             R"({"close":true})", R"({"refuse":true})" }) {
+    for (const std::string faults : { R"({"crossed":true})", R"({"truncate_after":0})",
+             R"({"unframed":true})", R"({"close":true})", R"({"refuse":true})" }) {
         FleetFixture fleet(1, 2);
         auto other = fleet.send(fleet.callerPort(0), fleet.chatRequest("other", true, 400));
         CHECK(fleet.runUntil([&] { return !other->body.empty(); }));
@@ -287,3 +288,45 @@
     CHECK(fleet.runUntil([&] { return stream->finished; }));
     CHECK(looksWhole(*stream));
 }
+
+// Guards against a drain that stops an engine with its chats' context lost, or before it is empty.
+TEST_CASE("a drain hands chats over, tells the engine and reports it empty")
+{
+    FleetFixture fleet(3, 2);
+    std::vector<std::uint64_t> counts(2, 0);
+    fleet.call(fleet.callerPort(0), fleet.chatRequest("c1", false, 6));
+    auto source = static_cast<std::size_t>(engineOfLastRequest(fleet, counts));
+    CHECK(fleet.command(1, "DRAIN UPSTREAM engine-" + std::to_string(source))->status == 200);
+    CHECK(fleet.runUntil([&] {
+        return fleet.command(2, "SHOW UPSTREAMS WHERE empty = true")
+                   ->body.find("engine-" + std::to_string(source))
+            != std::string::npos;
+    }));
+    CHECK(fleet.engine(source).model.state().role == "draining");
+    // Back without a hint, through an instance that has not seen the chat.
+    auto request = fleet.chatRequest("c1", false, 6);
+    auto body = parseJson(request.body, "request").value();
+    body["messages"].push_back({ { "role", "assistant" }, { "content", "answer w1 w2 w3 w4 end" } });
+    body["messages"].push_back({ { "role", "user" }, { "content", "and then" } });
+    request.body = dumpJson(body);
+    auto answer = fleet.call(fleet.callerPort(1), request);
+    CHECK(answer->status == 200);
+    auto usage = parseJson(answer->body, "answer").value()["usage"];
+    CHECK(usage["prompt_tokens_details"]["cached_tokens"].get<int>() > 0);
+    CHECK(fleet.command(0, "UNDRAIN UPSTREAM engine-" + std::to_string(source))->status == 200);
+    CHECK(fleet.runUntil([&] { return fleet.engine(source).model.state().role == "serving"; }));
+}
+
+// Guards against an instance that serves with less than what was accepted before it was replaced.
+TEST_CASE("a replaced instance starts from the accepted configuration while the store is down")
+{
+    FleetFixture fleet(3, 1);
+    CHECK(fleet.command(0, "CREATE ORGANISATION late KEY 'late-key-0123456789'")->status == 200);
+    fleet.setFaults(fleet.storePort(), R"({"down":true})");
+    auto showsLate = [&](std::size_t instance) {
+        return fleet.command(instance, "SHOW ORGANISATIONS")->body.find("late") != std::string::npos;
+    };
+    CHECK(fleet.runUntil([&] { return showsLate(1); }));
+    fleet.replaceDaemon(2);
+    CHECK(fleet.runUntil([&] { return showsLate(2); }));
+}
--- a/process/testing/fleet.cc
+++ b/process/testing/fleet.cc
@@ -67,32 +67,42 @@
     configureLogging("error");
     for (std::size_t i = 0; i < engines; ++i)
         m_engines.push_back(std::make_unique<EngineFixture>(m_base.get(), "engine-" + std::to_string(i)));
-    std::vector<std::uint16_t> peerPorts;
     Json list = Json::array();
     for (std::size_t i = 0; i < instances; ++i) {
-        peerPorts.push_back(freePort());
-        list.push_back({ { "id", "entry-" + std::to_string(i) }, { "address", loopback(peerPorts.back()) },
+        m_peerPorts.push_back(freePort());
+        list.push_back({ { "id", "entry-" + std::to_string(i) }, { "address", loopback(m_peerPorts.back()) },
             { "failure_domain", "a" } });
     }
     m_store.setInstances(list, std::chrono::steady_clock::now(), Milliseconds(0));
-    for (std::size_t i = 0; i < instances; ++i) {
-        Settings settings = settingsFor(i, peerPorts);
-        auto hints = HintSigner::create({ settings.hint.key, "" });
-        m_daemons.push_back(std::make_unique<Daemon>(m_base.get(), settings, std::move(hints.value())));
-        REQUIRE(m_daemons.back()->start().has_value());
-    }
+    m_daemons.resize(instances);
+    for (std::size_t i = 0; i < instances; ++i)
+        startDaemon(i);
     configure();
 }
 
 FleetFixture::~FleetFixture() = default;
 
-Settings FleetFixture::settingsFor(std::size_t instance, const std::vector<std::uint16_t>& peerPorts)
+void FleetFixture::startDaemon(std::size_t instance)
+{
+    Settings settings = settingsFor(instance);
+    auto hints = HintSigner::create({ settings.hint.key, "" });
+    m_daemons.at(instance) = std::make_unique<Daemon>(m_base.get(), settings, std::move(hints.value()));
+    REQUIRE(m_daemons.at(instance)->start().has_value());
+}
+
+void FleetFixture::replaceDaemon(std::size_t instance)
+{
+    m_daemons.at(instance).reset();
+    startDaemon(instance);
+}
+
+Settings FleetFixture::settingsFor(std::size_t instance) const
 {
     Settings settings;
     settings.instance.id = "entry-" + std::to_string(instance);
     settings.listen.callers.port = 0;
     settings.listen.admin.port = 0;
-    settings.listen.peers.port = peerPorts[instance];
+    settings.listen.peers.port = m_peerPorts[instance];
     settings.store.endpoint.port = m_storePort;
     settings.store.timeout = Milliseconds(500);
     settings.operators.tokenHash = sha256Hex(operatorToken);
--- a/process/testing/fleet.h
+++ b/process/testing/fleet.h
@@ -60,7 +60,8 @@
 
     event_base* base() { return m_base.get(); }
     Daemon& daemon(std::size_t instance) { return *m_daemons.at(instance); }
-    void killDaemon(std::size_t instance) { m_daemons.at(instance).reset(); }
+    // Kills the instance without a word to the others and starts a new process in its place.
+    void replaceDaemon(std::size_t instance);
     std::uint16_t callerPort(std::size_t instance) { return daemon(instance).callerPort(); }
     void stopEngine(std::size_t number) { m_engines.at(number).reset(); }
     EngineFixture& engine(std::size_t number) { return *m_engines.at(number); }
@@ -77,7 +78,8 @@
         void operator()(event_base* base) const { event_base_free(base); }
     };
 
-    Settings settingsFor(std::size_t instance, const std::vector<std::uint16_t>& peerPorts);
+    Settings settingsFor(std::size_t instance) const;
+    void startDaemon(std::size_t instance);
     void configure();
 
     std::unique_ptr<event_base, BaseDeleter> m_base;
@@ -88,6 +90,7 @@
     ServiceServer m_serviceServer;
     std::uint16_t m_servicePort;
     std::vector<std::unique_ptr<EngineFixture>> m_engines;
+    std::vector<std::uint16_t> m_peerPorts;
     std::vector<std::unique_ptr<Daemon>> m_daemons;
     std::map<std::uint16_t, std::unique_ptr<UpstreamClient>> m_clients;
 };
--- a/process/upstreams.cc
+++ b/process/upstreams.cc
@@ -38,6 +38,8 @@
             runtime->client = std::make_unique<UpstreamClient>(
                 m_base, settings.address, settings.port, UpstreamClientOptions {});
         }
+        if (runtime->settings.empty && settings.state == UpstreamState::Serving)
+            runtime->cacheLostAt = std::chrono::system_clock::now();
         runtime->settings = settings;
         next.emplace(name, std::move(runtime));
     }
@@ -64,6 +66,7 @@
     if (runtime.polling)
         return;
     runtime.polling = true;
+    runtime.pollStarted = std::chrono::steady_clock::now();
     UpstreamRequest request;
     request.method = "GET";
     request.target = "/load";
@@ -95,7 +98,9 @@
         if (reached) {
             tokens = static_cast<std::uint32_t>(std::max<std::int64_t>(0, *inProgress));
             runtime->pollSaysServing = stringField(report.value(), "role").value_or("serving") == "serving";
-            runtime->polledAt = std::chrono::steady_clock::now();
+            runtime->pollRequests = static_cast<std::uint64_t>(
+                std::max<std::int64_t>(0, integerField(report.value(), "requests_in_progress").value_or(0)));
+            runtime->polledAt = runtime->pollStarted;
         }
     }
     m_onPolled(*runtime, reached, tokens);
--- a/process/upstreams.h
+++ b/process/upstreams.h
@@ -21,10 +21,15 @@
     std::unique_ptr<UpstreamClient> client;
     std::uint32_t requestsInProgress = 0; // from this instance
 
+    // When it came back from a drain in which it was emptied; its cache is then empty.
+    std::optional<WallTime> cacheLostAt;
+
     // This instance's own latest poll.
     std::optional<MonotonicTime> polledAt;
     bool pollSaysServing = false;
+    std::uint64_t pollRequests = 0; // in progress, from all instances
     bool polling = false;
+    MonotonicTime pollStarted;
 };
 
 // The upstreams of the configuration in force, their HTTP clients and the polls of their load.
--- a/request/residence.cc
+++ b/request/residence.cc
@@ -117,6 +117,12 @@
     return order;
 }
 
+std::size_t ResidentChats::count(UpstreamId upstream) const
+{
+    auto isThere = [upstream](const Entry& entry) { return entry.upstream == upstream; };
+    return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), isThere));
+}
+
 void ResidentChats::erase(std::list<Entry>::iterator entry)
 {
     m_bytes -= entryBytes(*entry);
--- a/request/residence.h
+++ b/request/residence.h
@@ -70,6 +70,9 @@
     // At most `limit` chats of the upstream that spoke since `since`, expected soonest first.
     std::vector<ResidentChat> handoverOrder(UpstreamId, MonotonicTime since, std::size_t limit) const;
 
+    // Chats of one upstream; looks at all of them.
+    std::size_t count(UpstreamId) const;
+
     std::size_t size() const { return m_index.size(); }
     std::size_t bytes() const { return m_bytes; }
 
