Test relay, load table, shares and health; let entries that were never sent gain priority by waiting

The starvation test found 91 of 200 entries never sent: an entry that a peer does not have yet kept a constant priority, below that of entries that change all the time. Its waiting time now counts, in the load table and in the sums of demand.

--- a/coordination/loadtable.cc
+++ b/coordination/loadtable.cc
@@ -177,15 +177,16 @@
 
 double LoadTable::priority(const Entry& entry, const Sent& sent, MonotonicTime now) const
 {
+    double waited = inUnits(now - sent.at, m_options.refreshAfter);
     if (!sent.any)
-        return newEntryPriority;
+        return newEntryPriority + waited;
     if (sent.sequence == entry.sequence)
         return 0;
     double difference = std::abs(static_cast<double>(entry.tokens) - static_cast<double>(sent.tokens));
     double significant = std::max<double>(
         m_options.significantTokens, m_options.significantChange * static_cast<double>(sent.tokens));
     double priority = std::min(difference / significant, maxChangePriority);
-    priority += inUnits(now - sent.at, m_options.refreshAfter);
+    priority += waited;
     return entry.flags == sent.flags ? priority : priority + flagPriority;
 }
 
@@ -210,7 +211,10 @@
         const Entry& entry = m_entries[i];
         if (!entry.known || now - entry.polled > m_options.expireAfter)
             continue;
-        double value = priority(entry, state.sent[i], now);
+        Sent& sent = state.sent[i];
+        if (!sent.any && sent.at == MonotonicTime())
+            sent.at = now; // waits from now on
+        double value = priority(entry, sent, now);
         if (value >= 1)
             waiting.emplace_back(value, i);
     }
--- a/coordination/rateshare.cc
+++ b/coordination/rateshare.cc
@@ -280,13 +280,14 @@
 
 double RateShare::priority(const Sent& sent, std::uint32_t value, MonotonicTime now) const
 {
-    if (!sent.any)
-        return value > 0 ? newSumPriority : 0;
     if (value == 0 && sent.value == 0)
         return 0;
+    double waited = seconds(now - sent.at) / seconds(m_options.refreshAfter);
+    if (!sent.any)
+        return newSumPriority + waited;
     double difference = std::abs(static_cast<double>(value) - static_cast<double>(sent.value));
     double change = difference / (m_options.significantChange * static_cast<double>(sent.value) + 1);
-    return std::min(change, maxChangePriority) + seconds(now - sent.at) / seconds(m_options.refreshAfter);
+    return std::min(change, maxChangePriority) + waited;
 }
 
 RateShare::LinkState RateShare::freshState() const
@@ -318,7 +319,10 @@
 {
     std::vector<std::pair<double, std::size_t>> waiting;
     for (std::size_t i = 0; i < m_shares.size(); ++i) {
-        double value = priority(state.sent[i], outgoing(i, state), now);
+        Sent& sent = state.sent[i];
+        if (!sent.any && sent.at == MonotonicTime())
+            sent.at = now; // waits from now on
+        double value = priority(sent, outgoing(i, state), now);
         if (value >= 1)
             waiting.emplace_back(value, i);
     }
--- /dev/null
+++ b/coordination/testing/sections_test.cc
@@ -0,0 +1,219 @@
+// Load table, rate shares, upstream health and the aggregation tree.
+
+#include "base/hash.h"
+#include "coordination/coordination.h"
+#include <doctest/doctest.h>
+#include <set>
+
+using namespace briarwharf;
+
+namespace {
+
+std::vector<std::string> names(std::size_t count)
+{
+    std::vector<std::string> ids;
+    for (std::size_t i = 0; i < count; ++i)
+        ids.push_back("entry-" + std::to_string(i));
+    return ids;
+}
+
+struct Alone {
+    Outbox outbox;
+    Membership membership { { "a", "10.0.0.1:1", "x", 1 }, {}, outbox, 1 };
+    MonotonicTime now { std::chrono::hours(1) };
+    std::string peer = "b";
+    LinkView treeLink { peer, true, false, Milliseconds(0), 1 };
+
+    void seedOthers(std::size_t count)
+    {
+        std::vector<ListedInstance> list;
+        for (const std::string& id : names(count))
+            list.push_back({ id, "10.0.0.2:1", "x" });
+        membership.seed(list, now);
+    }
+};
+
+LoadReport loadReport(std::uint32_t upstream, std::uint16_t tokens, std::uint8_t sequence)
+{
+    constexpr std::uint8_t servingAndReachable = 3;
+    return { upstream, tokens, sequence, servingAndReachable };
+}
+
+} // namespace
+
+// Guards against cycles, in which sums would grow without bound, and against hubs.
+TEST_CASE("the aggregation tree is one tree of bounded degree and low depth")
+{
+    for (std::size_t count : { 1U, 2U, 9U, 100U, 480U }) {
+        std::vector<std::string> ids = names(count);
+        auto parents = treeParents(ids);
+        std::vector<std::size_t> children(count + 1);
+        for (std::size_t i = 0; i < count; ++i) {
+            ++children[parents[i]];
+            std::size_t depth = 0;
+            for (std::size_t node = i; parents[node] < count; node = parents[node]) {
+                CHECK(treeRank(ids[parents[node]]) < treeRank(ids[node]));
+                REQUIRE(++depth <= 8);
+            }
+        }
+        CHECK(children[count] == 1);
+        children[count] = 0;
+        CHECK(*std::max_element(children.begin(), children.end()) <= maxTreeChildren);
+    }
+}
+
+// Guards against keys that move between live instances when another one fails.
+TEST_CASE_FIXTURE(Alone, "only the keys of a lost instance change their owner")
+{
+    seedOthers(8);
+    std::map<std::uint64_t, std::string> before;
+    for (std::uint64_t key = 0; key < 500; ++key)
+        before[key] = membership.owner(hash64(std::to_string(key)));
+    MemberT dead;
+    dead.id = "entry-3";
+    dead.state = MemberState::Dead;
+    HeartbeatT heartbeat;
+    heartbeat.sequence = 1;
+    heartbeat.members.push_back(std::make_unique<MemberT>(dead));
+    PeerFrameT frame;
+    frame.sender = "entry-0";
+    frame.body.Set(std::move(heartbeat));
+    membership.linkUp("entry-0", now);
+    CHECK(membership.receive(frame, now));
+    for (const auto& [key, owner] : before) {
+        const std::string& after = membership.owner(hash64(std::to_string(key)));
+        CHECK(after != "entry-3");
+        if (owner != "entry-3")
+            CHECK(after == owner);
+    }
+}
+
+// Guards against entries that wait for ever behind others that change all the time, and against heartbeats
+// over the budget.
+TEST_CASE_FIXTURE(Alone, "no entry starves within the byte budget")
+{
+    constexpr std::size_t count = 200;
+    LoadTableOptions options;
+    options.bytesPerSecond = 80; // ten entries
+    LoadTable table(membership, options);
+    std::vector<std::uint32_t> upstreams;
+    for (std::uint32_t i = 0; i < count; ++i)
+        upstreams.push_back(i * 1000003U + 17U);
+    table.setUpstreams(upstreams);
+    CHECK(table.owned().size() == count);
+    std::map<std::uint32_t, int> sent;
+    constexpr int rounds = 300;
+    for (int round = 0; round < rounds; ++round) {
+        now += Milliseconds(1000);
+        for (std::uint32_t i = 0; i < count; ++i)
+            table.report(upstreams[i], i < 100 && round % 2 == 0 ? 50000 : 1000 + round, true, true, now);
+        HeartbeatT heartbeat;
+        table.fill(treeLink, heartbeat, now);
+        CHECK(heartbeat.loadReports.size() <= 15);
+        for (const LoadReport& report : heartbeat.loadReports)
+            ++sent[report.upstream()];
+    }
+    for (std::uint32_t upstream : upstreams)
+        CHECK(sent[upstream] >= 5);
+}
+
+// Guards against an older entry that replaces a newer one, also across the wrap of the sequence, and against
+// an owner whose reports are ignored because it starts from a low sequence.
+TEST_CASE_FIXTURE(Alone, "the newest sequence wins and a new owner continues it")
+{
+    LoadTable table(membership, {});
+    table.setUpstreams({ 1 });
+    HeartbeatT heartbeat;
+    for (auto [sequence, tokens] : { std::pair { 250, 100 }, { 3, 200 }, { 251, 300 } }) {
+        heartbeat.loadReports
+            = { loadReport(1, static_cast<std::uint16_t>(tokens), static_cast<std::uint8_t>(sequence)) };
+        table.accept(treeLink, heartbeat, now);
+    }
+    CHECK(table.load(1, now)->tokens == 200);
+    table.report(1, 4000, true, true, now + Milliseconds(1000));
+    HeartbeatT answer;
+    table.fill(treeLink, answer, now + Milliseconds(1000));
+    REQUIRE(answer.loadReports.size() == 1);
+    CHECK(answer.loadReports[0].sequence() == 4);
+    CHECK(!table.load(1, now + Milliseconds(62000)));
+}
+
+// Guards against an instance that uses the whole limit when it hears nobody.
+TEST_CASE_FIXTURE(Alone, "an instance that hears nobody keeps to its part of the limit")
+{
+    seedOthers(9);
+    RateShare shares(membership, {});
+    shares.setLimits({ { 5, 10000, 1 } }, now);
+    double admitted = 0;
+    constexpr int seconds = 60;
+    for (int i = 0; i < seconds * 100; ++i) {
+        now += Milliseconds(10);
+        if (i % 10 == 0)
+            shares.tick(now);
+        admitted += shares.admit(5, 50, now) ? 50 : 0;
+    }
+    CHECK(admitted <= 1.05 * seconds * 1000);
+    CHECK(admitted >= 0.9 * seconds * 1000);
+    CHECK(!shares.admit(6, 1, now));
+}
+
+// Guards against shares that ignore weights when the capacity is scarce, and against capacity that lies idle.
+TEST_CASE_FIXTURE(Alone, "a scarce capacity is shared by weight and used fully")
+{
+    RateShareOptions options;
+    options.capacity = 1000;
+    RateShare shares(membership, options);
+    shares.setLimits({ { 1, 10000, 3 }, { 2, 10000, 1 }, { 3, 10000, 4 } }, now);
+    std::map<std::uint32_t, double> admitted;
+    constexpr int seconds = 120;
+    for (int i = 0; i < seconds * 100; ++i) {
+        now += Milliseconds(10);
+        if (i % 10 == 0)
+            shares.tick(now);
+        for (std::uint32_t organisation : { 1U, 2U, 3U }) {
+            double tokens = organisation == 3 ? 2 : 20; // 200 and 2,000 tokens per second
+            admitted[organisation] += shares.admit(organisation, tokens, now) ? tokens : 0;
+        }
+    }
+    CHECK(admitted[1] / seconds == doctest::Approx(600).epsilon(0.05));
+    CHECK(admitted[2] / seconds == doctest::Approx(200).epsilon(0.05));
+    CHECK(admitted[3] / seconds == doctest::Approx(200).epsilon(0.05));
+}
+
+// Guards against an upstream that flaps in and out of use, and against a pool without any upstream in use.
+TEST_CASE("health damps flapping and never refuses everything")
+{
+    UpstreamHealth health({});
+    MonotonicTime now { std::chrono::hours(1) };
+    for (int i = 0; i < 4; ++i)
+        health.failed(1, UpstreamFailure::Error, now);
+    CHECK(!health.usable(1, now));
+    health.succeeded(1, now);
+    CHECK(!health.usable(1, now + Milliseconds(9000))); // below badAbove, but not below goodBelow
+    CHECK(health.usable(1, now + Milliseconds(11000)));
+    for (int i = 0; i < 100; ++i)
+        health.failed(1, UpstreamFailure::SilentConnection, now);
+    CHECK(!health.usable(1, now + Milliseconds(19000)));
+    CHECK(health.usable(1, now + Milliseconds(21000)));
+    CHECK(health.select({ 1, 2 }, now) == std::vector<std::uint32_t> { 2 });
+    CHECK(health.select({ 1 }, now) == std::vector<std::uint32_t> { 1 });
+}
+
+// Guards against one peer that can take an upstream out of use for all, and against evidence that never ends.
+TEST_CASE("two peers' evidence counts unless own requests succeed")
+{
+    UpstreamHealth health({});
+    MonotonicTime now { std::chrono::hours(1) };
+    HeartbeatT heartbeat;
+    heartbeat.evidence.emplace_back(1, 500, true);
+    std::string b = "b";
+    std::string c = "c";
+    health.accept({ b }, heartbeat, now);
+    CHECK(health.usable(1, now));
+    health.accept({ c }, heartbeat, now);
+    CHECK(!health.usable(1, now));
+    health.succeeded(1, now);
+    CHECK(health.usable(1, now));
+    CHECK(!health.usable(1, now + Milliseconds(6000)));
+    CHECK(health.usable(1, now + Milliseconds(11000)));
+}
