--- a/bench/membership_bench_main.cc
+++ b/bench/membership_bench_main.cc
@@ -79,6 +79,8 @@
         return static_cast<std::uint32_t>(entry->second);
     }
 
+    double at(std::uint32_t upstream) const { return m_tokens.at(upstream); }
+
 private:
     Random m_random;
     std::unordered_map<std::uint32_t, double> m_tokens;
@@ -194,6 +196,7 @@
     double ageSum = 0;
     double ageMost = 0;
     std::size_t known = 0;
+    std::vector<double> errors;
     auto upstreams = Exchange::upstreamHashes(settings.upstreams);
     std::size_t mostLinks = 0;
     std::size_t treeLinks = 0;
@@ -219,6 +222,7 @@
             ++known;
             ageSum += asSeconds(load->age);
             ageMost = std::max(ageMost, asSeconds(load->age));
+            errors.push_back(std::abs(load->tokens - loads.at(upstream)) / loads.at(upstream));
         }
     }
     print("mean ", trafficOf(all, settings.duration * instances));
@@ -228,6 +232,10 @@
               << 100.0 * static_cast<double>(known) / (instances * static_cast<double>(upstreams.size()))
               << "%, age mean " << ageSum / static_cast<double>(std::max<std::size_t>(known, 1))
               << " s, most " << ageMost << " s\n";
+    std::sort(errors.begin(), errors.end());
+    if (!errors.empty())
+        std::cout << "  load against the upstream's own: error median " << 100 * errors[errors.size() / 2]
+                  << "%, 95th percentile " << 100 * errors[errors.size() * 95 / 100] << "%\n";
     std::cout << "  processor: " << 100 * cpuSeconds / settings.duration / instances
               << "% of a core per instance, exchange and coding included; memory "
               << (residentMegabytes() - before) / instances << " MB per instance\n";
--- a/coordination/loadtable.cc
+++ b/coordination/loadtable.cc
@@ -96,6 +96,7 @@
     m_isOwned.assign(m_upstreams.size(), false);
     const std::vector<std::string>& instances = m_membership.usable();
     std::vector<std::uint64_t> hashes;
+    hashes.reserve(instances.size());
     for (const std::string& id : instances)
         hashes.push_back(hash64(id));
     double mean = static_cast<double>(m_upstreams.size()) / static_cast<double>(instances.size());
