Report skew against the largest request

A request cannot be split, so the bound on the busiest engine holds up to one request; the report now gives the excess in units of the largest one.

--- a/standins/loadreport.cc
+++ b/standins/loadreport.cc
@@ -25,7 +25,10 @@
 
     Json summarizeSkew(const LoadRunReport::Skew& skew)
     {
-        Json summary = { { "samples", skew.samples }, { "most_excess_tokens", skew.mostExcessTokens } };
+        auto largest = static_cast<double>(skew.largestRequestTokens);
+        Json summary = { { "samples", skew.samples }, { "most_excess_tokens", skew.mostExcessTokens },
+            { "largest_request_tokens", skew.largestRequestTokens },
+            { "most_excess_requests", largest > 0 ? skew.mostExcessTokens / largest : 0 } };
         if (skew.ratios.empty())
             return summary;
         auto sorted = skew.ratios;
--- a/standins/loadreport.h
+++ b/standins/loadreport.h
@@ -59,6 +59,7 @@
         std::uint64_t samples = 0; // with a mean of at least the floor
         std::vector<double> ratios;
         double mostExcessTokens = 0; // of the busiest engine over the bound times the mean
+        std::uint64_t largestRequestTokens = 0; // prompt and answer; one request cannot be split
     };
 
     Json toJson() const;
--- a/standins/loadrunner.cc
+++ b/standins/loadrunner.cc
@@ -260,6 +260,8 @@
     auto prompt = turn.check.promptTokens();
     auto cached = turn.check.cachedTokens();
     m_report.promptTokens += static_cast<std::uint64_t>(prompt);
+    auto requestTokens = static_cast<std::uint64_t>(prompt) + turn.planned.answerTokens;
+    m_report.skew.largestRequestTokens = std::max(m_report.skew.largestRequestTokens, requestTokens);
     m_report.cachedTokens += static_cast<std::uint64_t>(cached);
     if (chat.turn > 0) {
         auto& reuse = chat.usesHint ? m_report.withHint : m_report.withoutHint;
