--- a/standins/loadreport.cc
+++ b/standins/loadreport.cc
@@ -110,7 +110,7 @@
         { "completed", completed }, { "skipped_arrivals", skippedArrivals },
         { "throughput_rps", seconds > 0 ? static_cast<double>(completed) / seconds : 0 },
         { "tokens_per_s", seconds > 0 ? static_cast<double>(generatedTokens) / seconds : 0 },
-        { "outcomes", outcomes }, { "latency_ms", latency.summary() },
+        { "outcomes", outcomes }, { "error_types", errorTypes }, { "latency_ms", latency.summary() },
         { "short_latency_ms", shortLatency.summary() }, { "long_latency_ms", longLatency.summary() },
         { "first_token_ms", firstToken.summary() }, { "short_first_token_ms", shortFirstToken.summary() },
         { "between_tokens_ms", betweenTokens.summary() },
@@ -143,6 +143,8 @@
         printSamples(out, "services", json["services"]["latency_ms"]);
     out << '\n';
     printCounts(out, "outcomes", json["outcomes"]);
+    if (!errorTypes.empty())
+        printCounts(out, "error types", json["error_types"]);
     printCounts(out, "checks", json["checks"]);
     for (const char* kind : { "with_hint", "without_hint" })
         printCounts(out, std::string("reuse ") + kind, json["reuse"][kind]);
--- a/standins/loadreport.h
+++ b/standins/loadreport.h
@@ -73,6 +73,7 @@
     std::uint64_t generatedTokens = 0; // of completed answers
     std::uint64_t skippedArrivals = 0; // too many requests were in flight
     std::map<std::string, std::uint64_t> outcomes;
+    std::map<std::string, std::uint64_t> errorTypes; // of the typed errors, services included
     Samples latency;
     Samples shortLatency;
     Samples longLatency;
--- a/standins/loadrunner.cc
+++ b/standins/loadrunner.cc
@@ -28,15 +28,13 @@
         }
     }
 
-    // Outcome of an answer that is not 200.
-    std::string statusOutcome(const ClientResponse& response)
+    // Type of a typed error, {"error": {"type"}}; "" if there is none.
+    std::string errorType(const std::string& body)
     {
-        auto outcome = response.header("X-Briarwharf-Outcome");
-        if (outcome == "not-run" || response.header("X-Not-Run") == "true")
-            return "not_run";
-        if (outcome == "unknown")
-            return "unknown";
-        return "status_" + std::to_string(response.status);
+        auto parsed = parseJson(body, "error");
+        if (!parsed || !parsed.value().is_object() || !parsed.value().contains("error"))
+            return "";
+        return stringField(parsed.value()["error"], "type").value_or("");
     }
 
     timeval toTimeval(RunTime duration)
@@ -201,6 +199,23 @@
     }
 }
 
+// Outcome of an answer that is not 200.
+std::string LoadRunner::classifyError(const ClientResponse& response)
+{
+    auto type = errorType(response.body);
+    if (!type.empty())
+        ++m_report.errorTypes[type];
+    auto outcome = response.header("X-Briarwharf-Outcome");
+    if (outcome == "not-run" || response.header("X-Not-Run") == "true")
+        return "not_run";
+    // A repeat that came while the first call with its key ran; the first one tells the outcome.
+    if (type == "call_in_progress")
+        return "in_progress";
+    if (outcome == "unknown")
+        return "unknown";
+    return "status_" + std::to_string(response.status);
+}
+
 std::string LoadRunner::classify(Turn& turn, const ClientResponse& response)
 {
     auto& check = turn.check;
@@ -216,7 +231,7 @@
     if (!whole)
         return endName(response.end);
     if (response.status != statusOk)
-        return statusOutcome(response);
+        return classifyError(response);
     if (check.errorEvent())
         return "stream_error";
     if (!check.ended())
@@ -316,7 +331,7 @@
     auto& services = m_report.services;
     bool whole = response.end == ClientResponse::End::Complete;
     bool completed = whole && response.status == statusOk;
-    ++services.outcomes[completed ? "completed" : whole ? statusOutcome(response) : endName(response.end)];
+    ++services.outcomes[completed ? "completed" : whole ? classifyError(response) : endName(response.end)];
     if (completed) {
         services.latency.add(elapsed() - started);
         auto body = parseJson(response.body, "answer");
@@ -421,7 +436,7 @@
         bool whole = response.end == ClientResponse::End::Complete;
         ++m_report.outcomes[!whole            ? endName(response.end)
                 : response.status == statusOk ? "ended"
-                                              : statusOutcome(response)];
+                                              : classifyError(response)];
     };
     ++m_report.requests;
     m_client.start(std::move(request));
--- a/standins/loadrunner.h
+++ b/standins/loadrunner.h
@@ -55,6 +55,7 @@
     void takeData(Turn&, std::string_view);
     void finishTurn(Turn&, const ClientResponse&);
     std::string classify(Turn&, const ClientResponse&);
+    std::string classifyError(const ClientResponse&);
     void recordCompleted(Turn&, const std::string& hint);
 
     void startService();
--- a/standins/testing/load_test.cc
+++ b/standins/testing/load_test.cc
@@ -132,7 +132,7 @@
     report.organisations["a"].requests = 1;
     auto json = report.toJson();
     for (const char* key : { "settings", "duration_s", "requests", "completed", "skipped_arrivals",
-             "throughput_rps", "tokens_per_s", "outcomes", "latency_ms", "short_latency_ms",
+             "throughput_rps", "tokens_per_s", "outcomes", "error_types", "latency_ms", "short_latency_ms",
              "long_latency_ms", "first_token_ms", "short_first_token_ms", "between_tokens_ms", "checks",
              "reuse", "organisations", "services", "open_streams", "skew" })
         CHECK(json.contains(key));
--- a/standins/testing/server_test.cc
+++ b/standins/testing/server_test.cc
@@ -307,5 +307,7 @@
     CHECK(truncated.outcomes["closed"] == 20);
     CHECK(truncated.completed == 40);
     harness.post(harness.engineAddress, "/faults", { { "refuse", true }, { "count", 20 } });
-    CHECK(run().outcomes["not_run"] == 20);
+    auto refused = run();
+    CHECK(refused.outcomes["not_run"] == 20);
+    CHECK(refused.errorTypes["overloaded"] == 20);
 }
