Let the engine stand-in cross an answer after it has begun

With crossed_after, a stream changes to another request's identifier after some chunks, and a whole answer has its own identifier in the header only; a router that checks the header alone would pass both.

--- a/standins/engineserver.cc
+++ b/standins/engineserver.cc
@@ -70,6 +70,9 @@
 
     std::string event(const Json& body) { return "data: " + dumpJson(body) + "\n\n"; }
 
+    // An identifier that no caller asked for.
+    std::string crossedId(const std::string& id) { return "crossed-" + id; }
+
     constexpr std::string_view chunkObject = "chat.completion.chunk";
 
 } // namespace
@@ -268,7 +271,7 @@
 // Shows another call's identifier and text if there is one, else an identifier that nobody asked for.
 void EngineServer::cross(Call& call) const
 {
-    call.shownId = "crossed-" + call.shownId;
+    call.shownId = crossedId(call.shownId);
     for (const auto& other : m_calls) {
         if (other->job == call.job || other->fault.crossed)
             continue;
@@ -350,7 +353,8 @@
         Json delta = { { "content", EngineModel::word(shown ? *shown : job, call.sent) } };
         if (call.sent == 0)
             delta["role"] = "assistant";
-        Json chunk = envelope(call.shownId, chunkObject, model);
+        bool crossed = call.fault.crossedAfter && call.chunks >= *call.fault.crossedAfter;
+        Json chunk = envelope(crossed ? crossedId(call.shownId) : call.shownId, chunkObject, model);
         chunk["choices"]
             = Json::array({ { { "index", 0 }, { "delta", delta }, { "finish_reason", nullptr } } });
         call.exchange->sendChunk(event(chunk));
@@ -379,7 +383,8 @@
 {
     const auto* shown = m_model.job(call.shownJob);
     const auto& source = shown ? *shown : job;
-    Json body = envelope(call.shownId, "chat.completion", m_model.state().version);
+    auto id = call.fault.crossedAfter ? crossedId(call.shownId) : call.shownId;
+    Json body = envelope(id, "chat.completion", m_model.state().version);
     Json message = { { "role", "assistant" }, { "content", EngineModel::text(source, source.maxTokens) } };
     body["choices"]
         = Json::array({ { { "index", 0 }, { "message", message }, { "finish_reason", "stop" } } });
--- a/standins/faultplan.cc
+++ b/standins/faultplan.cc
@@ -23,6 +23,7 @@
     plan.silentAfter = countField(body, "silent_after");
     plan.truncateAfter = countField(body, "truncate_after");
     plan.crossed = booleanField(body, "crossed").value_or(false);
+    plan.crossedAfter = countField(body, "crossed_after");
     plan.refuse = booleanField(body, "refuse").value_or(false);
     plan.close = booleanField(body, "close").value_or(false);
     plan.silent = booleanField(body, "silent").value_or(false);
--- a/standins/faultplan.h
+++ b/standins/faultplan.h
@@ -12,6 +12,9 @@
     std::optional<std::size_t> silentAfter; // chunks of a stream; then nothing on an open connection
     std::optional<std::size_t> truncateAfter; // chunks of a stream, or half of a whole answer; then it is cut
     bool crossed = false; // answers with another request's identifier and content
+    // Chunks of a stream with the own identifier; later ones carry another's. A whole answer has the own
+    // identifier in its header and another's in its body.
+    std::optional<std::size_t> crossedAfter;
     bool refuse = false; // 503 with X-Not-Run: true, and does not run
     bool close = false; // runs, then closes without an answer
     bool silent = false; // runs, then never answers
@@ -22,8 +25,9 @@
 // The fault in force for new calls, as POST /faults set it.
 class FaultInjector {
 public:
-    // {"delay_ms", "silent_after", "truncate_after", "crossed", "refuse", "close", "silent", "unframed",
-    // "status", "count": calls affected, all if absent}; replaces what was set before, {} ends it.
+    // {"delay_ms", "silent_after", "truncate_after", "crossed", "crossed_after", "refuse", "close", "silent",
+    // "unframed", "status", "count": calls affected, all if absent}; replaces what was set before, {} ends
+    // it.
     Status set(const Json&);
 
     // The plan for the next call; counts down.
--- a/standins/testing/server_test.cc
+++ b/standins/testing/server_test.cc
@@ -184,6 +184,14 @@
     CHECK_FALSE(silent.done);
     fault({ { "crossed", true } });
     CHECK_FALSE(checkStream("h", 5, harness.chat("h", true, 5).body).ownIdentifier());
+    fault({ { "crossed_after", 2 } });
+    auto late = checkStream("k", 5, harness.chat("k", true, 5).body);
+    CHECK_FALSE(late.ownIdentifier());
+    CHECK(late.ownText());
+    fault({ { "crossed_after", 0 } });
+    auto body = harness.chat("l", false, 5);
+    CHECK(body.header("X-Request-Id") == "l");
+    CHECK(parseJson(body.body, "answer").value()["id"] == "crossed-l");
     fault({ { "status", 500 } });
     CHECK(harness.chat("i", true, 5).status == 500);
     CHECK(checkStream("j", 5, harness.chat("j", true, 5).body).wholeText());
