--- a/coordination/claim.cc
+++ b/coordination/claim.cc
@@ -20,6 +20,9 @@
     // Room for an entry's fields other than its body, in the estimate of a page's size.
     constexpr std::size_t entryOverheadBytes = 400;
 
+    // Claim messages of a call that ended without a claim may still be under way for this long.
+    constexpr Milliseconds endedRetention { 60000 };
+
     // A collector that is not in charge any more answers what is under way for this long.
     constexpr Milliseconds collectorLinger { 10000 };
 
@@ -288,7 +291,32 @@
     return response;
 }
 
+ClaimResponseT ClaimCollector::unavailable(const ClaimRequestT& request)
+{
+    ClaimResponseT response;
+    response.nonce = request.nonce;
+    response.status = ClaimStatus::Unavailable;
+    return response;
+}
+
+// A state that another collector may have changed is read again before it is reported.
 void ClaimCollector::claim(const ClaimRequestT& request, ClaimReply reply)
+{
+    auto response = answer(request);
+    bool mayChange = response
+        && (response->status == ClaimStatus::InProgress || response->status == ClaimStatus::Unknown
+            || response->status == ClaimStatus::DifferentRequest);
+    if (!mayChange)
+        return claimFresh(request, std::move(reply));
+    m_log.refresh([this, request, reply = std::move(reply)](const Status& refreshed) {
+        if (refreshed)
+            claimFresh(request, reply);
+        else
+            reply(unavailable(request));
+    });
+}
+
+void ClaimCollector::claimFresh(const ClaimRequestT& request, ClaimReply reply)
 {
     if (auto response = answer(request))
         return reply(std::move(*response));
@@ -327,10 +355,7 @@
         } else if (durable && entry) {
             markUnknown(request, *entry, std::move(reply));
         } else {
-            ClaimResponseT unavailable;
-            unavailable.nonce = request.nonce;
-            unavailable.status = ClaimStatus::Unavailable;
-            reply(std::move(unavailable));
+            reply(unavailable(request));
         }
     }
 }
@@ -345,9 +370,7 @@
     BW_LOG(INFO, claimPart) << "instance " << entry.instance << " is gone with a claim in progress";
     append(
         std::move(command), [this, request, reply = std::move(reply)](const Result<LogPosition>& appended) {
-            ClaimResponseT response;
-            response.nonce = request.nonce;
-            response.status = ClaimStatus::Unavailable;
+            ClaimResponseT response = unavailable(request);
             bool durable = appended || appended.error().kind == ErrorKind::NotFound;
             if (auto known = durable ? answer(request) : std::nullopt)
                 response = std::move(*known);
@@ -551,8 +574,12 @@
 void ClaimClient::response(const ClaimResponseT& response)
 {
     auto found = m_calls.find(response.nonce);
+    if (found == m_calls.end())
+        return;
+    if (found->second.state == State::Ended && response.status == ClaimStatus::Granted)
+        return release(found->second);
     // Late and repeated answers find the call in another state.
-    if (found == m_calls.end() || found->second.state != State::Claiming)
+    if (found->second.state != State::Claiming)
         return;
     Call& call = found->second;
     ClaimDecision decision = ClaimDecision::NotRun;
@@ -580,9 +607,9 @@
         decision = ClaimDecision::DifferentRequest;
         break;
     }
-    Call ended = std::move(call);
-    m_calls.erase(found);
-    decide(ended, decision, { response.httpStatus, response.contentType, fromBytes(response.body) });
+    call.state = State::Ended;
+    call.effortEnds = m_clock() + endedRetention;
+    decide(call, decision, { response.httpStatus, response.contentType, fromBytes(response.body) });
 }
 
 void ClaimClient::response(const SettleResponseT& response)
@@ -596,6 +623,12 @@
         settled(true);
 }
 
+std::size_t ClaimClient::pending() const
+{
+    return static_cast<std::size_t>(std::count_if(m_calls.begin(), m_calls.end(),
+        [](const auto& entry) { return entry.second.state != State::Ended; }));
+}
+
 void ClaimClient::tick()
 {
     std::vector<ClaimId> ids;
@@ -623,7 +656,7 @@
         auto settled = std::exchange(call.settled, nullptr);
         return settled(false);
     }
-    if (call.state == State::Settling && now >= call.effortEnds) {
+    if ((call.state == State::Settling || call.state == State::Ended) && now >= call.effortEnds) {
         m_calls.erase(found);
         return;
     }
--- a/coordination/claim.h
+++ b/coordination/claim.h
@@ -115,7 +115,8 @@
 //   DifferentRequest  the key was used with another body
 //   Unavailable       the claim is not known to be durable (store down, slow, or answer lost): the claimant
 //                     does not call, reports "not run" and releases the claim
-// Store calls: see Log::append(); an answer from the index costs none.
+// Store calls: see Log::append(). Granted to a repeated message and Completed come from the index without a
+// call; InProgress and Unknown may have changed at another collector and cost Log::refresh().
 class ClaimCollector {
 public:
     ClaimCollector(ClaimCollectorOptions, std::uint32_t shard, Store&, MonotonicClock,
@@ -138,6 +139,8 @@
     };
 
     std::optional<ClaimResponseT> answer(const ClaimRequestT&);
+    void claimFresh(const ClaimRequestT&, ClaimReply);
+    static ClaimResponseT unavailable(const ClaimRequestT&);
     void appendClaim(const ClaimRequestT&);
     void claimAppended(const std::string& claimant, const Result<LogPosition>&);
     void markUnknown(const ClaimRequestT&, const ClaimEntryT&, ClaimReply);
@@ -254,7 +257,7 @@
     void tick();
 
     // Calls whose claim, outcome or release is under way.
-    std::size_t pending() const { return m_calls.size(); }
+    std::size_t pending() const;
 
 private:
     enum class State {
@@ -262,6 +265,7 @@
         Granted,
         Called,
         Settling,
+        Ended, // decided otherwise; a repeated claim message could still be granted, and is released then
     };
     struct Call {
         State state = State::Claiming;
--- a/coordination/log.cc
+++ b/coordination/log.cc
@@ -196,8 +196,7 @@
         m_snapshot->waiting = false;
         m_snapshot->settling ? settleManifest() : writePage();
     }
-    if (!m_cleaning && m_cleanAt && now >= *m_cleanAt)
-        cleanRecords();
+    cleanIfDue();
     commit();
 }
 
@@ -210,6 +209,7 @@
         return;
     m_syncing = true;
     m_syncWanted = false;
+    m_syncRefreshes = std::exchange(m_refreshes, {});
     if (m_loaded)
         return syncRecords();
     readManifest([this](Result<Manifest> manifest) {
@@ -226,6 +226,21 @@
     m_syncing = false;
     m_syncWanted = true;
     backOff(m_syncBackoff);
+    answerRefreshes(m_syncRefreshes,
+        Error {
+            ErrorKind::Unavailable, "log " + m_options.name + ": the store cannot be read: retry later" });
+}
+
+void Log::refresh(std::function<void(Status)> callback)
+{
+    m_refreshes.push_back(std::move(callback));
+    sync();
+}
+
+void Log::answerRefreshes(std::vector<std::function<void(Status)>>& refreshes, const Status& status)
+{
+    for (auto& callback : std::exchange(refreshes, {}))
+        callback(status);
 }
 
 void Log::syncRecords()
@@ -308,6 +323,7 @@
     m_syncBackoff = {};
     if (confirmedAt)
         confirmHead(*confirmedAt);
+    answerRefreshes(m_syncRefreshes, ok());
     if (m_syncWanted)
         return sync();
     watchNext();
@@ -789,17 +805,29 @@
         forSnapshot([this](WriteResult result) { pageWritten(result); }));
 }
 
-// The key is this writer's own, so a conflict means that an earlier create took effect after all. The
-// version stays 0 then, and the page is left behind when it is replaced.
 void Log::pageWritten(WriteResult result)
 {
-    if (result.outcome == WriteOutcome::Unknown || result.outcome == WriteOutcome::NotSent)
+    if (result.outcome == WriteOutcome::Conflict)
+        return readPageBack();
+    if (result.outcome != WriteOutcome::Done)
         return retrySnapshot();
     m_snapshot->next.pages[m_snapshot->pages[m_snapshot->written].first].version = result.version;
     ++m_snapshot->written;
     writePage();
 }
 
+// The key is this writer's own: a page that is there is an earlier create that took effect after all.
+void Log::readPageBack()
+{
+    auto read = [this](Result<std::optional<StoredObject>> object) {
+        if (!object || !object.value())
+            return retrySnapshot();
+        pageWritten({ WriteOutcome::Done, object.value()->version });
+    };
+    const auto& [index, content] = m_snapshot->pages[m_snapshot->written];
+    m_store.read(m_snapshot->next.pages[index].key, forSnapshot(std::move(read)));
+}
+
 void Log::retrySnapshot()
 {
     m_snapshot->waiting = true;
@@ -861,8 +889,8 @@
     }
     if (m_manifest.number <= job->next.number)
         m_manifest = std::move(job->next);
-    m_cleanFloor = m_manifest.number - std::min(m_manifest.number, m_options.keptRecords);
-    m_cleanAt = m_clock() + removalDelay;
+    std::uint64_t floor = m_manifest.number - std::min(m_manifest.number, m_options.keptRecords);
+    m_cleanDue.emplace_back(floor, m_clock() + removalDelay);
 }
 
 // Another writer's manifest replaced the base, so this one's can no longer take effect.
@@ -871,7 +899,19 @@
     for (const auto& [index, content] : m_snapshot->pages)
         m_stalePages.push_back(m_snapshot->next.pages[index]);
     m_snapshot = nullptr;
-    m_cleanAt = m_clock() + removalDelay;
+    m_cleanDue.emplace_back(m_cleanFloor, m_clock() + removalDelay);
+}
+
+void Log::cleanIfDue()
+{
+    bool due = false;
+    while (!m_cleaning && !m_cleanDue.empty() && m_cleanDue.front().second <= m_clock()) {
+        m_cleanFloor = std::max(m_cleanFloor, m_cleanDue.front().first);
+        m_cleanDue.pop_front();
+        due = true;
+    }
+    if (due)
+        cleanRecords();
 }
 
 // Removes records well below the snapshot, oldest first, one call at a time.
@@ -919,7 +959,6 @@
 {
     m_cleaning = false;
     m_removals.clear();
-    m_cleanAt.reset();
 }
 
 } // namespace briarwharf
--- a/coordination/log.h
+++ b/coordination/log.h
@@ -144,6 +144,11 @@
     // The state has been loaded from the store or from a peer.
     bool loaded() const { return m_loaded; }
 
+    // Reads the store's newest records: 1 list and 1 read of the manifest, shared by callers that wait. The
+    // callback is called exactly once, never from inside refresh(): success means that the state contains
+    // every record that existed when refresh() was called. Errors: Unavailable.
+    void refresh(std::function<void(Status)>);
+
     // Last record applied. Never decreases.
     std::uint64_t head() const { return m_head; }
 
@@ -237,6 +242,7 @@
     void backOff(Backoff&);
 
     void sync();
+    static void answerRefreshes(std::vector<std::function<void(Status)>>&, const Status&);
     void syncFailed();
     void syncRecords();
     void syncVerify(
@@ -273,11 +279,13 @@
     void retrySnapshot();
     void writePage();
     void pageWritten(WriteResult);
+    void readPageBack();
     void writeManifest();
     void manifestWritten(WriteResult);
     void settleManifest();
     void snapshotDone();
     void snapshotAbandoned();
+    void cleanIfDue();
     void cleanRecords();
     void removeNext();
     void cleaningDone();
@@ -302,6 +310,8 @@
     bool m_syncing = false;
     bool m_syncWanted = false;
     Backoff m_syncBackoff;
+    std::vector<std::function<void(Status)>> m_refreshes; // for the next sync to start
+    std::vector<std::function<void(Status)>> m_syncRefreshes; // for the present sync
     bool m_watching = false;
     MonotonicTime m_nextPoll;
 
@@ -319,8 +329,8 @@
     bool m_cleaning = false;
     bool m_cleaningRecords = false;
     bool m_moreToClean = false;
-    std::optional<MonotonicTime> m_cleanAt;
     std::uint64_t m_cleanFloor = 0; // records up to this one may go
+    std::deque<std::pair<std::uint64_t, MonotonicTime>> m_cleanDue; // later floors, with their times
     std::vector<Page> m_stalePages;
     std::vector<Page> m_removals;
     LogStatistics m_statistics;
--- a/coordination/testing/fakestore.cc
+++ b/coordination/testing/fakestore.cc
@@ -50,6 +50,11 @@
 {
     if (m_objects.contains(key))
         return { WriteOutcome::Conflict, 0 };
+    return replace(key, value);
+}
+
+WriteResult FakeObjects::replace(const std::string& key, const std::string& value)
+{
     m_objects[key] = { key, value, ++m_version };
     ObjectVersion version = m_version;
     notify(key);
@@ -103,10 +108,12 @@
 StoreFaultRule FakeStore::faultFor(StoreCall call, const std::string& key)
 {
     ++m_counts[static_cast<std::size_t>(call)];
+    if (m_hook)
+        m_hook(call, key);
     if (m_down)
         return { StoreFault::Down };
     for (auto& rule : m_rules) {
-        bool matches = rule.count > 0 && (!rule.call || *rule.call == call)
+        bool matches = rule.count > 0 && m_clock.now() < rule.until && (!rule.call || *rule.call == call)
             && key.find(rule.keyPart) != std::string::npos;
         if (!matches)
             continue;
@@ -158,7 +165,9 @@
     }
     CallPlan plan = planCall(rule, m_latency, m_deadline);
     auto result = std::make_shared<WriteResult>();
-    if (plan.effect)
+    if (m_forgetful)
+        *result = { WriteOutcome::Done, 1 };
+    else if (plan.effect)
         m_clock.after(*plan.effect, [objects = m_objects, effect, result] { *result = effect(*objects); });
     if (plan.answer)
         answer(*plan.answer, [callback = std::move(callback), result] { callback(*result); });
@@ -186,13 +195,19 @@
 void FakeStore::read(const std::string& key, ReadCallback callback)
 {
     fetch<std::optional<StoredObject>>(
-        StoreCall::Read, key, [key](FakeObjects& objects) { return objects.find(key); }, std::move(callback));
+        StoreCall::Read, key,
+        [key, hidden = isHidden(key)](
+            FakeObjects& objects) { return hidden ? std::nullopt : objects.find(key); },
+        std::move(callback));
 }
 
 void FakeStore::create(const std::string& key, const std::string& value, WriteCallback callback)
 {
     write(
-        StoreCall::Create, key, [key, value](FakeObjects& objects) { return objects.create(key, value); },
+        StoreCall::Create, key,
+        [key, value, overwriting = m_overwriting](FakeObjects& objects) {
+            return overwriting ? objects.replace(key, value) : objects.create(key, value);
+        },
         std::move(callback));
 }
 
--- a/coordination/testing/fakestore.h
+++ b/coordination/testing/fakestore.h
@@ -43,6 +43,7 @@
     std::size_t skip = 0;
     std::size_t count = std::numeric_limits<std::size_t>::max();
     Milliseconds delay { 0 };
+    MonotonicTime until = MonotonicTime::max(); // no longer applies from here on
     std::function<void()> before; // runs when the fault is applied, e.g. to let another writer go first
 };
 
@@ -53,6 +54,7 @@
     std::optional<StoredObject> find(const std::string& key) const;
 
     WriteResult create(const std::string& key, const std::string& value);
+    WriteResult replace(const std::string& key, const std::string& value);
     WriteResult update(const std::string& key, ObjectVersion, const std::string& value);
     WriteResult remove(const std::string& key, ObjectVersion);
 
@@ -90,6 +92,15 @@
     void setDeadline(Milliseconds deadline) { m_deadline = deadline; }
 
     void addRule(StoreFaultRule rule) { m_rules.push_back(std::move(rule)); }
+    // Sees each call before its fault is chosen.
+    void onCall(std::function<void(StoreCall, const std::string& key)> hook) { m_hook = std::move(hook); }
+
+    // Broken variants, for tests of tests: create replaces objects; writes are answered without an effect;
+    // keys that contain a text read as absent.
+    void setOverwriting(bool overwriting) { m_overwriting = overwriting; }
+    void setForgetful(bool forgetful) { m_forgetful = forgetful; }
+    void setHidden(std::string keyPart) { m_hidden = std::move(keyPart); }
+
     void clearRules() { m_rules.clear(); }
 
     // Every call fails until it is switched off.
@@ -108,6 +119,11 @@
         FakeStore* store;
     };
 
+    bool isHidden(const std::string& key) const
+    {
+        return !m_hidden.empty() && key.find(m_hidden) != std::string::npos;
+    }
+
     StoreFaultRule faultFor(StoreCall, const std::string& key);
     void write(StoreCall, const std::string& key, const std::function<WriteResult(FakeObjects&)>& effect,
         WriteCallback);
@@ -126,6 +142,10 @@
     Milliseconds m_deadline { 1000 };
     bool m_down = false;
     bool m_paused = false;
+    std::function<void(StoreCall, const std::string&)> m_hook;
+    bool m_overwriting = false;
+    bool m_forgetful = false;
+    std::string m_hidden;
 };
 
 } // namespace briarwharf
