--- a/connection/testing/http_test.cc
+++ b/connection/testing/http_test.cc
@@ -1,6 +1,7 @@
 #include "connection/eventloop.h"
 #include "connection/eventstream.h"
 #include "connection/httpserver.h"
+#include "connection/testing/loop.h"
 #include "connection/upstreamclient.h"
 #include <doctest/doctest.h>
 #include <event2/buffer.h>
@@ -12,25 +13,10 @@
 
 namespace {
 
-struct BaseDeleter {
-    void operator()(event_base* base) const { event_base_free(base); }
-};
-
-// Ends the loop when `done` holds, or after a bound that only a hang reaches.
 struct Loop {
-    Loop() { ignoreBrokenPipes(); }
-
-    std::unique_ptr<event_base, BaseDeleter> base { event_base_new() };
+    Base base = makeBase();
 
-    template <typename Done> bool runUntil(Done done)
-    {
-        bool timedOut = false;
-        Timer guard(base.get(), [&] { timedOut = true; });
-        guard.start(Milliseconds(20000));
-        while (!done() && !timedOut)
-            event_base_loop(base.get(), EVLOOP_ONCE);
-        return !timedOut;
-    }
+    template <typename Done> void runUntil(Done done) { briarwharf::runUntil(base.get(), done); }
 };
 
 // Accepts connections and answers each first read with fixed bytes, then optionally closes.
@@ -115,7 +101,7 @@
         { [&](const ResponseHead& head) { received.status = head.status; },
             [&](std::string_view data) { received.body += data; },
             [&](const ExchangeResult& result) { received.result = result; } });
-    CHECK(loop.runUntil([&] { return received.result.has_value(); }));
+    loop.runUntil([&] { return received.result.has_value(); });
     return received;
 }
 
@@ -215,7 +201,7 @@
                 exchange->cancel();
             },
             [&](const ExchangeResult&) { ended = true; } });
-    CHECK(loop.runUntil([&] { return gotData; }));
+    loop.runUntil([&] { return gotData; });
     call(loop, client, request);
     CHECK_FALSE(ended);
     CHECK(server.connections == 2);
@@ -235,9 +221,9 @@
     UpstreamRequest request;
     request.target = "/";
     auto exchange = client.start(request, {});
-    CHECK(loop.runUntil([&] { return held != nullptr; }));
+    loop.runUntil([&] { return held != nullptr; });
     exchange->cancel();
-    CHECK(loop.runUntil([&] { return closed; }));
+    loop.runUntil([&] { return closed; });
     CHECK_FALSE(held->isOpen());
     held->reply(200, {}, "too late");
     CHECK(server.connections() == 0);
--- a/connection/testing/httpstore_test.cc
+++ b/connection/testing/httpstore_test.cc
@@ -1,6 +1,6 @@
 #include "connection/httpstore.h"
+#include "connection/testing/loop.h"
 #include "standins/storeserver.h"
-#include <csignal>
 #include <doctest/doctest.h>
 #include <event2/event.h>
 
@@ -8,21 +8,6 @@
 
 namespace {
 
-// Ends a test that hangs; no verdict depends on it otherwise.
-constexpr int guardSeconds = 30;
-
-struct BaseDeleter {
-    void operator()(event_base* base) const { event_base_free(base); }
-};
-using Base = std::unique_ptr<event_base, BaseDeleter>;
-
-// A write to a connection that the other side has closed must not end the test program.
-Base makeBase()
-{
-    std::signal(SIGPIPE, SIG_IGN);
-    return Base(event_base_new());
-}
-
 // A store stand-in and an adapter on one loop.
 struct Harness {
     explicit Harness(HttpStoreOptions options = {})
@@ -33,11 +18,7 @@
 
     void runUntil(const bool& done)
     {
-        timeval guard { guardSeconds, 0 };
-        event_base_loopexit(base.get(), &guard);
-        while (!done && !event_base_got_exit(base.get()))
-            event_base_loop(base.get(), EVLOOP_ONCE);
-        REQUIRE(done);
+        briarwharf::runUntil(base.get(), [&] { return done; });
     }
 
     // Starts a call, runs the loop until its callback, and returns what it got.
--- a/connection/testing/peerlink_test.cc
+++ b/connection/testing/peerlink_test.cc
@@ -1,5 +1,5 @@
 #include "connection/peerlink.h"
-#include <csignal>
+#include "connection/testing/loop.h"
 #include <doctest/doctest.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -11,30 +11,6 @@
 
 namespace {
 
-// Ends a test that hangs; no verdict depends on it otherwise.
-constexpr int guardSeconds = 30;
-
-struct BaseDeleter {
-    void operator()(event_base* base) const { event_base_free(base); }
-};
-using Base = std::unique_ptr<event_base, BaseDeleter>;
-
-// A write to a connection that the other side has closed must not end the test program.
-Base makeBase()
-{
-    std::signal(SIGPIPE, SIG_IGN);
-    return Base(event_base_new());
-}
-
-template <typename Condition> void runUntil(event_base* base, Condition condition)
-{
-    timeval guard { guardSeconds, 0 };
-    event_base_loopexit(base, &guard);
-    while (!condition() && !event_base_got_exit(base))
-        event_base_loop(base, EVLOOP_ONCE);
-    REQUIRE(condition());
-}
-
 // One instance's links and everything that they reported.
 struct Side {
     Side(event_base* base, const std::string& id, PeerLinkOptions options = {})
--- a/process/pools.cc
+++ b/process/pools.cc
@@ -73,6 +73,8 @@
 {
     m_calls[request.ticket] = std::move(call);
     dispatch(m_admission.submit(std::move(request), std::chrono::steady_clock::now()));
+    if (m_pollAgain)
+        poll();
 }
 
 void PoolRuntime::finished(AdmissionTicket ticket)
--- a/standins/testing/server_test.cc
+++ b/standins/testing/server_test.cc
@@ -1,9 +1,9 @@
+#include "connection/testing/loop.h"
 #include "standins/answercheck.h"
 #include "standins/engineserver.h"
 #include "standins/httpclient.h"
 #include "standins/loadrunner.h"
 #include "standins/serviceserver.h"
-#include <csignal>
 #include <doctest/doctest.h>
 #include <event2/event.h>
 
@@ -11,21 +11,6 @@
 
 namespace {
 
-// Ends a test that hangs; no verdict depends on it otherwise.
-constexpr int guardSeconds = 30;
-
-struct BaseDeleter {
-    void operator()(event_base* base) const { event_base_free(base); }
-};
-using Base = std::unique_ptr<event_base, BaseDeleter>;
-
-// A write to a connection that the other side has closed must not end the test program.
-Base makeBase()
-{
-    std::signal(SIGPIPE, SIG_IGN);
-    return Base(event_base_new());
-}
-
 EngineOptions makeEngineOptions()
 {
     EngineOptions options;
@@ -44,11 +29,7 @@
 
     template <typename Condition> void runUntil(Condition condition)
     {
-        timeval guard { guardSeconds, 0 };
-        event_base_loopexit(base.get(), &guard);
-        while (!condition() && !event_base_got_exit(base.get()))
-            event_base_loop(base.get(), EVLOOP_ONCE);
-        REQUIRE(condition());
+        briarwharf::runUntil(base.get(), condition);
     }
 
     ClientResponse call(ClientRequest request)
