--- a/coordination/testing/claimworld.cc
+++ b/coordination/testing/claimworld.cc
@@ -141,7 +141,7 @@
             reached(ClaimSent, from);
             message(to, [this, from, to, request](Instance& collector) {
                 reached(ClaimReceived, to);
-                collector.service->claim(request, [this, from, to](ClaimResponseT response) {
+                collector.service->claim(request, [this, from, to](const ClaimResponseT& response) {
                     reached(ClaimAnswered, to);
                     message(from, [this, from, response](Instance& instance) {
                         claimAnswered(from, instance, response);
