--- a/process/drainer.h
+++ b/process/drainer.h
@@ -97,7 +97,7 @@
 
 enum class ActionResult {
     Done,
-    Refused, // known to have had no effect
+    Refused, // known to have had no effect: each error of a submit but Unknown, OrderAnswer::Stale and Failed
     Unknown, // the answer was lost: it may take effect now or later
 };
 
