--- a/bench/membership_bench_main.cc
+++ b/bench/membership_bench_main.cc
@@ -16,7 +16,6 @@
 using namespace briarwharf;
 using namespace briarwharf::testing;
 
-constexpr Milliseconds warmUp { 20000 };
 constexpr double requestTokens = 500;
 
 // Bytes that an instance sends for one call: request line and headers, TCP and IP headers of the request and
@@ -38,6 +37,12 @@
     int duration = 60; // seconds of injected time
 };
 
+// Until the members that start together know each other; a large fleet takes longer.
+Milliseconds warmUp(const Settings& settings)
+{
+    return Milliseconds(settings.instances > 100 ? 60000 : 20000);
+}
+
 ExchangeOptions exchangeOptions(const Settings& settings)
 {
     ExchangeOptions options;
@@ -74,6 +79,8 @@
         return static_cast<std::uint32_t>(entry->second);
     }
 
+    double at(std::uint32_t upstream) const { return m_tokens.at(upstream); }
+
 private:
     Random m_random;
     std::unordered_map<std::uint32_t, double> m_tokens;
@@ -177,7 +184,7 @@
     WanderingLoads loads(settings.seed);
     exchange.tokensOf = [&loads](std::uint32_t upstream, MonotonicTime) { return loads.next(upstream); };
     Demand demand(exchange, settings.seed, 4000.0 * static_cast<double>(settings.instances));
-    exchange.run(warmUp, [&demand] { demand.step(); });
+    exchange.run(warmUp(settings), [&demand] { demand.step(); });
     resetTraffic(exchange);
     std::clock_t cpu = std::clock();
     exchange.run(std::chrono::seconds(settings.duration), [&demand] { demand.step(); });
@@ -189,6 +196,7 @@
     double ageSum = 0;
     double ageMost = 0;
     std::size_t known = 0;
+    std::vector<double> errors;
     auto upstreams = Exchange::upstreamHashes(settings.upstreams);
     std::size_t mostLinks = 0;
     std::size_t treeLinks = 0;
@@ -214,6 +222,7 @@
             ++known;
             ageSum += asSeconds(load->age);
             ageMost = std::max(ageMost, asSeconds(load->age));
+            errors.push_back(std::abs(load->tokens - loads.at(upstream)) / loads.at(upstream));
         }
     }
     print("mean ", trafficOf(all, settings.duration * instances));
@@ -223,6 +232,10 @@
               << 100.0 * static_cast<double>(known) / (instances * static_cast<double>(upstreams.size()))
               << "%, age mean " << ageSum / static_cast<double>(std::max<std::size_t>(known, 1))
               << " s, most " << ageMost << " s\n";
+    std::sort(errors.begin(), errors.end());
+    if (!errors.empty())
+        std::cout << "  load against the upstream's own: error median " << 100 * errors[errors.size() / 2]
+                  << "%, 95th percentile " << 100 * errors[errors.size() * 95 / 100] << "%\n";
     std::cout << "  processor: " << 100 * cpuSeconds / settings.duration / instances
               << "% of a core per instance, exchange and coding included; memory "
               << (residentMegabytes() - before) / instances << " MB per instance\n";
@@ -275,7 +288,7 @@
 {
     heading("false suspicions", settings);
     Exchange exchange(exchangeOptions(settings));
-    exchange.run(warmUp);
+    exchange.run(warmUp(settings));
     std::map<std::pair<std::size_t, std::string>, MemberState> last;
     std::size_t suspicions = 0;
     std::size_t deaths = 0;
@@ -307,7 +320,7 @@
 {
     heading("configuration spread", settings);
     Exchange exchange(exchangeOptions(settings));
-    exchange.run(warmUp);
+    exchange.run(warmUp(settings));
     std::size_t watchers = 0;
     for (std::size_t i = 0; i < exchange.size(); ++i)
         watchers += exchange.at(i).relay.watches() ? 1 : 0;
--- a/bench/placementdrive.h
+++ b/bench/placementdrive.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -53,6 +54,9 @@
     double surgeFactor = 10;
     bool hints = true;
     bool answerFeedback = true; // each answer carries the engine's load
+    bool notices = false; // instances tell each other what they send and what ended
+    std::int64_t noticeTokens = 4000; // smaller requests are not worth a notice
+    double noticeDelay = 0.3; // longest time until a notice arrives
     double reportInterval = 1;
     double lagMinimum = 0.5; // seconds from the measurement of a report to its arrival
     double lagMaximum = 1;
@@ -95,6 +99,7 @@
     Percentiles skew; // busiest engine over mean, sampled each 100 ms
     std::uint64_t samples = 0; // engine samples
     std::uint64_t overBound = 0; // of these, above the bound and its slack
+    std::uint64_t overBoundSettled = 0; // of these, later than 10 s after the last change of the members
     double worstOver = 0; // largest load over what the bound and its slack allow
     double meanLoad = 0;
     Percentiles shortWait; // seconds in the instance's and the engine's queue
@@ -118,6 +123,7 @@
     static constexpr double tick = 0.02;
     static constexpr std::size_t delaySteps = 10;
     static constexpr double reportBytes = 28; // a LoadEntry on the wire
+    static constexpr double noticeBytes = 24; // upstream, tokens and age in a frame that is sent anyway
     static constexpr double directoryBytes = 96; // a query with its answer, or an update
 
     struct Chat {
@@ -129,6 +135,11 @@
         std::size_t handedTo = noEngine;
     };
 
+    struct Measurement {
+        double at = 0;
+        std::int64_t tokens = 0;
+    };
+
     struct Engine {
         explicit Engine(const EngineModelSettings& settings)
             : model(settings)
@@ -142,8 +153,7 @@
         bool draining = false;
         double cacheSince = 0; // hints issued earlier point to a cache that is gone
         double changedAt = -1e9; // last event
-        double measuredAt = -1;
-        std::int64_t measured = 0;
+        std::deque<Measurement> measurements; // on their way, oldest first
         std::int64_t largest = 0; // largest request sent to it lately
         std::vector<std::uint64_t> handover; // chats still to hand over, last one first
         double handoverDebt = 0;
@@ -170,6 +180,14 @@
         bool returning = false;
     };
 
+    struct Notice {
+        double at = 0;
+        std::size_t instance = 0;
+        UpstreamId upstream = 0;
+        std::int64_t tokens = 0;
+        MonotonicTime changedAt;
+    };
+
     struct Learning {
         double at = 0;
         std::size_t instance = 0;
@@ -203,7 +221,9 @@
     void loseRequests(std::size_t engine);
     void startHandover(std::size_t engine);
     void handOver(std::size_t engine);
+    void measure(Engine&, std::size_t index);
     void deliverReports();
+    void deliver(const Measurement&, std::size_t engine);
     void arrive();
     std::size_t drawOrganisation();
     std::uint64_t drawChat(std::size_t organisation, bool isLong);
@@ -216,6 +236,8 @@
     void advanceEngines();
     void finish(std::uint64_t ticket);
     void sample();
+    void notify(const Job&, std::int64_t tokens);
+    void deliverNotices();
     ResidenceDirectory& shardOf(std::uint64_t chat)
     {
         return *m_instances[chat % m_instances.size()].directory;
@@ -233,6 +255,7 @@
     std::vector<std::vector<std::uint64_t>> m_idle; // by organisation and class
     std::unordered_map<std::uint64_t, Job> m_jobs;
     std::vector<Learning> m_learnings;
+    std::vector<Notice> m_notices;
     std::size_t m_nextEvent = 0;
     std::uint64_t m_nextChat = 0;
     std::uint64_t m_nextTicket = 0;
@@ -351,6 +374,7 @@
     for (std::uint64_t ticket : lost) {
         const Job& job = m_jobs[ticket];
         m_instances[job.instance].ledger.finished(m_engines[engine].id, job.load, clock());
+        notify(job, -job.load);
         if (m_instances[job.instance].admission) {
             m_instances[job.instance].admission->finished(ticket, clock());
         }
@@ -397,30 +421,43 @@
     }
 }
 
+// Each engine is measured once per interval, the engines one after the other.
+inline void PlacementDrive::measure(Engine& engine, std::size_t index)
+{
+    double phase
+        = m_settings.reportInterval * static_cast<double>(index) / static_cast<double>(m_engines.size());
+    double cycle = std::fmod(m_now + m_settings.reportInterval - phase, m_settings.reportInterval);
+    if (engine.measurements.empty() || cycle < tick)
+        engine.measurements.push_back({ m_now, engine.model.load() });
+    while (engine.measurements.front().at < m_now - m_settings.lagMaximum - m_settings.reportInterval)
+        engine.measurements.pop_front();
+}
+
 inline void PlacementDrive::deliverReports()
 {
     for (std::size_t index = 0; index < m_engines.size(); ++index) {
         Engine& engine = m_engines[index];
-        double phase
-            = m_settings.reportInterval * static_cast<double>(index) / static_cast<double>(m_engines.size());
-        double cycle = std::fmod(m_now + m_settings.reportInterval - phase, m_settings.reportInterval);
-        if (engine.measuredAt < 0 || cycle < tick) {
-            engine.measuredAt = m_now;
-            engine.measured = engine.model.load();
-        }
+        measure(engine, index);
         if (!engine.serving || !engine.reachable)
             continue;
-        double age = m_now - engine.measuredAt;
-        double step = (m_settings.lagMaximum - m_settings.lagMinimum) / delaySteps;
-        MonotonicTime measuredAt = clock() - std::chrono::microseconds(std::llround(age * 1e6));
-        for (std::size_t group = 0; group < delaySteps; ++group) {
-            double due = m_settings.lagMinimum + step * static_cast<double>(group);
-            if (std::llround(age / tick) != std::llround(due / tick))
-                continue;
-            for (std::size_t instance : m_reportGroups[index * delaySteps + group]) {
-                m_instances[instance].ledger.report(engine.id, engine.measured, measuredAt);
-                m_controlBytes += measuring() ? reportBytes : 0;
-            }
+        for (const Measurement& measurement : engine.measurements)
+            deliver(measurement, index);
+    }
+}
+
+// To the instances whose delay has just passed.
+inline void PlacementDrive::deliver(const Measurement& measurement, std::size_t engine)
+{
+    double age = m_now - measurement.at;
+    double step = (m_settings.lagMaximum - m_settings.lagMinimum) / delaySteps;
+    MonotonicTime measuredAt = clock() - std::chrono::microseconds(std::llround(age * 1e6));
+    for (std::size_t group = 0; group < delaySteps; ++group) {
+        double due = m_settings.lagMinimum + step * static_cast<double>(group);
+        if (std::llround(age / tick) != std::llround(due / tick))
+            continue;
+        for (std::size_t instance : m_reportGroups[engine * delaySteps + group]) {
+            m_instances[instance].ledger.report(m_engines[engine].id, measurement.tokens, measuredAt);
+            m_controlBytes += measuring() ? reportBytes : 0;
         }
     }
 }
@@ -614,6 +651,7 @@
     countReuse(job, chat, job.engine);
     chat.handedTo = noEngine;
     instance.ledger.sent(engine.id, job.load, clock(), job.load - job.prompt);
+    notify(job, job.load);
     engine.model.submit({ ticket, job.chat, job.prompt, job.output, job.load });
     engine.largest = std::max(engine.largest, job.load);
     if (m_settings.kind == PlacementKind::BoundedRendezvous) {
@@ -664,6 +702,7 @@
     if (job.measured && !chat.isLong)
         m_result.shortTime.values.push_back(m_now - job.arrived);
     instance.ledger.finished(engine.id, job.load, clock());
+    notify(job, -job.load);
     if (m_settings.answerFeedback)
         instance.ledger.report(engine.id, engine.model.load(), clock());
     constexpr std::int64_t longestContext = 8000;
@@ -692,6 +731,29 @@
     }
 }
 
+inline void PlacementDrive::notify(const Job& job, std::int64_t tokens)
+{
+    if (!m_settings.notices || job.load < m_settings.noticeTokens)
+        return;
+    for (std::size_t instance = 0; instance < m_instances.size(); ++instance) {
+        if (instance == job.instance)
+            continue;
+        double delay = m_settings.noticeDelay * (0.2 + 0.8 * m_random.unit());
+        m_notices.push_back({ m_now + delay, instance, m_engines[job.engine].id, tokens, clock() });
+        m_controlBytes += measuring() ? noticeBytes : 0;
+    }
+}
+
+inline void PlacementDrive::deliverNotices()
+{
+    std::erase_if(m_notices, [this](const Notice& notice) {
+        if (notice.at > m_now)
+            return false;
+        m_instances[notice.instance].ledger.peerChanged(notice.upstream, notice.tokens, notice.changedAt);
+        return true;
+    });
+}
+
 inline void PlacementDrive::sample()
 {
     double sum = 0;
@@ -705,6 +767,9 @@
     double mean = sum / std::max(1.0, count);
     if (mean <= 0)
         return;
+    constexpr double settleSeconds = 10;
+    bool settled = std::all_of(m_engines.begin(), m_engines.end(),
+        [this](const Engine& engine) { return m_now - engine.changedAt > settleSeconds; });
     double busiest = 0;
     for (const Engine& engine : m_engines) {
         if (!accepts(engine))
@@ -715,6 +780,7 @@
         double allowed = std::max(m_settings.placement.loadBound * mean, mean + slack);
         ++m_result.samples;
         m_result.overBound += load > allowed ? 1 : 0;
+        m_result.overBoundSettled += load > allowed && settled ? 1 : 0;
         if (m_settings.trace && load > allowed)
             std::printf("%.1f s engine %zu load %.0f mean %.0f ratio %.3f\n", m_now,
                 static_cast<std::size_t>(&engine - m_engines.data()), load, mean, load / mean);
@@ -731,6 +797,7 @@
     while (m_now < m_settings.warmup + m_settings.duration) {
         applyEvents();
         deliverReports();
+        deliverNotices();
         arrive();
         advanceEngines();
         if (measuring() && step % stepsPerSample == 0)
--- a/standins/loadreport.h
+++ b/standins/loadreport.h
@@ -29,7 +29,7 @@
 };
 
 // Everything that a run measures. The keys of the JSON form are stable; scripts read them.
-struct LoadReport {
+struct LoadRunReport {
     struct Organisation {
         std::uint64_t requests = 0;
         std::map<std::string, std::uint64_t> outcomes;
@@ -59,6 +59,7 @@
         std::uint64_t samples = 0; // with a mean of at least the floor
         std::vector<double> ratios;
         double mostExcessTokens = 0; // of the busiest engine over the bound times the mean
+        std::uint64_t largestRequestTokens = 0; // prompt and answer; one request cannot be split
     };
 
     Json toJson() const;
@@ -72,6 +73,7 @@
     std::uint64_t generatedTokens = 0; // of completed answers
     std::uint64_t skippedArrivals = 0; // too many requests were in flight
     std::map<std::string, std::uint64_t> outcomes;
+    std::map<std::string, std::uint64_t> errorTypes; // of the typed errors, services included
     Samples latency;
     Samples shortLatency;
     Samples longLatency;
--- a/standins/loadrunner.h
+++ b/standins/loadrunner.h
@@ -32,7 +32,7 @@
 // Runs a load plan against targets on an event loop and fills a report.
 class LoadRunner {
 public:
-    LoadRunner(event_base*, RunnerOptions, LoadPlan&, LoadReport&);
+    LoadRunner(event_base*, RunnerOptions, LoadPlan&, LoadRunReport&);
     ~LoadRunner();
     LoadRunner(const LoadRunner&) = delete;
     LoadRunner& operator=(const LoadRunner&) = delete;
@@ -55,6 +55,7 @@
     void takeData(Turn&, std::string_view);
     void finishTurn(Turn&, const ClientResponse&);
     std::string classify(Turn&, const ClientResponse&);
+    std::string classifyError(const ClientResponse&);
     void recordCompleted(Turn&, const std::string& hint);
 
     void startService();
@@ -71,7 +72,7 @@
     event_base* m_base;
     RunnerOptions m_options;
     LoadPlan& m_plan;
-    LoadReport& m_report;
+    LoadRunReport& m_report;
     Random m_random;
     HttpClient m_client;
     std::function<void()> m_finished;
--- a/standins/testing/load_test.cc
+++ b/standins/testing/load_test.cc
@@ -127,12 +127,12 @@
 // Guards against renamed keys: scripts/measure.sh and the measurements page read them.
 TEST_CASE("the report's keys are stable")
 {
-    LoadReport report;
+    LoadRunReport report;
     report.latency.add(std::chrono::milliseconds(5));
     report.organisations["a"].requests = 1;
     auto json = report.toJson();
     for (const char* key : { "settings", "duration_s", "requests", "completed", "skipped_arrivals",
-             "throughput_rps", "tokens_per_s", "outcomes", "latency_ms", "short_latency_ms",
+             "throughput_rps", "tokens_per_s", "outcomes", "error_types", "latency_ms", "short_latency_ms",
              "long_latency_ms", "first_token_ms", "short_first_token_ms", "between_tokens_ms", "checks",
              "reuse", "organisations", "services", "open_streams", "skew" })
         CHECK(json.contains(key));
--- a/standins/testing/server_test.cc
+++ b/standins/testing/server_test.cc
@@ -184,6 +184,14 @@
     CHECK_FALSE(silent.done);
     fault({ { "crossed", true } });
     CHECK_FALSE(checkStream("h", 5, harness.chat("h", true, 5).body).ownIdentifier());
+    fault({ { "crossed_after", 2 } });
+    auto late = checkStream("k", 5, harness.chat("k", true, 5).body);
+    CHECK_FALSE(late.ownIdentifier());
+    CHECK(late.ownText());
+    fault({ { "crossed_after", 0 } });
+    auto body = harness.chat("l", false, 5);
+    CHECK(body.header("X-Request-Id") == "l");
+    CHECK(parseJson(body.body, "answer").value()["id"] == "crossed-l");
     fault({ { "status", 500 } });
     CHECK(harness.chat("i", true, 5).status == 500);
     CHECK(checkStream("j", 5, harness.chat("j", true, 5).body).wholeText());
@@ -283,7 +291,7 @@
     runner.durationSeconds = 1000;
     auto run = [&] {
         LoadPlan plan(options);
-        LoadReport report;
+        LoadRunReport report;
         LoadRunner loadRunner(harness.base.get(), runner, plan, report);
         bool finished = false;
         loadRunner.start([&] { finished = true; });
@@ -307,5 +315,7 @@
     CHECK(truncated.outcomes["closed"] == 20);
     CHECK(truncated.completed == 40);
     harness.post(harness.engineAddress, "/faults", { { "refuse", true }, { "count", 20 } });
-    CHECK(run().outcomes["not_run"] == 20);
+    auto refused = run();
+    CHECK(refused.outcomes["not_run"] == 20);
+    CHECK(refused.errorTypes["overloaded"] == 20);
 }
