--- a/bench/placement_bench_main.cc
+++ b/bench/placement_bench_main.cc
@@ -225,6 +225,7 @@
     add("trace", "prints every engine sample above the bound");
     add("notices", "instances tell each other what they send");
     add("notice-tokens", options::value(&defaults.noticeTokens), "smallest request that is noticed");
+    add("slot-share", options::value(&defaults.slotShare), "share of the engines' slots that instances use");
     add("no-hints", "callers return no hint");
     add("no-feedback", "answers carry no load");
     add("interval", options::value(&defaults.reportInterval), "seconds between reports");
--- a/bench/placementdrive.h
+++ b/bench/placementdrive.h
@@ -65,6 +65,8 @@
     bool admission = false;
     bool trace = false; // prints every engine sample above the bound
     std::uint32_t engineSlots = 64;
+    double slotShare
+        = 0.85; // of the engines' slots, what the instances use together; requests are not spread evenly
     PlacementKind kind = PlacementKind::BoundedRendezvous;
     PlacementSettings placement;
     EngineModelSettings engine;
@@ -289,8 +291,9 @@
         instance.placement = makePlacement(m_settings.kind, m_settings.placement);
         instance.directory = std::make_unique<ResidenceDirectory>(directoryMemory);
         AdmissionSettings admission;
-        auto slots = static_cast<std::uint32_t>(
-            m_settings.engineSlots * (m_engines.size() - m_settings.joining) / m_settings.instances);
+        auto slots = static_cast<std::uint32_t>(m_settings.slotShare
+            * static_cast<double>(m_settings.engineSlots * (m_engines.size() - m_settings.joining))
+            / static_cast<double>(m_settings.instances));
         admission.slots = std::max(2U, slots);
         admission.shortSlots = admission.slots / 3;
         if (m_settings.admission)
