--- a/coordination/peer_generated.h
+++ b/coordination/peer_generated.h
@@ -31,6 +31,12 @@
 struct UsageEntryBuilder;
 struct UsageEntryT;
 
+struct LoadReport;
+
+struct UsageSum;
+
+struct UpstreamEvidence;
+
 struct Heartbeat;
 struct HeartbeatBuilder;
 struct HeartbeatT;
@@ -83,6 +89,26 @@
 struct ResidenceAnswerBuilder;
 struct ResidenceAnswerT;
 
+struct LoadNotice;
+struct LoadNoticeBuilder;
+struct LoadNoticeT;
+
+struct LoadNotices;
+struct LoadNoticesBuilder;
+struct LoadNoticesT;
+
+struct DrainQuery;
+struct DrainQueryBuilder;
+struct DrainQueryT;
+
+struct ResidentEntry;
+struct ResidentEntryBuilder;
+struct ResidentEntryT;
+
+struct DrainAnswer;
+struct DrainAnswerBuilder;
+struct DrainAnswerT;
+
 struct PeerFrame;
 struct PeerFrameBuilder;
 struct PeerFrameT;
@@ -216,11 +242,14 @@
   ResidenceUpdate = 11,
   ResidenceQuery = 12,
   ResidenceAnswer = 13,
+  LoadNotices = 14,
+  DrainQuery = 15,
+  DrainAnswer = 16,
   MIN = NONE,
-  MAX = ResidenceAnswer
+  MAX = DrainAnswer
 };
 
-inline const PeerBody (&EnumValuesPeerBody())[14] {
+inline const PeerBody (&EnumValuesPeerBody())[17] {
   static const PeerBody values[] = {
     PeerBody::NONE,
     PeerBody::Hello,
@@ -235,13 +264,16 @@
     PeerBody::SettleResponse,
     PeerBody::ResidenceUpdate,
     PeerBody::ResidenceQuery,
-    PeerBody::ResidenceAnswer
+    PeerBody::ResidenceAnswer,
+    PeerBody::LoadNotices,
+    PeerBody::DrainQuery,
+    PeerBody::DrainAnswer
   };
   return values;
 }
 
 inline const char * const *EnumNamesPeerBody() {
-  static const char * const names[15] = {
+  static const char * const names[18] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -256,13 +288,16 @@
     "ResidenceUpdate",
     "ResidenceQuery",
     "ResidenceAnswer",
+    "LoadNotices",
+    "DrainQuery",
+    "DrainAnswer",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamePeerBody(PeerBody e) {
-  if (flatbuffers::IsOutRange(e, PeerBody::NONE, PeerBody::ResidenceAnswer)) return "";
+  if (flatbuffers::IsOutRange(e, PeerBody::NONE, PeerBody::DrainAnswer)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesPeerBody()[index];
 }
@@ -323,6 +358,18 @@
   static const PeerBody enum_value = PeerBody::ResidenceAnswer;
 };
 
+template<> struct PeerBodyTraits<briarwharf::LoadNotices> {
+  static const PeerBody enum_value = PeerBody::LoadNotices;
+};
+
+template<> struct PeerBodyTraits<briarwharf::DrainQuery> {
+  static const PeerBody enum_value = PeerBody::DrainQuery;
+};
+
+template<> struct PeerBodyTraits<briarwharf::DrainAnswer> {
+  static const PeerBody enum_value = PeerBody::DrainAnswer;
+};
+
 template<typename T> struct PeerBodyUnionTraits {
   static const PeerBody enum_value = PeerBody::NONE;
 };
@@ -379,6 +426,18 @@
   static const PeerBody enum_value = PeerBody::ResidenceAnswer;
 };
 
+template<> struct PeerBodyUnionTraits<briarwharf::LoadNoticesT> {
+  static const PeerBody enum_value = PeerBody::LoadNotices;
+};
+
+template<> struct PeerBodyUnionTraits<briarwharf::DrainQueryT> {
+  static const PeerBody enum_value = PeerBody::DrainQuery;
+};
+
+template<> struct PeerBodyUnionTraits<briarwharf::DrainAnswerT> {
+  static const PeerBody enum_value = PeerBody::DrainAnswer;
+};
+
 struct PeerBodyUnion {
   PeerBody type;
   void *value;
@@ -513,11 +572,136 @@
     return type == PeerBody::ResidenceAnswer ?
       reinterpret_cast<const briarwharf::ResidenceAnswerT *>(value) : nullptr;
   }
+  briarwharf::LoadNoticesT *AsLoadNotices() {
+    return type == PeerBody::LoadNotices ?
+      reinterpret_cast<briarwharf::LoadNoticesT *>(value) : nullptr;
+  }
+  const briarwharf::LoadNoticesT *AsLoadNotices() const {
+    return type == PeerBody::LoadNotices ?
+      reinterpret_cast<const briarwharf::LoadNoticesT *>(value) : nullptr;
+  }
+  briarwharf::DrainQueryT *AsDrainQuery() {
+    return type == PeerBody::DrainQuery ?
+      reinterpret_cast<briarwharf::DrainQueryT *>(value) : nullptr;
+  }
+  const briarwharf::DrainQueryT *AsDrainQuery() const {
+    return type == PeerBody::DrainQuery ?
+      reinterpret_cast<const briarwharf::DrainQueryT *>(value) : nullptr;
+  }
+  briarwharf::DrainAnswerT *AsDrainAnswer() {
+    return type == PeerBody::DrainAnswer ?
+      reinterpret_cast<briarwharf::DrainAnswerT *>(value) : nullptr;
+  }
+  const briarwharf::DrainAnswerT *AsDrainAnswer() const {
+    return type == PeerBody::DrainAnswer ?
+      reinterpret_cast<const briarwharf::DrainAnswerT *>(value) : nullptr;
+  }
 };
 
 bool VerifyPeerBody(flatbuffers::Verifier &verifier, const void *obj, PeerBody type);
 bool VerifyPeerBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<PeerBody> *types);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) LoadReport FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t upstream_;
+  uint16_t tokens_;
+  uint8_t sequence_;
+  uint8_t state_;
+
+ public:
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.LoadReport";
+  }
+  LoadReport()
+      : upstream_(0),
+        tokens_(0),
+        sequence_(0),
+        state_(0) {
+  }
+  LoadReport(uint32_t _upstream, uint16_t _tokens, uint8_t _sequence, uint8_t _state)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        tokens_(flatbuffers::EndianScalar(_tokens)),
+        sequence_(flatbuffers::EndianScalar(_sequence)),
+        state_(flatbuffers::EndianScalar(_state)) {
+  }
+  uint32_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint16_t tokens() const {
+    return flatbuffers::EndianScalar(tokens_);
+  }
+  uint8_t sequence() const {
+    return flatbuffers::EndianScalar(sequence_);
+  }
+  uint8_t state() const {
+    return flatbuffers::EndianScalar(state_);
+  }
+};
+FLATBUFFERS_STRUCT_END(LoadReport, 8);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) UsageSum FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t organisation_;
+  uint32_t tokensPerSecond_;
+
+ public:
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.UsageSum";
+  }
+  UsageSum()
+      : organisation_(0),
+        tokensPerSecond_(0) {
+  }
+  UsageSum(uint32_t _organisation, uint32_t _tokensPerSecond)
+      : organisation_(flatbuffers::EndianScalar(_organisation)),
+        tokensPerSecond_(flatbuffers::EndianScalar(_tokensPerSecond)) {
+  }
+  uint32_t organisation() const {
+    return flatbuffers::EndianScalar(organisation_);
+  }
+  uint32_t tokensPerSecond() const {
+    return flatbuffers::EndianScalar(tokensPerSecond_);
+  }
+};
+FLATBUFFERS_STRUCT_END(UsageSum, 8);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) UpstreamEvidence FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t upstream_;
+  uint16_t penalty_;
+  uint8_t bad_;
+  int8_t padding0__;
+
+ public:
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.UpstreamEvidence";
+  }
+  UpstreamEvidence()
+      : upstream_(0),
+        penalty_(0),
+        bad_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  UpstreamEvidence(uint32_t _upstream, uint16_t _penalty, bool _bad)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        penalty_(flatbuffers::EndianScalar(_penalty)),
+        bad_(flatbuffers::EndianScalar(static_cast<uint8_t>(_bad))),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint32_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint16_t penalty() const {
+    return flatbuffers::EndianScalar(penalty_);
+  }
+  bool bad() const {
+    return flatbuffers::EndianScalar(bad_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(UpstreamEvidence, 8);
+
 struct MemberT : public flatbuffers::NativeTable {
   typedef Member TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
@@ -897,9 +1081,19 @@
   uint64_t revision = 0;
   uint32_t headConfirmedMs = 0;
   std::vector<std::unique_ptr<briarwharf::MemberT>> members{};
-  std::vector<std::unique_ptr<briarwharf::LoadEntryT>> loads{};
-  std::vector<std::unique_ptr<briarwharf::UsageEntryT>> usage{};
-  std::string usageOrigin{};
+  uint32_t sentMs = 0;
+  int32_t leastDelayMs = 0;
+  bool leastDelayKnown = false;
+  uint32_t membersDigest = 0;
+  bool parent = false;
+  std::vector<briarwharf::LoadReport> loadReports{};
+  std::vector<briarwharf::UsageSum> usageSums{};
+  std::vector<briarwharf::UpstreamEvidence> evidence{};
+  uint32_t usageCovered = 0;
+  uint32_t covered = 0;
+  uint64_t coveredDigest = 0;
+  uint32_t coveredOldestMs = 0;
+  uint64_t coveredRevision = 0;
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -918,9 +1112,19 @@
     VT_REVISION = 8,
     VT_HEADCONFIRMEDMS = 10,
     VT_MEMBERS = 12,
-    VT_LOADS = 14,
-    VT_USAGE = 16,
-    VT_USAGEORIGIN = 18
+    VT_SENTMS = 20,
+    VT_LEASTDELAYMS = 22,
+    VT_LEASTDELAYKNOWN = 24,
+    VT_MEMBERSDIGEST = 26,
+    VT_PARENT = 28,
+    VT_LOADREPORTS = 30,
+    VT_USAGESUMS = 32,
+    VT_EVIDENCE = 34,
+    VT_USAGECOVERED = 36,
+    VT_COVERED = 38,
+    VT_COVEREDDIGEST = 40,
+    VT_COVEREDOLDESTMS = 42,
+    VT_COVEREDREVISION = 44
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -937,14 +1141,44 @@
   const flatbuffers::Vector<flatbuffers::Offset<briarwharf::Member>> *members() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<briarwharf::Member>> *>(VT_MEMBERS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<briarwharf::LoadEntry>> *loads() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<briarwharf::LoadEntry>> *>(VT_LOADS);
+  uint32_t sentMs() const {
+    return GetField<uint32_t>(VT_SENTMS, 0);
+  }
+  int32_t leastDelayMs() const {
+    return GetField<int32_t>(VT_LEASTDELAYMS, 0);
+  }
+  bool leastDelayKnown() const {
+    return GetField<uint8_t>(VT_LEASTDELAYKNOWN, 0) != 0;
+  }
+  uint32_t membersDigest() const {
+    return GetField<uint32_t>(VT_MEMBERSDIGEST, 0);
+  }
+  bool parent() const {
+    return GetField<uint8_t>(VT_PARENT, 0) != 0;
+  }
+  const flatbuffers::Vector<const briarwharf::LoadReport *> *loadReports() const {
+    return GetPointer<const flatbuffers::Vector<const briarwharf::LoadReport *> *>(VT_LOADREPORTS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<briarwharf::UsageEntry>> *usage() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<briarwharf::UsageEntry>> *>(VT_USAGE);
+  const flatbuffers::Vector<const briarwharf::UsageSum *> *usageSums() const {
+    return GetPointer<const flatbuffers::Vector<const briarwharf::UsageSum *> *>(VT_USAGESUMS);
   }
-  const flatbuffers::String *usageOrigin() const {
-    return GetPointer<const flatbuffers::String *>(VT_USAGEORIGIN);
+  const flatbuffers::Vector<const briarwharf::UpstreamEvidence *> *evidence() const {
+    return GetPointer<const flatbuffers::Vector<const briarwharf::UpstreamEvidence *> *>(VT_EVIDENCE);
+  }
+  uint32_t usageCovered() const {
+    return GetField<uint32_t>(VT_USAGECOVERED, 0);
+  }
+  uint32_t covered() const {
+    return GetField<uint32_t>(VT_COVERED, 0);
+  }
+  uint64_t coveredDigest() const {
+    return GetField<uint64_t>(VT_COVEREDDIGEST, 0);
+  }
+  uint32_t coveredOldestMs() const {
+    return GetField<uint32_t>(VT_COVEREDOLDESTMS, 0);
+  }
+  uint64_t coveredRevision() const {
+    return GetField<uint64_t>(VT_COVEREDREVISION, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -955,14 +1189,22 @@
            VerifyOffset(verifier, VT_MEMBERS) &&
            verifier.VerifyVector(members()) &&
            verifier.VerifyVectorOfTables(members()) &&
-           VerifyOffset(verifier, VT_LOADS) &&
-           verifier.VerifyVector(loads()) &&
-           verifier.VerifyVectorOfTables(loads()) &&
-           VerifyOffset(verifier, VT_USAGE) &&
-           verifier.VerifyVector(usage()) &&
-           verifier.VerifyVectorOfTables(usage()) &&
-           VerifyOffset(verifier, VT_USAGEORIGIN) &&
-           verifier.VerifyString(usageOrigin()) &&
+           VerifyField<uint32_t>(verifier, VT_SENTMS, 4) &&
+           VerifyField<int32_t>(verifier, VT_LEASTDELAYMS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_LEASTDELAYKNOWN, 1) &&
+           VerifyField<uint32_t>(verifier, VT_MEMBERSDIGEST, 4) &&
+           VerifyField<uint8_t>(verifier, VT_PARENT, 1) &&
+           VerifyOffset(verifier, VT_LOADREPORTS) &&
+           verifier.VerifyVector(loadReports()) &&
+           VerifyOffset(verifier, VT_USAGESUMS) &&
+           verifier.VerifyVector(usageSums()) &&
+           VerifyOffset(verifier, VT_EVIDENCE) &&
+           verifier.VerifyVector(evidence()) &&
+           VerifyField<uint32_t>(verifier, VT_USAGECOVERED, 4) &&
+           VerifyField<uint32_t>(verifier, VT_COVERED, 4) &&
+           VerifyField<uint64_t>(verifier, VT_COVEREDDIGEST, 8) &&
+           VerifyField<uint32_t>(verifier, VT_COVEREDOLDESTMS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_COVEREDREVISION, 8) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -989,14 +1231,44 @@
   void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::Member>>> members) {
     fbb_.AddOffset(Heartbeat::VT_MEMBERS, members);
   }
-  void add_loads(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::LoadEntry>>> loads) {
-    fbb_.AddOffset(Heartbeat::VT_LOADS, loads);
+  void add_sentMs(uint32_t sentMs) {
+    fbb_.AddElement<uint32_t>(Heartbeat::VT_SENTMS, sentMs, 0);
+  }
+  void add_leastDelayMs(int32_t leastDelayMs) {
+    fbb_.AddElement<int32_t>(Heartbeat::VT_LEASTDELAYMS, leastDelayMs, 0);
+  }
+  void add_leastDelayKnown(bool leastDelayKnown) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_LEASTDELAYKNOWN, static_cast<uint8_t>(leastDelayKnown), 0);
+  }
+  void add_membersDigest(uint32_t membersDigest) {
+    fbb_.AddElement<uint32_t>(Heartbeat::VT_MEMBERSDIGEST, membersDigest, 0);
   }
-  void add_usage(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::UsageEntry>>> usage) {
-    fbb_.AddOffset(Heartbeat::VT_USAGE, usage);
+  void add_parent(bool parent) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_PARENT, static_cast<uint8_t>(parent), 0);
   }
-  void add_usageOrigin(flatbuffers::Offset<flatbuffers::String> usageOrigin) {
-    fbb_.AddOffset(Heartbeat::VT_USAGEORIGIN, usageOrigin);
+  void add_loadReports(flatbuffers::Offset<flatbuffers::Vector<const briarwharf::LoadReport *>> loadReports) {
+    fbb_.AddOffset(Heartbeat::VT_LOADREPORTS, loadReports);
+  }
+  void add_usageSums(flatbuffers::Offset<flatbuffers::Vector<const briarwharf::UsageSum *>> usageSums) {
+    fbb_.AddOffset(Heartbeat::VT_USAGESUMS, usageSums);
+  }
+  void add_evidence(flatbuffers::Offset<flatbuffers::Vector<const briarwharf::UpstreamEvidence *>> evidence) {
+    fbb_.AddOffset(Heartbeat::VT_EVIDENCE, evidence);
+  }
+  void add_usageCovered(uint32_t usageCovered) {
+    fbb_.AddElement<uint32_t>(Heartbeat::VT_USAGECOVERED, usageCovered, 0);
+  }
+  void add_covered(uint32_t covered) {
+    fbb_.AddElement<uint32_t>(Heartbeat::VT_COVERED, covered, 0);
+  }
+  void add_coveredDigest(uint64_t coveredDigest) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_COVEREDDIGEST, coveredDigest, 0);
+  }
+  void add_coveredOldestMs(uint32_t coveredOldestMs) {
+    fbb_.AddElement<uint32_t>(Heartbeat::VT_COVEREDOLDESTMS, coveredOldestMs, 0);
+  }
+  void add_coveredRevision(uint64_t coveredRevision) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_COVEREDREVISION, coveredRevision, 0);
   }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1016,18 +1288,38 @@
     uint64_t revision = 0,
     uint32_t headConfirmedMs = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::Member>>> members = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::LoadEntry>>> loads = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::UsageEntry>>> usage = 0,
-    flatbuffers::Offset<flatbuffers::String> usageOrigin = 0) {
+    uint32_t sentMs = 0,
+    int32_t leastDelayMs = 0,
+    bool leastDelayKnown = false,
+    uint32_t membersDigest = 0,
+    bool parent = false,
+    flatbuffers::Offset<flatbuffers::Vector<const briarwharf::LoadReport *>> loadReports = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const briarwharf::UsageSum *>> usageSums = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const briarwharf::UpstreamEvidence *>> evidence = 0,
+    uint32_t usageCovered = 0,
+    uint32_t covered = 0,
+    uint64_t coveredDigest = 0,
+    uint32_t coveredOldestMs = 0,
+    uint64_t coveredRevision = 0) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_coveredRevision(coveredRevision);
+  builder_.add_coveredDigest(coveredDigest);
   builder_.add_revision(revision);
   builder_.add_acknowledged(acknowledged);
   builder_.add_sequence(sequence);
-  builder_.add_usageOrigin(usageOrigin);
-  builder_.add_usage(usage);
-  builder_.add_loads(loads);
+  builder_.add_coveredOldestMs(coveredOldestMs);
+  builder_.add_covered(covered);
+  builder_.add_usageCovered(usageCovered);
+  builder_.add_evidence(evidence);
+  builder_.add_usageSums(usageSums);
+  builder_.add_loadReports(loadReports);
+  builder_.add_membersDigest(membersDigest);
+  builder_.add_leastDelayMs(leastDelayMs);
+  builder_.add_sentMs(sentMs);
   builder_.add_members(members);
   builder_.add_headConfirmedMs(headConfirmedMs);
+  builder_.add_parent(parent);
+  builder_.add_leastDelayKnown(leastDelayKnown);
   return builder_.Finish();
 }
 
@@ -1038,13 +1330,23 @@
     uint64_t revision = 0,
     uint32_t headConfirmedMs = 0,
     const std::vector<flatbuffers::Offset<briarwharf::Member>> *members = nullptr,
-    const std::vector<flatbuffers::Offset<briarwharf::LoadEntry>> *loads = nullptr,
-    const std::vector<flatbuffers::Offset<briarwharf::UsageEntry>> *usage = nullptr,
-    const char *usageOrigin = nullptr) {
+    uint32_t sentMs = 0,
+    int32_t leastDelayMs = 0,
+    bool leastDelayKnown = false,
+    uint32_t membersDigest = 0,
+    bool parent = false,
+    const std::vector<briarwharf::LoadReport> *loadReports = nullptr,
+    const std::vector<briarwharf::UsageSum> *usageSums = nullptr,
+    const std::vector<briarwharf::UpstreamEvidence> *evidence = nullptr,
+    uint32_t usageCovered = 0,
+    uint32_t covered = 0,
+    uint64_t coveredDigest = 0,
+    uint32_t coveredOldestMs = 0,
+    uint64_t coveredRevision = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::Member>>(*members) : 0;
-  auto loads__ = loads ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::LoadEntry>>(*loads) : 0;
-  auto usage__ = usage ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::UsageEntry>>(*usage) : 0;
-  auto usageOrigin__ = usageOrigin ? _fbb.CreateString(usageOrigin) : 0;
+  auto loadReports__ = loadReports ? _fbb.CreateVectorOfStructs<briarwharf::LoadReport>(*loadReports) : 0;
+  auto usageSums__ = usageSums ? _fbb.CreateVectorOfStructs<briarwharf::UsageSum>(*usageSums) : 0;
+  auto evidence__ = evidence ? _fbb.CreateVectorOfStructs<briarwharf::UpstreamEvidence>(*evidence) : 0;
   return briarwharf::CreateHeartbeat(
       _fbb,
       sequence,
@@ -1052,9 +1354,19 @@
       revision,
       headConfirmedMs,
       members__,
-      loads__,
-      usage__,
-      usageOrigin__);
+      sentMs,
+      leastDelayMs,
+      leastDelayKnown,
+      membersDigest,
+      parent,
+      loadReports__,
+      usageSums__,
+      evidence__,
+      usageCovered,
+      covered,
+      coveredDigest,
+      coveredOldestMs,
+      coveredRevision);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2205,7 +2517,7 @@
   }
   uint64_t nonce = 0;
   uint64_t chat = 0;
-  std::string upstream{};
+  uint64_t upstream = 0;
 };
 
 struct ResidenceAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2225,15 +2537,14 @@
   uint64_t chat() const {
     return GetField<uint64_t>(VT_CHAT, 0);
   }
-  const flatbuffers::String *upstream() const {
-    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  uint64_t upstream() const {
+    return GetField<uint64_t>(VT_UPSTREAM, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
            VerifyField<uint64_t>(verifier, VT_CHAT, 8) &&
-           VerifyOffset(verifier, VT_UPSTREAM) &&
-           verifier.VerifyString(upstream()) &&
+           VerifyField<uint64_t>(verifier, VT_UPSTREAM, 8) &&
            verifier.EndTable();
   }
   ResidenceAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2251,8 +2562,8 @@
   void add_chat(uint64_t chat) {
     fbb_.AddElement<uint64_t>(ResidenceAnswer::VT_CHAT, chat, 0);
   }
-  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
-    fbb_.AddOffset(ResidenceAnswer::VT_UPSTREAM, upstream);
+  void add_upstream(uint64_t upstream) {
+    fbb_.AddElement<uint64_t>(ResidenceAnswer::VT_UPSTREAM, upstream, 0);
   }
   explicit ResidenceAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -2269,28 +2580,485 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t nonce = 0,
     uint64_t chat = 0,
-    flatbuffers::Offset<flatbuffers::String> upstream = 0) {
+    uint64_t upstream = 0) {
   ResidenceAnswerBuilder builder_(_fbb);
+  builder_.add_upstream(upstream);
   builder_.add_chat(chat);
   builder_.add_nonce(nonce);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<ResidenceAnswer> CreateResidenceAnswer(flatbuffers::FlatBufferBuilder &_fbb, const ResidenceAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct LoadNoticeT : public flatbuffers::NativeTable {
+  typedef LoadNotice TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.LoadNoticeT";
+  }
+  uint32_t upstream = 0;
+  int32_t tokens = 0;
+  uint32_t ageMs = 0;
+};
+
+struct LoadNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LoadNoticeT NativeTableType;
+  typedef LoadNoticeBuilder Builder;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.LoadNotice";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_UPSTREAM = 4,
+    VT_TOKENS = 6,
+    VT_AGEMS = 8
+  };
+  uint32_t upstream() const {
+    return GetField<uint32_t>(VT_UPSTREAM, 0);
+  }
+  int32_t tokens() const {
+    return GetField<int32_t>(VT_TOKENS, 0);
+  }
+  uint32_t ageMs() const {
+    return GetField<uint32_t>(VT_AGEMS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_UPSTREAM, 4) &&
+           VerifyField<int32_t>(verifier, VT_TOKENS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_AGEMS, 4) &&
+           verifier.EndTable();
+  }
+  LoadNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LoadNoticeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LoadNotice> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LoadNoticeBuilder {
+  typedef LoadNotice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_upstream(uint32_t upstream) {
+    fbb_.AddElement<uint32_t>(LoadNotice::VT_UPSTREAM, upstream, 0);
+  }
+  void add_tokens(int32_t tokens) {
+    fbb_.AddElement<int32_t>(LoadNotice::VT_TOKENS, tokens, 0);
+  }
+  void add_ageMs(uint32_t ageMs) {
+    fbb_.AddElement<uint32_t>(LoadNotice::VT_AGEMS, ageMs, 0);
+  }
+  explicit LoadNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LoadNotice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LoadNotice>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LoadNotice> CreateLoadNotice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t upstream = 0,
+    int32_t tokens = 0,
+    uint32_t ageMs = 0) {
+  LoadNoticeBuilder builder_(_fbb);
+  builder_.add_ageMs(ageMs);
+  builder_.add_tokens(tokens);
+  builder_.add_upstream(upstream);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<LoadNotice> CreateLoadNotice(flatbuffers::FlatBufferBuilder &_fbb, const LoadNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct LoadNoticesT : public flatbuffers::NativeTable {
+  typedef LoadNotices TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.LoadNoticesT";
+  }
+  std::vector<std::unique_ptr<briarwharf::LoadNoticeT>> notices{};
+  LoadNoticesT() = default;
+  LoadNoticesT(const LoadNoticesT &o);
+  LoadNoticesT(LoadNoticesT&&) FLATBUFFERS_NOEXCEPT = default;
+  LoadNoticesT &operator=(LoadNoticesT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct LoadNotices FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LoadNoticesT NativeTableType;
+  typedef LoadNoticesBuilder Builder;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.LoadNotices";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NOTICES = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<briarwharf::LoadNotice>> *notices() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<briarwharf::LoadNotice>> *>(VT_NOTICES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NOTICES) &&
+           verifier.VerifyVector(notices()) &&
+           verifier.VerifyVectorOfTables(notices()) &&
+           verifier.EndTable();
+  }
+  LoadNoticesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LoadNoticesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LoadNotices> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadNoticesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LoadNoticesBuilder {
+  typedef LoadNotices Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_notices(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::LoadNotice>>> notices) {
+    fbb_.AddOffset(LoadNotices::VT_NOTICES, notices);
+  }
+  explicit LoadNoticesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LoadNotices> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LoadNotices>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LoadNotices> CreateLoadNotices(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::LoadNotice>>> notices = 0) {
+  LoadNoticesBuilder builder_(_fbb);
+  builder_.add_notices(notices);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<LoadNotices> CreateLoadNoticesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<briarwharf::LoadNotice>> *notices = nullptr) {
+  auto notices__ = notices ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::LoadNotice>>(*notices) : 0;
+  return briarwharf::CreateLoadNotices(
+      _fbb,
+      notices__);
+}
+
+flatbuffers::Offset<LoadNotices> CreateLoadNotices(flatbuffers::FlatBufferBuilder &_fbb, const LoadNoticesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct DrainQueryT : public flatbuffers::NativeTable {
+  typedef DrainQuery TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.DrainQueryT";
+  }
+  uint64_t nonce = 0;
+  std::string upstream{};
+  bool withResidents = false;
+};
+
+struct DrainQuery FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DrainQueryT NativeTableType;
+  typedef DrainQueryBuilder Builder;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.DrainQuery";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NONCE = 4,
+    VT_UPSTREAM = 6,
+    VT_WITHRESIDENTS = 8
+  };
+  uint64_t nonce() const {
+    return GetField<uint64_t>(VT_NONCE, 0);
+  }
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  bool withResidents() const {
+    return GetField<uint8_t>(VT_WITHRESIDENTS, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           VerifyField<uint8_t>(verifier, VT_WITHRESIDENTS, 1) &&
+           verifier.EndTable();
+  }
+  DrainQueryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DrainQueryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<DrainQuery> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DrainQueryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct DrainQueryBuilder {
+  typedef DrainQuery Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_nonce(uint64_t nonce) {
+    fbb_.AddElement<uint64_t>(DrainQuery::VT_NONCE, nonce, 0);
+  }
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(DrainQuery::VT_UPSTREAM, upstream);
+  }
+  void add_withResidents(bool withResidents) {
+    fbb_.AddElement<uint8_t>(DrainQuery::VT_WITHRESIDENTS, static_cast<uint8_t>(withResidents), 0);
+  }
+  explicit DrainQueryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DrainQuery> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DrainQuery>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DrainQuery> CreateDrainQuery(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    bool withResidents = false) {
+  DrainQueryBuilder builder_(_fbb);
+  builder_.add_nonce(nonce);
   builder_.add_upstream(upstream);
+  builder_.add_withResidents(withResidents);
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<ResidenceAnswer> CreateResidenceAnswerDirect(
+inline flatbuffers::Offset<DrainQuery> CreateDrainQueryDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t nonce = 0,
-    uint64_t chat = 0,
-    const char *upstream = nullptr) {
+    const char *upstream = nullptr,
+    bool withResidents = false) {
   auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
-  return briarwharf::CreateResidenceAnswer(
+  return briarwharf::CreateDrainQuery(
       _fbb,
       nonce,
-      chat,
-      upstream__);
+      upstream__,
+      withResidents);
 }
 
-flatbuffers::Offset<ResidenceAnswer> CreateResidenceAnswer(flatbuffers::FlatBufferBuilder &_fbb, const ResidenceAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<DrainQuery> CreateDrainQuery(flatbuffers::FlatBufferBuilder &_fbb, const DrainQueryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ResidentEntryT : public flatbuffers::NativeTable {
+  typedef ResidentEntry TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.ResidentEntryT";
+  }
+  std::string organisation{};
+  std::string chat{};
+  uint32_t idleMs = 0;
+};
+
+struct ResidentEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ResidentEntryT NativeTableType;
+  typedef ResidentEntryBuilder Builder;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.ResidentEntry";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ORGANISATION = 4,
+    VT_CHAT = 6,
+    VT_IDLEMS = 8
+  };
+  const flatbuffers::String *organisation() const {
+    return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
+  }
+  const flatbuffers::String *chat() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHAT);
+  }
+  uint32_t idleMs() const {
+    return GetField<uint32_t>(VT_IDLEMS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ORGANISATION) &&
+           verifier.VerifyString(organisation()) &&
+           VerifyOffset(verifier, VT_CHAT) &&
+           verifier.VerifyString(chat()) &&
+           VerifyField<uint32_t>(verifier, VT_IDLEMS, 4) &&
+           verifier.EndTable();
+  }
+  ResidentEntryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ResidentEntryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ResidentEntry> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ResidentEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ResidentEntryBuilder {
+  typedef ResidentEntry Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_organisation(flatbuffers::Offset<flatbuffers::String> organisation) {
+    fbb_.AddOffset(ResidentEntry::VT_ORGANISATION, organisation);
+  }
+  void add_chat(flatbuffers::Offset<flatbuffers::String> chat) {
+    fbb_.AddOffset(ResidentEntry::VT_CHAT, chat);
+  }
+  void add_idleMs(uint32_t idleMs) {
+    fbb_.AddElement<uint32_t>(ResidentEntry::VT_IDLEMS, idleMs, 0);
+  }
+  explicit ResidentEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ResidentEntry> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ResidentEntry>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ResidentEntry> CreateResidentEntry(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> organisation = 0,
+    flatbuffers::Offset<flatbuffers::String> chat = 0,
+    uint32_t idleMs = 0) {
+  ResidentEntryBuilder builder_(_fbb);
+  builder_.add_idleMs(idleMs);
+  builder_.add_chat(chat);
+  builder_.add_organisation(organisation);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ResidentEntry> CreateResidentEntryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *organisation = nullptr,
+    const char *chat = nullptr,
+    uint32_t idleMs = 0) {
+  auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
+  auto chat__ = chat ? _fbb.CreateString(chat) : 0;
+  return briarwharf::CreateResidentEntry(
+      _fbb,
+      organisation__,
+      chat__,
+      idleMs);
+}
+
+flatbuffers::Offset<ResidentEntry> CreateResidentEntry(flatbuffers::FlatBufferBuilder &_fbb, const ResidentEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct DrainAnswerT : public flatbuffers::NativeTable {
+  typedef DrainAnswer TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.DrainAnswerT";
+  }
+  uint64_t nonce = 0;
+  std::string upstream{};
+  uint64_t revision = 0;
+  uint32_t requests = 0;
+  std::vector<std::unique_ptr<briarwharf::ResidentEntryT>> residents{};
+  DrainAnswerT() = default;
+  DrainAnswerT(const DrainAnswerT &o);
+  DrainAnswerT(DrainAnswerT&&) FLATBUFFERS_NOEXCEPT = default;
+  DrainAnswerT &operator=(DrainAnswerT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct DrainAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DrainAnswerT NativeTableType;
+  typedef DrainAnswerBuilder Builder;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.DrainAnswer";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NONCE = 4,
+    VT_UPSTREAM = 6,
+    VT_REVISION = 8,
+    VT_REQUESTS = 10,
+    VT_RESIDENTS = 12
+  };
+  uint64_t nonce() const {
+    return GetField<uint64_t>(VT_NONCE, 0);
+  }
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  uint32_t requests() const {
+    return GetField<uint32_t>(VT_REQUESTS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<briarwharf::ResidentEntry>> *residents() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<briarwharf::ResidentEntry>> *>(VT_RESIDENTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_REQUESTS, 4) &&
+           VerifyOffset(verifier, VT_RESIDENTS) &&
+           verifier.VerifyVector(residents()) &&
+           verifier.VerifyVectorOfTables(residents()) &&
+           verifier.EndTable();
+  }
+  DrainAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DrainAnswerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<DrainAnswer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DrainAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct DrainAnswerBuilder {
+  typedef DrainAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_nonce(uint64_t nonce) {
+    fbb_.AddElement<uint64_t>(DrainAnswer::VT_NONCE, nonce, 0);
+  }
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(DrainAnswer::VT_UPSTREAM, upstream);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(DrainAnswer::VT_REVISION, revision, 0);
+  }
+  void add_requests(uint32_t requests) {
+    fbb_.AddElement<uint32_t>(DrainAnswer::VT_REQUESTS, requests, 0);
+  }
+  void add_residents(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::ResidentEntry>>> residents) {
+    fbb_.AddOffset(DrainAnswer::VT_RESIDENTS, residents);
+  }
+  explicit DrainAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DrainAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DrainAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DrainAnswer> CreateDrainAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    uint64_t revision = 0,
+    uint32_t requests = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::ResidentEntry>>> residents = 0) {
+  DrainAnswerBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_nonce(nonce);
+  builder_.add_residents(residents);
+  builder_.add_requests(requests);
+  builder_.add_upstream(upstream);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<DrainAnswer> CreateDrainAnswerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    const char *upstream = nullptr,
+    uint64_t revision = 0,
+    uint32_t requests = 0,
+    const std::vector<flatbuffers::Offset<briarwharf::ResidentEntry>> *residents = nullptr) {
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  auto residents__ = residents ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::ResidentEntry>>(*residents) : 0;
+  return briarwharf::CreateDrainAnswer(
+      _fbb,
+      nonce,
+      upstream__,
+      revision,
+      requests,
+      residents__);
+}
+
+flatbuffers::Offset<DrainAnswer> CreateDrainAnswer(flatbuffers::FlatBufferBuilder &_fbb, const DrainAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct PeerFrameT : public flatbuffers::NativeTable {
   typedef PeerFrame TableType;
@@ -2366,6 +3134,15 @@
   const briarwharf::ResidenceAnswer *body_as_ResidenceAnswer() const {
     return body_type() == briarwharf::PeerBody::ResidenceAnswer ? static_cast<const briarwharf::ResidenceAnswer *>(body()) : nullptr;
   }
+  const briarwharf::LoadNotices *body_as_LoadNotices() const {
+    return body_type() == briarwharf::PeerBody::LoadNotices ? static_cast<const briarwharf::LoadNotices *>(body()) : nullptr;
+  }
+  const briarwharf::DrainQuery *body_as_DrainQuery() const {
+    return body_type() == briarwharf::PeerBody::DrainQuery ? static_cast<const briarwharf::DrainQuery *>(body()) : nullptr;
+  }
+  const briarwharf::DrainAnswer *body_as_DrainAnswer() const {
+    return body_type() == briarwharf::PeerBody::DrainAnswer ? static_cast<const briarwharf::DrainAnswer *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -2433,6 +3210,18 @@
   return body_as_ResidenceAnswer();
 }
 
+template<> inline const briarwharf::LoadNotices *PeerFrame::body_as<briarwharf::LoadNotices>() const {
+  return body_as_LoadNotices();
+}
+
+template<> inline const briarwharf::DrainQuery *PeerFrame::body_as<briarwharf::DrainQuery>() const {
+  return body_as_DrainQuery();
+}
+
+template<> inline const briarwharf::DrainAnswer *PeerFrame::body_as<briarwharf::DrainAnswer>() const {
+  return body_as_DrainAnswer();
+}
+
 struct PeerFrameBuilder {
   typedef PeerFrame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2641,13 +3430,21 @@
         acknowledged(o.acknowledged),
         revision(o.revision),
         headConfirmedMs(o.headConfirmedMs),
-        usageOrigin(o.usageOrigin) {
+        sentMs(o.sentMs),
+        leastDelayMs(o.leastDelayMs),
+        leastDelayKnown(o.leastDelayKnown),
+        membersDigest(o.membersDigest),
+        parent(o.parent),
+        loadReports(o.loadReports),
+        usageSums(o.usageSums),
+        evidence(o.evidence),
+        usageCovered(o.usageCovered),
+        covered(o.covered),
+        coveredDigest(o.coveredDigest),
+        coveredOldestMs(o.coveredOldestMs),
+        coveredRevision(o.coveredRevision) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new briarwharf::MemberT(*members_) : nullptr); }
-  loads.reserve(o.loads.size());
-  for (const auto &loads_ : o.loads) { loads.emplace_back((loads_) ? new briarwharf::LoadEntryT(*loads_) : nullptr); }
-  usage.reserve(o.usage.size());
-  for (const auto &usage_ : o.usage) { usage.emplace_back((usage_) ? new briarwharf::UsageEntryT(*usage_) : nullptr); }
 }
 
 inline HeartbeatT &HeartbeatT::operator=(HeartbeatT o) FLATBUFFERS_NOEXCEPT {
@@ -2656,9 +3453,19 @@
   std::swap(revision, o.revision);
   std::swap(headConfirmedMs, o.headConfirmedMs);
   std::swap(members, o.members);
-  std::swap(loads, o.loads);
-  std::swap(usage, o.usage);
-  std::swap(usageOrigin, o.usageOrigin);
+  std::swap(sentMs, o.sentMs);
+  std::swap(leastDelayMs, o.leastDelayMs);
+  std::swap(leastDelayKnown, o.leastDelayKnown);
+  std::swap(membersDigest, o.membersDigest);
+  std::swap(parent, o.parent);
+  std::swap(loadReports, o.loadReports);
+  std::swap(usageSums, o.usageSums);
+  std::swap(evidence, o.evidence);
+  std::swap(usageCovered, o.usageCovered);
+  std::swap(covered, o.covered);
+  std::swap(coveredDigest, o.coveredDigest);
+  std::swap(coveredOldestMs, o.coveredOldestMs);
+  std::swap(coveredRevision, o.coveredRevision);
   return *this;
 }
 
@@ -2676,9 +3483,19 @@
   { auto _e = revision(); _o->revision = _e; }
   { auto _e = headConfirmedMs(); _o->headConfirmedMs = _e; }
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<briarwharf::MemberT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = std::unique_ptr<briarwharf::LoadEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = usage(); if (_e) { _o->usage.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->usage[_i] = std::unique_ptr<briarwharf::UsageEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = usageOrigin(); if (_e) _o->usageOrigin = _e->str(); }
+  { auto _e = sentMs(); _o->sentMs = _e; }
+  { auto _e = leastDelayMs(); _o->leastDelayMs = _e; }
+  { auto _e = leastDelayKnown(); _o->leastDelayKnown = _e; }
+  { auto _e = membersDigest(); _o->membersDigest = _e; }
+  { auto _e = parent(); _o->parent = _e; }
+  { auto _e = loadReports(); if (_e) { _o->loadReports.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loadReports[_i] = *_e->Get(_i); } } }
+  { auto _e = usageSums(); if (_e) { _o->usageSums.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->usageSums[_i] = *_e->Get(_i); } } }
+  { auto _e = evidence(); if (_e) { _o->evidence.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evidence[_i] = *_e->Get(_i); } } }
+  { auto _e = usageCovered(); _o->usageCovered = _e; }
+  { auto _e = covered(); _o->covered = _e; }
+  { auto _e = coveredDigest(); _o->coveredDigest = _e; }
+  { auto _e = coveredOldestMs(); _o->coveredOldestMs = _e; }
+  { auto _e = coveredRevision(); _o->coveredRevision = _e; }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2694,9 +3511,19 @@
   auto _revision = _o->revision;
   auto _headConfirmedMs = _o->headConfirmedMs;
   auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::Member>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateMember(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _loads = _o->loads.size() ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::LoadEntry>> (_o->loads.size(), [](size_t i, _VectorArgs *__va) { return CreateLoadEntry(*__va->__fbb, __va->__o->loads[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _usage = _o->usage.size() ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::UsageEntry>> (_o->usage.size(), [](size_t i, _VectorArgs *__va) { return CreateUsageEntry(*__va->__fbb, __va->__o->usage[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _usageOrigin = _o->usageOrigin.empty() ? 0 : _fbb.CreateString(_o->usageOrigin);
+  auto _sentMs = _o->sentMs;
+  auto _leastDelayMs = _o->leastDelayMs;
+  auto _leastDelayKnown = _o->leastDelayKnown;
+  auto _membersDigest = _o->membersDigest;
+  auto _parent = _o->parent;
+  auto _loadReports = _o->loadReports.size() ? _fbb.CreateVectorOfStructs(_o->loadReports) : 0;
+  auto _usageSums = _o->usageSums.size() ? _fbb.CreateVectorOfStructs(_o->usageSums) : 0;
+  auto _evidence = _o->evidence.size() ? _fbb.CreateVectorOfStructs(_o->evidence) : 0;
+  auto _usageCovered = _o->usageCovered;
+  auto _covered = _o->covered;
+  auto _coveredDigest = _o->coveredDigest;
+  auto _coveredOldestMs = _o->coveredOldestMs;
+  auto _coveredRevision = _o->coveredRevision;
   return briarwharf::CreateHeartbeat(
       _fbb,
       _sequence,
@@ -2704,9 +3531,19 @@
       _revision,
       _headConfirmedMs,
       _members,
-      _loads,
-      _usage,
-      _usageOrigin);
+      _sentMs,
+      _leastDelayMs,
+      _leastDelayKnown,
+      _membersDigest,
+      _parent,
+      _loadReports,
+      _usageSums,
+      _evidence,
+      _usageCovered,
+      _covered,
+      _coveredDigest,
+      _coveredOldestMs,
+      _coveredRevision);
 }
 
 inline PingRequestT *PingRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3114,7 +3951,7 @@
   (void)_resolver;
   { auto _e = nonce(); _o->nonce = _e; }
   { auto _e = chat(); _o->chat = _e; }
-  { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
+  { auto _e = upstream(); _o->upstream = _e; }
 }
 
 inline flatbuffers::Offset<ResidenceAnswer> ResidenceAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ResidenceAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3127,7 +3964,7 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ResidenceAnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _nonce = _o->nonce;
   auto _chat = _o->chat;
-  auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
+  auto _upstream = _o->upstream;
   return briarwharf::CreateResidenceAnswer(
       _fbb,
       _nonce,
@@ -3135,6 +3972,194 @@
       _upstream);
 }
 
+inline LoadNoticeT *LoadNotice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<LoadNoticeT>(new LoadNoticeT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LoadNotice::UnPackTo(LoadNoticeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = upstream(); _o->upstream = _e; }
+  { auto _e = tokens(); _o->tokens = _e; }
+  { auto _e = ageMs(); _o->ageMs = _e; }
+}
+
+inline flatbuffers::Offset<LoadNotice> LoadNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLoadNotice(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LoadNotice> CreateLoadNotice(flatbuffers::FlatBufferBuilder &_fbb, const LoadNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LoadNoticeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _upstream = _o->upstream;
+  auto _tokens = _o->tokens;
+  auto _ageMs = _o->ageMs;
+  return briarwharf::CreateLoadNotice(
+      _fbb,
+      _upstream,
+      _tokens,
+      _ageMs);
+}
+
+inline LoadNoticesT::LoadNoticesT(const LoadNoticesT &o) {
+  notices.reserve(o.notices.size());
+  for (const auto &notices_ : o.notices) { notices.emplace_back((notices_) ? new briarwharf::LoadNoticeT(*notices_) : nullptr); }
+}
+
+inline LoadNoticesT &LoadNoticesT::operator=(LoadNoticesT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(notices, o.notices);
+  return *this;
+}
+
+inline LoadNoticesT *LoadNotices::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<LoadNoticesT>(new LoadNoticesT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LoadNotices::UnPackTo(LoadNoticesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = notices(); if (_e) { _o->notices.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->notices[_i] = std::unique_ptr<briarwharf::LoadNoticeT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<LoadNotices> LoadNotices::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadNoticesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLoadNotices(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LoadNotices> CreateLoadNotices(flatbuffers::FlatBufferBuilder &_fbb, const LoadNoticesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LoadNoticesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _notices = _o->notices.size() ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::LoadNotice>> (_o->notices.size(), [](size_t i, _VectorArgs *__va) { return CreateLoadNotice(*__va->__fbb, __va->__o->notices[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return briarwharf::CreateLoadNotices(
+      _fbb,
+      _notices);
+}
+
+inline DrainQueryT *DrainQuery::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<DrainQueryT>(new DrainQueryT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void DrainQuery::UnPackTo(DrainQueryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = nonce(); _o->nonce = _e; }
+  { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
+  { auto _e = withResidents(); _o->withResidents = _e; }
+}
+
+inline flatbuffers::Offset<DrainQuery> DrainQuery::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DrainQueryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateDrainQuery(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<DrainQuery> CreateDrainQuery(flatbuffers::FlatBufferBuilder &_fbb, const DrainQueryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DrainQueryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _nonce = _o->nonce;
+  auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
+  auto _withResidents = _o->withResidents;
+  return briarwharf::CreateDrainQuery(
+      _fbb,
+      _nonce,
+      _upstream,
+      _withResidents);
+}
+
+inline ResidentEntryT *ResidentEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<ResidentEntryT>(new ResidentEntryT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ResidentEntry::UnPackTo(ResidentEntryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = organisation(); if (_e) _o->organisation = _e->str(); }
+  { auto _e = chat(); if (_e) _o->chat = _e->str(); }
+  { auto _e = idleMs(); _o->idleMs = _e; }
+}
+
+inline flatbuffers::Offset<ResidentEntry> ResidentEntry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ResidentEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateResidentEntry(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ResidentEntry> CreateResidentEntry(flatbuffers::FlatBufferBuilder &_fbb, const ResidentEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ResidentEntryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _organisation = _o->organisation.empty() ? 0 : _fbb.CreateString(_o->organisation);
+  auto _chat = _o->chat.empty() ? 0 : _fbb.CreateString(_o->chat);
+  auto _idleMs = _o->idleMs;
+  return briarwharf::CreateResidentEntry(
+      _fbb,
+      _organisation,
+      _chat,
+      _idleMs);
+}
+
+inline DrainAnswerT::DrainAnswerT(const DrainAnswerT &o)
+      : nonce(o.nonce),
+        upstream(o.upstream),
+        revision(o.revision),
+        requests(o.requests) {
+  residents.reserve(o.residents.size());
+  for (const auto &residents_ : o.residents) { residents.emplace_back((residents_) ? new briarwharf::ResidentEntryT(*residents_) : nullptr); }
+}
+
+inline DrainAnswerT &DrainAnswerT::operator=(DrainAnswerT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(nonce, o.nonce);
+  std::swap(upstream, o.upstream);
+  std::swap(revision, o.revision);
+  std::swap(requests, o.requests);
+  std::swap(residents, o.residents);
+  return *this;
+}
+
+inline DrainAnswerT *DrainAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<DrainAnswerT>(new DrainAnswerT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void DrainAnswer::UnPackTo(DrainAnswerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = nonce(); _o->nonce = _e; }
+  { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
+  { auto _e = revision(); _o->revision = _e; }
+  { auto _e = requests(); _o->requests = _e; }
+  { auto _e = residents(); if (_e) { _o->residents.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->residents[_i] = std::unique_ptr<briarwharf::ResidentEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<DrainAnswer> DrainAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DrainAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateDrainAnswer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<DrainAnswer> CreateDrainAnswer(flatbuffers::FlatBufferBuilder &_fbb, const DrainAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DrainAnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _nonce = _o->nonce;
+  auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
+  auto _revision = _o->revision;
+  auto _requests = _o->requests;
+  auto _residents = _o->residents.size() ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::ResidentEntry>> (_o->residents.size(), [](size_t i, _VectorArgs *__va) { return CreateResidentEntry(*__va->__fbb, __va->__o->residents[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return briarwharf::CreateDrainAnswer(
+      _fbb,
+      _nonce,
+      _upstream,
+      _revision,
+      _requests,
+      _residents);
+}
+
 inline PeerFrameT *PeerFrame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<PeerFrameT>(new PeerFrameT());
   UnPackTo(_o.get(), _resolver);
@@ -3227,6 +4252,18 @@
       auto ptr = reinterpret_cast<const briarwharf::ResidenceAnswer *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case PeerBody::LoadNotices: {
+      auto ptr = reinterpret_cast<const briarwharf::LoadNotices *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case PeerBody::DrainQuery: {
+      auto ptr = reinterpret_cast<const briarwharf::DrainQuery *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case PeerBody::DrainAnswer: {
+      auto ptr = reinterpret_cast<const briarwharf::DrainAnswer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -3298,6 +4335,18 @@
       auto ptr = reinterpret_cast<const briarwharf::ResidenceAnswer *>(obj);
       return ptr->UnPack(resolver);
     }
+    case PeerBody::LoadNotices: {
+      auto ptr = reinterpret_cast<const briarwharf::LoadNotices *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case PeerBody::DrainQuery: {
+      auto ptr = reinterpret_cast<const briarwharf::DrainQuery *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case PeerBody::DrainAnswer: {
+      auto ptr = reinterpret_cast<const briarwharf::DrainAnswer *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -3357,6 +4406,18 @@
       auto ptr = reinterpret_cast<const briarwharf::ResidenceAnswerT *>(value);
       return CreateResidenceAnswer(_fbb, ptr, _rehasher).Union();
     }
+    case PeerBody::LoadNotices: {
+      auto ptr = reinterpret_cast<const briarwharf::LoadNoticesT *>(value);
+      return CreateLoadNotices(_fbb, ptr, _rehasher).Union();
+    }
+    case PeerBody::DrainQuery: {
+      auto ptr = reinterpret_cast<const briarwharf::DrainQueryT *>(value);
+      return CreateDrainQuery(_fbb, ptr, _rehasher).Union();
+    }
+    case PeerBody::DrainAnswer: {
+      auto ptr = reinterpret_cast<const briarwharf::DrainAnswerT *>(value);
+      return CreateDrainAnswer(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -3415,6 +4476,18 @@
       value = new briarwharf::ResidenceAnswerT(*reinterpret_cast<briarwharf::ResidenceAnswerT *>(u.value));
       break;
     }
+    case PeerBody::LoadNotices: {
+      value = new briarwharf::LoadNoticesT(*reinterpret_cast<briarwharf::LoadNoticesT *>(u.value));
+      break;
+    }
+    case PeerBody::DrainQuery: {
+      value = new briarwharf::DrainQueryT(*reinterpret_cast<briarwharf::DrainQueryT *>(u.value));
+      break;
+    }
+    case PeerBody::DrainAnswer: {
+      value = new briarwharf::DrainAnswerT(*reinterpret_cast<briarwharf::DrainAnswerT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -3487,6 +4560,21 @@
       delete ptr;
       break;
     }
+    case PeerBody::LoadNotices: {
+      auto ptr = reinterpret_cast<briarwharf::LoadNoticesT *>(value);
+      delete ptr;
+      break;
+    }
+    case PeerBody::DrainQuery: {
+      auto ptr = reinterpret_cast<briarwharf::DrainQueryT *>(value);
+      delete ptr;
+      break;
+    }
+    case PeerBody::DrainAnswer: {
+      auto ptr = reinterpret_cast<briarwharf::DrainAnswerT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
