--- a/coordination/testing/exchange.cc
+++ b/coordination/testing/exchange.cc
@@ -121,7 +121,7 @@
 {
     Connection& present = connection(from, to);
     std::size_t own = from < to ? 0 : 1;
-    if (present.up[own] || !reachable(from, to))
+    if (present.up[own] || !reachable(from, to) || (options.loss > 0 && m_random.chance(options.loss)))
         return;
     if (present.up[1 - own])
         at(to).membership.linkDown(idOf(from), m_now);
