Remove an unused field that clang refuses

Cause: the fuzz targets did not build with clang: PeerService kept an event base that nothing used. Change: the field is gone.

--- a/process/peers.cc
+++ b/process/peers.cc
@@ -48,8 +48,7 @@
 
 PeerService::PeerService(event_base* base, const Settings& settings, HttpStore& store, ConfigService& config,
     FrameCallback onFrame)
-    : m_base(base)
-    , m_settings(settings)
+    : m_settings(settings)
     , m_store(store)
     , m_config(config)
     , m_onFrame(std::move(onFrame))
--- a/process/peers.h
+++ b/process/peers.h
@@ -79,7 +79,6 @@
     void answerSnapshotRequests();
     void refreshList();
 
-    event_base* m_base;
     const Settings& m_settings;
     HttpStore& m_store;
     ConfigService& m_config;
