--- /dev/null
+++ b/bench/claim_bench_main.cc
@@ -0,0 +1,108 @@
+// Store calls and processor time of at-most-once calls, at several rates and numbers of shards. Everything
+// runs in one process on a simulated clock; the processor time includes the in-memory store and both sides.
+// The runs are too short for snapshots; each record costs one more write later, for its removal.
+
+#include "base/hash.h"
+#include "base/log.h"
+#include "coordination/coordination.h"
+#include "coordination/testing/fakestore.h"
+#include <cstdio>
+#include <ctime>
+
+namespace {
+
+using namespace briarwharf;
+
+constexpr Milliseconds tickInterval { 20 };
+constexpr Milliseconds storeLatency { 2 };
+constexpr int simulatedSeconds = 120;
+constexpr std::uint64_t seed = 1;
+constexpr std::size_t bodyBytes = 500;
+
+struct Shards {
+    Shards(ManualClock& clock, FakeStore& store, std::size_t count)
+    {
+        for (std::size_t shard = 0; shard < count; ++shard)
+            collectors.push_back(std::make_unique<ClaimCollector>(
+                ClaimCollectorOptions { .writer = "bench" }, static_cast<std::uint32_t>(shard), store,
+                clock.reader(), [&clock] { return clock.wallNow(); },
+                [](const std::string&) { return false; }));
+    }
+
+    ClaimCollector& of(const std::string& keyHash)
+    {
+        return *collectors[hash64(keyHash) % collectors.size()];
+    }
+
+    std::vector<std::unique_ptr<ClaimCollector>> collectors;
+};
+
+void measure(double callsPerSecond, std::size_t shardCount)
+{
+    ManualClock clock;
+    FakeStore store(clock);
+    store.setLatency(storeLatency / 2);
+    Shards shards(clock, store, shardCount);
+    Random random(seed);
+    std::uint64_t begun = 0;
+    std::uint64_t settled = 0;
+    double waitedMs = 0;
+    std::unique_ptr<ClaimClient> client;
+    client = std::make_unique<ClaimClient>(
+        ClaimClientOptions { .instance = "bench#1" }, clock.reader(),
+        [&](const ClaimRequestT& request) {
+            shards.of(request.keyHash).claim(request, [&](const ClaimResponseT& response) {
+                client->response(response);
+            });
+        },
+        [&](const SettleRequestT& request) {
+            shards.of(request.keyHash).settle(request, [&](SettleResponseT response) {
+                client->response(response);
+            });
+        });
+    auto begin = [&] {
+        auto id = std::make_shared<ClaimClient::ClaimId>();
+        MonotonicTime start = clock.now();
+        std::string keyHash = claimKeyHash("org", "booking", std::to_string(begun++));
+        *id = client->begin(keyHash, "body", start + std::chrono::seconds(10),
+            [&, id, start](ClaimDecision decision, const ClaimOutcome&) {
+                waitedMs += static_cast<double>(toMilliseconds(clock.now() - start).count());
+                if (decision != ClaimDecision::Run || !client->mayCall(*id))
+                    return;
+                client->finish(*id, { 200, "application/json", std::string(bodyBytes, 'x') },
+                    clock.now() + std::chrono::seconds(10),
+                    [&](bool durable) { settled += durable ? 1 : 0; });
+            });
+    };
+    std::clock_t started = std::clock();
+    MonotonicTime end = clock.now() + std::chrono::seconds(simulatedSeconds);
+    double due = 0;
+    while (clock.now() < end) {
+        clock.advance(tickInterval);
+        for (due += callsPerSecond * 0.02 * 2 * random.unit(); due >= 1; due -= 1)
+            begin();
+        for (auto& collector : shards.collectors)
+            collector->tick();
+        client->tick();
+    }
+    double seconds = static_cast<double>(std::clock() - started) / CLOCKS_PER_SEC;
+    auto calls = static_cast<double>(settled);
+    std::printf("%8.0f %7zu %8.0f %10.1f %9.1f %11.3f %10.3f %9.1f %11.1f\n", callsPerSecond, shardCount,
+        calls, static_cast<double>(store.writes()) / simulatedSeconds,
+        static_cast<double>(store.reads()) / simulatedSeconds, static_cast<double>(store.writes()) / calls,
+        static_cast<double>(store.reads()) / calls, waitedMs / static_cast<double>(begun),
+        seconds / calls * 1e6);
+}
+
+} // namespace
+
+int main()
+{
+    configureLogging("error");
+    std::printf(
+        "  calls/s  shards    calls   writes/s   reads/s writes/call reads/call  claim ms us CPU/call\n");
+    for (double rate : { 1.0, 20.0, 200.0, 1000.0 })
+        for (std::size_t shards : { 4, 16, 32 })
+            measure(rate, shards);
+    return 0;
+}
