--- a/coordination/testing/fakestore.cc
+++ b/coordination/testing/fakestore.cc
@@ -240,8 +240,7 @@
     }
     // The first of the change and the timeout answers.
     auto waiting = std::make_shared<ReadCallback>(std::move(callback));
-    auto objects = m_objects;
-    auto respond = [this, alive = std::weak_ptr<Alive>(m_alive), waiting, objects, key] {
+    auto respond = [this, alive = std::weak_ptr<Alive>(m_alive), waiting, key] {
         if (!*waiting || alive.expired())
             return;
         ReadCallback taken = std::move(*waiting);
@@ -250,21 +249,20 @@
             answer(m_latency, [taken = std::move(taken)] { taken(unavailable()); });
             return;
         }
-        auto object = objects->find(key);
+        auto object = m_objects->find(key);
         answer(m_latency, [taken = std::move(taken), object = std::move(object)] { taken(object); });
     };
-    m_clock.after(
-        *plan.effect, [this, objects, key, known, timeout, respond, alive = std::weak_ptr<Alive>(m_alive)] {
-            if (alive.expired())
-                return;
-            auto object = objects->find(key);
-            if ((object ? object->version : 0) != known) {
-                respond();
-                return;
-            }
-            objects->onChange(key, respond);
-            m_clock.after(timeout, respond);
-        });
+    m_clock.after(*plan.effect, [this, key, known, timeout, respond, alive = std::weak_ptr<Alive>(m_alive)] {
+        if (alive.expired())
+            return;
+        auto object = m_objects->find(key);
+        if ((object ? object->version : 0) != known) {
+            respond();
+            return;
+        }
+        m_objects->onChange(key, respond);
+        m_clock.after(timeout, respond);
+    });
 }
 
 void FakeStore::list(
