--- a/process/chatcall.cc
+++ b/process/chatcall.cc
@@ -12,6 +12,9 @@
     // parsing every event.
     constexpr std::size_t identifierSearchBytes = 256;
 
+    // Some engines put this before the identifier that they are given.
+    constexpr std::string_view engineIdPrefix = "chatcmpl-";
+
     constexpr int maxAttempts = 3;
 
     constexpr std::size_t maxEventBytes = 1024 * 1024;
@@ -52,6 +55,7 @@
           m_input.config->policy(*m_input.pool).shortTokens))
     , m_ticket(router.nextTicket())
     , m_tokens(m_input.request.promptTokens + m_input.request.maxTokens)
+    , m_idField("\"id\":\"" + m_input.requestId + "\"")
     , m_contextName(m_input.organisation->name + "/" + m_input.chat)
     , m_parser(maxEventBytes, [this](std::string_view data) { eventReceived(data); })
     , m_slowCallerTimer(router.base(),
@@ -289,11 +293,12 @@
 
 bool ChatCall::identifierMatches(std::string_view json) const
 {
-    if (json.substr(0, identifierSearchBytes).find(m_input.requestId) != std::string_view::npos)
+    std::string_view head = json.substr(0, identifierSearchBytes);
+    if (head.find(m_idField) != std::string_view::npos)
         return true;
     auto parsed = parseJson(json, "event");
     auto id = parsed ? stringField(parsed.value(), "id") : std::nullopt;
-    return id && id->find(m_input.requestId) != std::string::npos;
+    return id && (*id == m_input.requestId || *id == std::string(engineIdPrefix) + m_input.requestId);
 }
 
 HttpHeaders ChatCall::answerHeaders() const
--- a/process/chatcall.h
+++ b/process/chatcall.h
@@ -75,6 +75,7 @@
     RequestClass m_class;
     AdmissionTicket m_ticket;
     std::int64_t m_tokens;
+    std::string m_idField; // as engines usually write it
     std::string m_contextName; // of the chat at the engine, with the organisation
     PlacementRequest m_placement;
     std::set<UpstreamId> m_tried;
--- a/process/testing/endtoend_test.cc
+++ b/process/testing/endtoend_test.cc
@@ -122,6 +122,7 @@
         { R"({"truncate_after":3,"count":1})", true },
         { R"({"truncate_after":0,"count":1})", true }, // nothing sent yet: repeated
         { R"({"crossed":true,"count":1})", true },
+        { R"({"crossed_after":3,"count":1})", true }, // the rest of the stream is another request's
         { R"({"refuse":true,"count":1})", true },
         { R"({"close":true,"count":1})", true },
         { R"({"silent":true,"count":1})", true },
