--- a/coordination/claim.cc
+++ b/coordination/claim.cc
@@ -248,7 +248,7 @@
     , m_wallClock(std::move(wallClock))
     , m_instanceGone(std::move(instanceGone))
     , m_index(m_options.retention)
-    , m_log({ .name = "claims/" + std::to_string(shard),
+    , m_log({ .name = m_options.logPrefix + "claims/" + std::to_string(shard),
                 .writer = m_options.writer,
                 .commitInterval = m_options.commitInterval,
                 .snapshotInterval = m_options.snapshotInterval },
--- a/coordination/claim.h
+++ b/coordination/claim.h
@@ -85,6 +85,7 @@
 };
 
 struct ClaimCollectorOptions {
+    std::string logPrefix; // of the shards' log names; separates fleets that share a store
     std::string writer; // unique for each start of a process (randomToken())
     Milliseconds commitInterval = claimCommitInterval;
 
--- a/process/claims.cc
+++ b/process/claims.cc
@@ -18,9 +18,10 @@
         return identity.id + incarnationMark + std::to_string(identity.incarnation);
     }
 
-    ClaimCollectorOptions collectorOptions()
+    ClaimCollectorOptions collectorOptions(const std::string& keyPrefix)
     {
         ClaimCollectorOptions options;
+        options.logPrefix = keyPrefix + "-";
         options.writer = randomToken();
         return options;
     }
@@ -36,12 +37,13 @@
 
 } // namespace
 
-ClaimGateway::ClaimGateway(Store& store, PeerService& peers, const std::string&, MonotonicClock clock)
+ClaimGateway::ClaimGateway(
+    Store& store, PeerService& peers, const std::string& keyPrefix, const MonotonicClock& clock)
     : m_peers(peers)
     , m_clock(clock)
     , m_startedAt(clock())
     , m_service(
-          collectorOptions(), store, clock, [] { return std::chrono::system_clock::now(); },
+          collectorOptions(keyPrefix), store, clock, [] { return std::chrono::system_clock::now(); },
           [this](std::uint32_t shard) { return collectorOf(shard) == m_peers.membership().self().id; },
           [this](const std::string& instance) { return isGone(instance); })
     , m_client(
@@ -79,8 +81,7 @@
         m_service.claim(
             *claim, [this, peer](ClaimResponseT response) { m_peers.send(peer, std::move(response)); });
     else if (const auto* settle = frame.body.AsSettleRequest())
-        m_service.settle(
-            *settle, [this, peer](SettleResponseT response) { m_peers.send(peer, std::move(response)); });
+        m_service.settle(*settle, [this, peer](SettleResponseT response) { m_peers.send(peer, response); });
     else if (const auto* claimed = frame.body.AsClaimResponse())
         m_client.response(*claimed);
     else if (const auto* settled = frame.body.AsSettleResponse())
--- a/process/claims.h
+++ b/process/claims.h
@@ -12,7 +12,7 @@
 // instances. A shard's collector is the owner of the shard's key among the usable members.
 class ClaimGateway {
 public:
-    ClaimGateway(Store&, PeerService&, const std::string& keyPrefix, MonotonicClock);
+    ClaimGateway(Store&, PeerService&, const std::string& keyPrefix, const MonotonicClock&);
 
     ClaimClient& client() { return m_client; }
 
--- a/process/drainservice.cc
+++ b/process/drainservice.cc
@@ -65,7 +65,7 @@
 
 } // namespace
 
-DrainService::DrainService(Store& store, const std::string& keyPrefix, MonotonicClock clock,
+DrainService::DrainService(Store& store, const std::string& keyPrefix, const MonotonicClock& clock,
     ConfigService& config, PeerService& peers, Router& router)
     : m_clock(clock)
     , m_config(config)
--- a/process/drainservice.h
+++ b/process/drainservice.h
@@ -19,7 +19,8 @@
 public:
     using UpdateResidence = std::function<void(ChatKey, const std::string& upstream)>;
 
-    DrainService(Store&, const std::string& keyPrefix, MonotonicClock, ConfigService&, PeerService&, Router&);
+    DrainService(
+        Store&, const std::string& keyPrefix, const MonotonicClock&, ConfigService&, PeerService&, Router&);
 
     void receive(const std::string& peer, const PeerFrameT&);
 
--- a/process/pools.cc
+++ b/process/pools.cc
@@ -2,6 +2,7 @@
 
 #include "base/base.h"
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace briarwharf {
@@ -36,7 +37,8 @@
     std::uint32_t localSlots(const Upstream& upstream, std::size_t instances)
     {
         double part = unevenness * upstream.slots / static_cast<double>(std::max<std::size_t>(1, instances));
-        return std::min(upstream.slots, std::max(fewestLocalSlots, static_cast<std::uint32_t>(part + 0.5)));
+        return std::min(
+            upstream.slots, std::max(fewestLocalSlots, static_cast<std::uint32_t>(std::lround(part))));
     }
 
 } // namespace
@@ -105,7 +107,7 @@
     } while (m_pollAgain);
 }
 
-void PoolRuntime::dispatch(std::vector<AdmissionEvent> events)
+void PoolRuntime::dispatch(const std::vector<AdmissionEvent>& events)
 {
     bool outermost = !m_dispatching;
     m_dispatching = true;
--- a/process/pools.h
+++ b/process/pools.h
@@ -62,7 +62,7 @@
     std::size_t running() const;
 
 private:
-    void dispatch(std::vector<AdmissionEvent>);
+    void dispatch(const std::vector<AdmissionEvent>&);
     std::vector<UpstreamView> views(
         const std::set<UpstreamId>& tried, const NewWorkCheck&, const HealthCheck&);
 
--- a/process/residence.cc
+++ b/process/residence.cc
@@ -39,7 +39,7 @@
     ResidenceQueryT query;
     query.nonce = nonce;
     query.chat = chat;
-    if (!m_peers.send(owner, std::move(query)))
+    if (!m_peers.send(owner, query))
         return callback(std::nullopt);
     m_waiting[nonce] = { std::move(callback), clockNow() + answerTimeout };
 }
@@ -73,7 +73,7 @@
         answer.nonce = query->nonce;
         answer.chat = query->chat;
         answer.upstream = found.value_or(0);
-        m_peers.send(peer, std::move(answer));
+        m_peers.send(peer, answer);
         return;
     }
     const auto* answer = frame.body.AsResidenceAnswer();
--- a/process/testing/fleet.cc
+++ b/process/testing/fleet.cc
@@ -39,7 +39,7 @@
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t size = sizeof(address);
-        bind(descriptor, reinterpret_cast<sockaddr*>(&address), size);
+        REQUIRE(bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) == 0);
         getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
         close(descriptor);
         return ntohs(address.sin_port);
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,13 +1,13 @@
 #!/usr/bin/env bash
 # Prints the measures again: cache reuse through churn, skew, control traffic, decision time, claims, and the
 # data path's throughput and added latency against a direct call to the same engine. Seeds are fixed and
-# printed. Arguments choose parts: placement membership claims datapath streams control (default: all).
+# printed. Arguments choose parts: placement membership claims datapath tokens streams control (default: all).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/build.sh >/dev/null
 bin=$PWD/${BUILD_DIR:-build}/bin
 parts=("$@")
-[ "${#parts[@]}" -gt 0 ] || parts=(placement membership claims datapath streams control)
+[ "${#parts[@]}" -gt 0 ] || parts=(placement membership claims datapath tokens streams control)
 base_port=${BASE_PORT:-18700}
 work=$(mktemp -d)
 pids=()
@@ -117,6 +117,7 @@
   sleep 2
 }
 
+cpu_ms() { awk -v hz="$(getconf CLK_TCK)" '{ print ($14 + $15) * 1000 / hz }' "/proc/$1/stat"; }
 resident_kib() { awk '/VmRSS/ { print $2 }' "/proc/$1/status"; }
 
 for part in "${parts[@]}"; do
@@ -138,7 +139,21 @@
     echo "== direct to the engine"
     run "$bin/briarwharf-load" "${load[@]}" --direct --target "127.0.0.1:$((base_port + 1))"
     echo "== through one instance"
+    before=$(cpu_ms "$daemon_pid")
     run "$bin/briarwharf-load" "${load[@]}" --target "127.0.0.1:$((base_port + 101))"
+    echo "processor time of the instance: $(($(cpu_ms "$daemon_pid" | cut -d. -f1) - ${before%.*})) ms"
+    stop_all
+    ;;
+  tokens)
+    start_fleet 500
+    load=(--model model-1 --organisation "name=org,key=measure-api-key-of-org,rate=${RATE:-20}" --seed 1 --duration-s 10
+      --short-answer-tokens 500 --long-share 0 --stream-share 1 --turns 1)
+    echo "== direct to the engine"
+    run "$bin/briarwharf-load" "${load[@]}" --direct --target "127.0.0.1:$((base_port + 1))"
+    echo "== through one instance"
+    before=$(cpu_ms "$daemon_pid")
+    run "$bin/briarwharf-load" "${load[@]}" --target "127.0.0.1:$((base_port + 101))"
+    echo "processor time of the instance: $(($(cpu_ms "$daemon_pid" | cut -d. -f1) - ${before%.*})) ms"
     stop_all
     ;;
   streams)
@@ -163,7 +178,7 @@
     stop_all
     ;;
   *)
-    echo "unknown part $part: placement, membership, claims, datapath, streams or control" >&2
+    echo "unknown part $part: placement, membership, claims, datapath, tokens, streams or control" >&2
     exit 2
     ;;
   esac
