Measure the claims' memory before other runs free theirs

Cause: the benchmark printed 0 bytes for each claim, because the index reused memory that earlier runs had freed. Change: the memory part runs first.

--- a/bench/claim_bench_main.cc
+++ b/bench/claim_bench_main.cc
@@ -138,11 +138,11 @@
 int main()
 {
     configureLogging("error");
+    measureMemory(); // first: later runs would reuse memory that was freed
     std::printf(
         "  calls/s  shards    calls   writes/s   reads/s writes/call reads/call  claim ms us CPU/call\n");
     for (double rate : { 1.0, 20.0, 200.0, 1000.0 })
         for (std::size_t shards : { 4, 16, 32 })
             measure(rate, shards);
-    measureMemory();
     return 0;
 }
