Send rate-share sums from the present counts, not from the last tick's totals

Cause: with ten organisations at one request a second each, far below their limits, nine daemons refused 26 of 345 requests as over their rate. A trace at the refusal showed total demands of 4,294,967,619 and 38,799,684 tokens per second at organisations that had a few hundred. A sum that fell between two ticks was subtracted from the stale total, so that the peer's own former demand was sent back to it; the two passed it back and forth and added to it. Ruled out: cycles of the tree (coverage was 9 of 9) and empty buckets. The test fails before (900 sent instead of 0).

--- a/coordination/rateshare.cc
+++ b/coordination/rateshare.cc
@@ -270,10 +270,15 @@
     }
 }
 
+// From the sums as they are now: with the totals of the last tick, a sum that fell since then would be sent
+// back to the peer that it came from, and the two would pass it back and forth and add to it.
 std::uint32_t RateShare::outgoing(std::size_t index, const LinkState& link) const
 {
-    const Share& share = m_shares[index];
-    double own = link.tree ? share.total - link.received[index] : share.total;
+    double own = m_shares[index].demand;
+    for (const auto& [peer, state] : m_links) {
+        if (state.tree && &state != &link)
+            own += state.received[index];
+    }
     double bounded = std::clamp(own, 0.0, 4294967295.0);
     return static_cast<std::uint32_t>(std::lround(bounded));
 }
@@ -309,7 +314,9 @@
     state.sending = link.tree;
     if (!link.tree)
         return;
-    std::size_t covered = m_covered - (state.tree ? std::min(state.covered, m_covered - 1) : 0);
+    std::size_t covered = 1;
+    for (const auto& [peer, other] : m_links)
+        covered += other.tree && &other != &state ? other.covered : 0;
     heartbeat.usageCovered = static_cast<std::uint32_t>(covered);
     double rate = m_options.bytesPerSecond / static_cast<double>(std::max<std::size_t>(link.treeLinks, 1));
     fillSums(state, state.budget.available(rate, now), heartbeat, now);
--- a/coordination/testing/sections_test.cc
+++ b/coordination/testing/sections_test.cc
@@ -217,3 +217,43 @@
     CHECK(!health.usable(1, now + Milliseconds(6000)));
     CHECK(health.usable(1, now + Milliseconds(11000)));
 }
+
+// Guards against sending a peer's own former demand back to it as somebody else's: running daemons passed
+// such sums back and forth until they reached 2^32 and requests far below the limit were refused.
+TEST_CASE_FIXTURE(Alone, "a sum that falls between two ticks does not return to its sender")
+{
+    constexpr std::uint32_t organisation = 1;
+    // A child of this instance has a higher rank.
+    for (char name = 'b'; treeRank(peer) <= treeRank("a"); ++name)
+        peer = std::string(1, name);
+    membership.seed({ { peer, "10.0.0.2:1", "x" } }, now);
+    membership.linkUp(peer, now);
+    PeerFrameT frame;
+    frame.sender = peer;
+    frame.incarnation = 5;
+    HeartbeatT greeting;
+    greeting.sequence = 1;
+    greeting.parent = true;
+    frame.body.Set(std::move(greeting));
+    REQUIRE(membership.receive(frame, now));
+    REQUIRE(membership.inTree(peer));
+
+    RateShare shares(membership, {});
+    shares.setLimits({ { organisation, 100000, 1 } }, now);
+    shares.linkUp(peer, now);
+    auto acceptSum = [&](std::uint32_t sum) {
+        HeartbeatT heartbeat;
+        heartbeat.usageCovered = 1;
+        heartbeat.usageSums.emplace_back(organisation, sum);
+        shares.accept(treeLink, heartbeat, now);
+    };
+    acceptSum(900);
+    shares.tick(now);
+    shares.tick(now += Milliseconds(100));
+    CHECK(shares.totalDemand(organisation) == 900);
+    acceptSum(0);
+    HeartbeatT reply;
+    shares.fill(treeLink, reply, now + Milliseconds(1000));
+    for (const UsageSum& sum : reply.usageSums)
+        CHECK(sum.tokensPerSecond() == 0);
+}
--- a/process/peers.cc
+++ b/process/peers.cc
@@ -80,9 +80,9 @@
 void PeerService::tick()
 {
     MonotonicTime now = clockNow();
-    m_membership.tick(now);
-    m_relay.tick(now);
     m_shares.tick(now);
+    m_relay.tick(now);
+    m_membership.tick(now);
     for (const auto& peer : m_membership.takeSilentLinks()) {
         BW_LOG(WARNING, "peers") << "the link to " << peer << " is silent; it is closed and opened again";
         closePeer(peer);
