Test callers that do not read, and graceful shutdown with a stream open

Change: a stream of 200,000 tokens a second to a caller that stops reading is given up and frees its engine; a shutdown finishes the open stream, fails /readyz, keeps /healthz, and refuses new work as not run.

--- a/process/testing/endtoend_test.cc
+++ b/process/testing/endtoend_test.cc
@@ -252,7 +252,7 @@
     CHECK(fleet.command(0, "DRAIN UPSTREAM engine-0")->status == 503);
 }
 
-// Guards against memory that grows with a caller that does not read.
+// Guards against an engine that goes on working for nobody.
 TEST_CASE("a caller that leaves frees its engine")
 {
     FleetFixture fleet(1, 1);
@@ -331,3 +331,46 @@
     fleet.replaceDaemon(2);
     CHECK(fleet.runUntil([&] { return showsLate(2); }));
 }
+
+// Guards against memory that grows with a caller that does not read, and against streams that such a caller
+// holds open for ever.
+TEST_CASE("a caller that takes no byte is given up")
+{
+    constexpr double tokensPerSecond = 200000; // fills the sockets' buffers at once
+    FleetFixture fleet(1, 1, tokensPerSecond);
+    auto request = fleet.chatRequest("c1", true, 100000);
+    UpstreamClient client(fleet.base(), "127.0.0.1", fleet.callerPort(0), {});
+    request.deadline = Milliseconds(30000);
+    request.silence = Milliseconds(30000);
+    std::shared_ptr<UpstreamExchange> exchange;
+    bool started = false;
+    auto pauseAtOnce = [&](std::string_view) {
+        started = true;
+        exchange->pauseReading();
+    };
+    exchange = client.start(request, { nullptr, pauseAtOnce, nullptr });
+    CHECK(fleet.runUntil([&] { return started; }));
+    CHECK(fleet.runUntil([&] { return fleet.daemon(0).openRequests() == 0; }));
+    CHECK(fleet.runUntil([&] { return fleet.engine(0).model.state().requestsInProgress == 0; }));
+    exchange->cancel();
+}
+
+// Guards against a shutdown that cuts what runs, or takes what it will not run.
+TEST_CASE("an instance that shuts down finishes its streams and refuses new work as not run")
+{
+    FleetFixture fleet(1, 1);
+    auto stream = fleet.send(fleet.callerPort(0), fleet.chatRequest("c1", true, 60));
+    CHECK(fleet.runUntil([&] { return !stream->body.empty(); }));
+    fleet.daemon(0).shutDown();
+    UpstreamRequest ready;
+    ready.method = "GET";
+    ready.target = "/readyz";
+    CHECK(fleet.call(fleet.daemon(0).adminPort(), ready)->status == 503);
+    ready.target = "/healthz";
+    CHECK(fleet.call(fleet.daemon(0).adminPort(), ready)->status == 200);
+    auto refused = fleet.call(fleet.callerPort(0), fleet.chatRequest("c2", false, 4));
+    CHECK(errorType(*refused) == "not_ready");
+    CHECK(refused->header(header::outcome) == "not-run");
+    CHECK(fleet.runUntil([&] { return stream->finished; }));
+    CHECK(looksWhole(*stream));
+}
--- a/process/testing/fleet.cc
+++ b/process/testing/fleet.cc
@@ -15,12 +15,13 @@
     constexpr const char* operatorToken = "test-operator-token";
     constexpr Milliseconds hangBound { 30000 };
 
-    EngineOptions engineOptions(const std::string& name)
+    EngineOptions engineOptions(const std::string& name, double streamTokensPerSecond)
     {
         EngineOptions options;
         options.name = name;
         options.model = "model-1";
-        options.streamTokensPerSecond = 200;
+        options.streamTokensPerSecond = streamTokensPerSecond;
+        options.tokensPerSecond = std::max(options.tokensPerSecond, streamTokensPerSecond);
         return options;
     }
 
@@ -49,14 +50,14 @@
 
 } // namespace
 
-EngineFixture::EngineFixture(event_base* base, const std::string& name)
-    : model(engineOptions(name))
+EngineFixture::EngineFixture(event_base* base, const std::string& name, double streamTokensPerSecond)
+    : model(engineOptions(name, streamTokensPerSecond))
     , server(base, model, engineServerOptions())
     , port(server.listen(0).value())
 {
 }
 
-FleetFixture::FleetFixture(std::size_t instances, std::size_t engines)
+FleetFixture::FleetFixture(std::size_t instances, std::size_t engines, double streamTokensPerSecond)
     : m_base(event_base_new())
     , m_storeServer(m_base.get(), m_store)
     , m_storePort(m_storeServer.listen(0).value())
@@ -66,7 +67,8 @@
     ignoreBrokenPipes();
     configureLogging("error");
     for (std::size_t i = 0; i < engines; ++i)
-        m_engines.push_back(std::make_unique<EngineFixture>(m_base.get(), "engine-" + std::to_string(i)));
+        m_engines.push_back(std::make_unique<EngineFixture>(
+            m_base.get(), "engine-" + std::to_string(i), streamTokensPerSecond));
     Json list = Json::array();
     for (std::size_t i = 0; i < instances; ++i) {
         m_peerPorts.push_back(freePort());
@@ -109,6 +111,7 @@
     settings.hint.key = "test-hint-key-0123456789";
     settings.limits.upstreamSilence = Milliseconds(300);
     settings.limits.streamBufferBytes = 16 * 1024;
+    settings.limits.slowCallerTimeout = Milliseconds(300);
     return settings;
 }
 
--- a/process/testing/fleet.h
+++ b/process/testing/fleet.h
@@ -14,7 +14,7 @@
 
 // One engine stand-in with its HTTP server.
 struct EngineFixture {
-    EngineFixture(event_base*, const std::string& name);
+    EngineFixture(event_base*, const std::string& name, double streamTokensPerSecond);
 
     EngineModel model;
     EngineServer server;
@@ -38,7 +38,7 @@
 // Tests wait for conditions, never for a span of time; a bound that only a hang reaches ends a wait.
 class FleetFixture {
 public:
-    FleetFixture(std::size_t instances, std::size_t engines);
+    FleetFixture(std::size_t instances, std::size_t engines, double streamTokensPerSecond = 200);
     ~FleetFixture();
 
     // Runs the loop until the condition holds. False: it did not within the bound.
