--- a/coordination/peerframe.cc
+++ b/coordination/peerframe.cc
@@ -35,6 +35,9 @@
             "peer frame of " + std::to_string(bytes.size()) + " bytes fails verification: close the link" };
     PeerFrameT frame;
     flatbuffers::GetRoot<PeerFrame>(data)->UnPackTo(&frame);
+    // The verifier lets a union pass whose type is set and whose value is absent.
+    if (frame.body.type != PeerBody::NONE && !frame.body.value)
+        return Error { ErrorKind::Corrupt, "peer frame names a message that it does not hold: close the link" };
     return frame;
 }
 
