--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Runs every fuzz target for SECONDS_EACH (default 20) seconds from its corpus, with clang's libFuzzer and the
-# address and undefined-behaviour sanitizers. A finding stops the script and stays as a crash-* file in the
-# build folder; add it to fuzz/corpus/<target>/ with the correction.
+# Runs every fuzz target, or those in TARGETS, for SECONDS_EACH (default 20) seconds from its corpus, with
+# clang's libFuzzer and the address and undefined-behaviour sanitizers. A finding stops the script and stays
+# as a crash-* file in the build folder; add it to fuzz/corpus/<target>/ with the correction.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build_dir=${FUZZ_BUILD_DIR:-build-fuzz}
@@ -12,7 +12,7 @@
   targets+=("${name//_/-}")
 done
 cmake --build "$build_dir" --target "${targets[@]}"
-for target in "${targets[@]}"; do
+for target in ${TARGETS:-"${targets[@]}"}; do
   corpus=$(mktemp -d)
   cp fuzz/corpus/"${target%-fuzz}"/* "$corpus"/
   echo "== $target"
