--- a/coordination/peerframe.cc
+++ b/coordination/peerframe.cc
@@ -37,7 +37,8 @@
     flatbuffers::GetRoot<PeerFrame>(data)->UnPackTo(&frame);
     // The verifier lets a union pass whose type is set and whose value is absent.
     if (frame.body.type != PeerBody::NONE && !frame.body.value)
-        return Error { ErrorKind::Corrupt, "peer frame names a message that it does not hold: close the link" };
+        return Error { ErrorKind::Corrupt,
+            "peer frame names a message that it does not hold: close the link" };
     return frame;
 }
 
