Remove two type aliases that nothing uses

Cause: the read-through found aliases left over from earlier versions of the settings parser and the drain service. Change: both are gone; behaviour is the same. Measured: both files compile with the project's warnings, formatter clean. Conclusion: none beyond that.

--- a/process/drainservice.h
+++ b/process/drainservice.h
@@ -17,8 +17,6 @@
 // usable members asks for the lease, and only while there is something to do.
 class DrainService : private DrainLease {
 public:
-    using UpdateResidence = std::function<void(ChatKey, const std::string& upstream)>;
-
     DrainService(
         Store&, const std::string& keyPrefix, const MonotonicClock&, ConfigService&, PeerService&, Router&);
 
--- a/process/settings.cc
+++ b/process/settings.cc
@@ -34,8 +34,6 @@
         return result.ec == std::errc() && result.ptr == end && !text.empty();
     }
 
-    template <typename Section> using TextMember = std::string Section::*;
-
     template <typename Section>
     Assign text(
         Section Settings::*section, std::string Section::*member, std::size_t minimum, std::size_t maximum)
