Close idle kept connections as soon as the balancer has noticed a shutdown

Ruled out: a longer grace time, which the platform sets.

Change: idle connections are closed from 2.5 s after SIGTERM on; one that waited for less than 500 ms is left, since its request may be on its way.

--- a/connection/ingress.cc
+++ b/connection/ingress.cc
@@ -356,11 +356,12 @@
 
 void Ingress::setLimits(const IngressLimits& limits) { m_limits = limits; }
 
-void Ingress::closeIdle()
+void Ingress::closeIdle(Milliseconds leastIdle)
 {
+    MonotonicTime now = clockNow();
     for (auto connection = m_connections.begin(); connection != m_connections.end();) {
         auto& current = **connection++;
-        if (current.isIdle())
+        if (current.isIdle() && now - current.m_since >= leastIdle)
             current.close();
     }
 }
--- a/connection/ingress.h
+++ b/connection/ingress.h
@@ -94,8 +94,8 @@
 
     // Answers announce from now on that their connection closes.
     void startClosing() { m_closing = true; }
-    // Closes connections without a request.
-    void closeIdle();
+    // Closes connections that have waited for a request for at least this long.
+    void closeIdle(Milliseconds leastIdle);
     // Accepts no more connections.
     void stopListening() { m_listener.reset(); }
 
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -14,8 +14,9 @@
 
     // After SIGTERM the balancer still sends new connections until two of its checks, a second apart, failed.
     constexpr Milliseconds balancerDelay { 2500 };
-    // Before the end of the grace time: kept connections that are idle are closed, and the process ends.
-    constexpr Milliseconds closeIdleBefore { 1500 };
+    // A connection that is this young after that delay may have a request on its way.
+    constexpr Milliseconds leastIdle { 500 };
+    // The process ends this long before the end of the grace time.
     constexpr Milliseconds endBefore { 300 };
 
     constexpr std::size_t maxAdminHeadBytes = 8 * 1024;
@@ -396,10 +397,10 @@
 {
     auto elapsed = clockNow() - m_stoppingSince;
     Milliseconds grace = m_settings.limits.shutdownGrace;
-    Milliseconds closeIdleAt = std::max(balancerDelay, grace - closeIdleBefore);
     bool noticed = elapsed >= balancerDelay;
-    if (elapsed >= closeIdleAt)
-        m_callers.closeIdle();
+    // As early as that: a request that comes late on a kept connection might not end within the grace time.
+    if (noticed)
+        m_callers.closeIdle(leastIdle);
     bool empty = m_callers.connections() == 0 && m_forwarder.requestsInProgress() == 0;
     bool late = elapsed >= std::max(grace - endBefore, endBefore);
     if (!(noticed && empty) && !late)
