--- a/connection/httpmessage.cc
+++ b/connection/httpmessage.cc
@@ -11,6 +11,12 @@
 
     HttpParser* owner(http_parser* parser) { return static_cast<HttpParser*>(parser->data); }
 
+    // The library lets spaces into names; another parser may take such a line for the field without them.
+    bool isFieldName(std::string_view name)
+    {
+        return !name.empty() && name.find_first_of(" \t") == std::string_view::npos;
+    }
+
     // Continue and the like: not the answer that the request waits for.
     bool isInterim(int status) { return status >= 100 && status < 200; }
 
@@ -206,6 +212,10 @@
 
 int HttpParser::finishHead()
 {
+    for (std::size_t index = 0; index < m_head.fields.size(); ++index) {
+        if (!isFieldName(m_head.fields.at(index).name))
+            return -1;
+    }
     if (m_kind == Kind::Request)
         m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
     else
--- /dev/null
+++ b/connection/testing/httpfaults_test.cc
@@ -0,0 +1,254 @@
+#include "connection/connection.h"
+#include "connection/testing/loop.h"
+#include "standins/scriptedserver.h"
+#include <doctest/doctest.h>
+#include <optional>
+
+using namespace briarwharf;
+
+namespace {
+
+enum class End { None, Whole, Failed };
+
+struct Client : OutgoingEvents {
+    End end = End::None;
+    int status = 0;
+    std::string body;
+    ExchangeFailure failure;
+
+    void answerHead(const HttpHead& head) override { status = head.status; }
+    void answerBody(std::string_view bytes) override { body += bytes; }
+    void answerEnd() override { end = End::Whole; }
+    void exchangeFailed(const ExchangeFailure& value) override
+    {
+        end = End::Failed;
+        failure = value;
+    }
+};
+
+OutgoingRequest requestNamed(const std::string& id, std::string body = {})
+{
+    OutgoingRequest request;
+    request.head = "POST /x HTTP/1.1\r\nHost: a\r\nX-Id: " + id + "\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n";
+    if (!body.empty())
+        request.body = std::make_shared<const std::string>(std::move(body));
+    request.identifierField = "X-Id";
+    request.identifier = id;
+    return request;
+}
+
+std::string answer(const std::string& id, const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nX-Id: " + id
+        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+struct Row {
+    const char* fault;
+    Script script; // for the first request
+    End end;
+    std::string body; // as far as it was passed on
+    ExchangeFailureKind failure;
+    bool reused; // the next request may use the connection
+};
+
+const std::vector<Row> rows {
+    { "none", { ScriptStep::send(answer("1", "ok")) }, End::Whole, "ok", {}, true },
+    { "a head in two parts",
+        { ScriptStep::send("HTTP/1.1 200 OK\r\nX-Id: 1\r\nKeep-Al"), ScriptStep::wait(Milliseconds(5)),
+            ScriptStep::send("ive: timeout=5\r\nContent-Length: 2\r\n\r\nok") },
+        End::Whole, "ok", {}, true },
+    { "bytes after the answer", { ScriptStep::send(answer("1", "ok") + "junk") }, End::Whole, "ok", {}, false },
+    { "a second answer at once", { ScriptStep::send(answer("1", "ok") + answer("1", "ok")) }, End::Whole, "ok", {},
+        false },
+    { "an answer to another request first", { ScriptStep::send(answer("0", "no") + answer("1", "ok")) },
+        End::Whole, "ok", {}, false },
+    { "only an answer to another request", { ScriptStep::send(answer("0", "no")), ScriptStep::close() },
+        End::Failed, "", ExchangeFailureKind::Broken, false },
+    { "an answer to another request without a length",
+        { ScriptStep::send("HTTP/1.1 200 OK\r\nX-Id: 0\r\n\r\nno"), ScriptStep::close() }, End::Failed, "",
+        ExchangeFailureKind::Broken, false },
+    { "a truncated answer",
+        { ScriptStep::send("HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 10\r\n\r\npart"), ScriptStep::close() },
+        End::Failed, "part", ExchangeFailureKind::Broken, false },
+    { "a truncated chunked answer",
+        { ScriptStep::send("HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"),
+            ScriptStep::close() },
+        End::Failed, "part", ExchangeFailureKind::Broken, false },
+    { "an answer without a length",
+        { ScriptStep::send("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nwhole"), ScriptStep::close() }, End::Whole, "whole",
+        {}, false },
+    { "an answer without a length that is reset",
+        { ScriptStep::send("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart"), ScriptStep::wait(Milliseconds(20)),
+            ScriptStep::reset() },
+        End::Failed, "part", ExchangeFailureKind::Broken, false },
+    { "bytes that are no answer", { ScriptStep::send("garbage\r\n\r\n") }, End::Failed, "",
+        ExchangeFailureKind::Invalid, false },
+    { "a reset before the answer", { ScriptStep::reset() }, End::Failed, "", ExchangeFailureKind::Broken, false },
+    { "a close before the answer", { ScriptStep::close() }, End::Failed, "", ExchangeFailureKind::Broken, false },
+    { "a close announced",
+        { ScriptStep::send("HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok") },
+        End::Whole, "ok", {}, false },
+};
+
+} // namespace
+
+// Guards against answers that are passed to the wrong request, or are taken as whole when they are not.
+TEST_CASE("each fault of an upstream's connection ends the exchange as it must")
+{
+    for (const Row& row : rows) {
+        CAPTURE(row.fault);
+        Base base = makeBase();
+        ScriptedServer server(base.get(), [&](const ScriptedRequest& request) {
+            return request.head.fields.find("X-Id") == "1" ? row.script
+                                                           : Script { ScriptStep::send(answer("2", "next")) };
+        });
+        HttpPool pool(base.get(), {});
+        Client first;
+        auto exchange = pool.start(server.endpoint(), requestNamed("1"), first);
+        REQUIRE(exchange);
+        runUntil(base.get(), [&] { return first.end != End::None; });
+        CHECK(first.end == row.end);
+        CHECK(first.body == row.body);
+        if (row.end == End::Failed)
+            CHECK(first.failure.kind == row.failure);
+
+        Client second;
+        auto next = pool.start(server.endpoint(), requestNamed("2"), second);
+        REQUIRE(next);
+        runUntil(base.get(), [&] { return second.end != End::None; });
+        CHECK(second.end == End::Whole);
+        CHECK(second.body == "next");
+        CHECK(server.connections() == (row.reused ? 1 : 2));
+    }
+}
+
+// Guards against an answer that arrives on an idle connection and is taken for the next request's.
+TEST_CASE("a connection on which anything arrives while it is idle is closed")
+{
+    Base base = makeBase();
+    ScriptedServer server(base.get(),
+        [](const ScriptedRequest&) { return Script { ScriptStep::send(answer("1", "ok")) }; });
+    HttpPool pool(base.get(), {});
+    Client first;
+    auto exchange = pool.start(server.endpoint(), requestNamed("1"), first);
+    runUntil(base.get(), [&] { return first.end != End::None; });
+    CHECK(pool.connections(server.endpoint()) == 1);
+    server.sendOnAll(answer("1", "late"));
+    runUntil(base.get(), [&] { return pool.connections(server.endpoint()) == 0; });
+    CHECK(pool.counters().strayAnswers == 1);
+}
+
+TEST_CASE("nothing is written to an address that refuses the connection")
+{
+    Base base = makeBase();
+    Endpoint endpoint;
+    {
+        ScriptedServer gone(base.get(), [](const ScriptedRequest&) { return Script {}; });
+        endpoint = gone.endpoint();
+    }
+    HttpPool pool(base.get(), {});
+    Client client;
+    auto exchange = pool.start(endpoint, requestNamed("1"), client);
+    REQUIRE(exchange);
+    runUntil(base.get(), [&] { return client.end != End::None; });
+    CHECK(client.failure.kind == ExchangeFailureKind::NotConnected);
+    CHECK_FALSE(exchange.value()->written());
+}
+
+// Guards against the rest of a long body being read as the next request.
+TEST_CASE("an answer before a long body was sent ends the use of the connection, or the body goes out whole")
+{
+    Base base = makeBase();
+    std::string body(3 * 1024 * 1024, 'b');
+    ScriptedServer server(base.get(), [](const ScriptedRequest& request) {
+        return Script { ScriptStep::send(answer(std::string(request.head.fields.find("X-Id")), "ok")) };
+    });
+    HttpPool pool(base.get(), {});
+    Client first;
+    auto exchange = pool.start(server.endpoint(), requestNamed("1", body), first);
+    runUntil(base.get(), [&] { return first.end != End::None; });
+    Client second;
+    auto next = pool.start(server.endpoint(), requestNamed("2"), second);
+    runUntil(base.get(), [&] { return second.end != End::None; });
+    CHECK(second.body == "ok");
+    REQUIRE(server.requests().size() == 2);
+    CHECK(server.requests()[0].body.size() == body.size());
+    CHECK(server.requests()[1].head.fields.find("X-Id") == "2");
+}
+
+TEST_CASE("an exchange that is given up closes its connection")
+{
+    Base base = makeBase();
+    ScriptedServer server(base.get(), [](const ScriptedRequest&) { return Script { ScriptStep::silence() }; });
+    HttpPool pool(base.get(), {});
+    Client client;
+    auto exchange = pool.start(server.endpoint(), requestNamed("1"), client);
+    runUntil(base.get(), [&] { return server.requests().size() == 1; });
+    exchange.value().reset();
+    runUntil(base.get(), [&] { return server.openConnections() == 0; });
+    CHECK(pool.connections(server.endpoint()) == 0);
+    CHECK(client.end == End::None);
+}
+
+// Guards against requests that must not run twice going out on a connection that the other side closes.
+TEST_CASE("a request that asks for a fresh connection does not use one that was idle")
+{
+    Base base = makeBase();
+    ScriptedServer server(base.get(), [](const ScriptedRequest& request) {
+        return Script { ScriptStep::send(answer(std::string(request.head.fields.find("X-Id")), "ok")) };
+    });
+    HttpPool pool(base.get(), {});
+    Client first;
+    auto exchange = pool.start(server.endpoint(), requestNamed("1"), first);
+    runUntil(base.get(), [&] { return first.end != End::None; });
+    OutgoingRequest fresh = requestNamed("2");
+    fresh.maxIdle = Milliseconds(-1);
+    Client second;
+    auto next = pool.start(server.endpoint(), fresh, second);
+    runUntil(base.get(), [&] { return second.end != End::None; });
+    CHECK(server.connections() == 2);
+}
+
+TEST_CASE("connections to one address are bounded")
+{
+    Base base = makeBase();
+    ScriptedServer server(base.get(), [](const ScriptedRequest&) { return Script { ScriptStep::silence() }; });
+    HttpPool pool(base.get(), {});
+    Client first;
+    Client second;
+    OutgoingRequest request = requestNamed("1");
+    request.maxConnections = 1;
+    auto exchange = pool.start(server.endpoint(), request, first);
+    REQUIRE(exchange);
+    auto refused = pool.start(server.endpoint(), request, second);
+    REQUIRE_FALSE(refused);
+    CHECK(refused.error().kind == ErrorKind::Overloaded);
+}
+
+TEST_CASE("a call is answered whole, or says whether it may have been done")
+{
+    Base base = makeBase();
+    ScriptedServer server(base.get(), [](const ScriptedRequest& request) {
+        if (request.head.target == "/silent")
+            return Script { ScriptStep::silence() };
+        if (request.head.target == "/reset")
+            return Script { ScriptStep::reset() };
+        return Script { ScriptStep::send("HTTP/1.1 409 Conflict\r\nContent-Length: 4\r\n\r\nbody") };
+    });
+    HttpPool pool(base.get(), {});
+    HttpCaller caller(base.get(), pool, server.endpoint());
+    std::optional<Result<HttpAnswer>> answered;
+    std::optional<Result<HttpAnswer>> silent;
+    std::optional<Result<HttpAnswer>> reset;
+    caller.call({ "GET", "/x", "", Milliseconds(5000) }, [&](auto result) { answered = std::move(result); });
+    caller.call({ "GET", "/silent", "", Milliseconds(30) }, [&](auto result) { silent = std::move(result); });
+    caller.call({ "PUT", "/reset", "{}", Milliseconds(5000) }, [&](auto result) { reset = std::move(result); });
+    runUntil(base.get(), [&] { return answered && silent && reset; });
+    REQUIRE(*answered);
+    CHECK(answered->value().status == 409);
+    CHECK(answered->value().body == "body");
+    CHECK(silent->error().kind == ErrorKind::DeadlineExceeded);
+    CHECK(reset->error().kind == ErrorKind::Unknown);
+}
--- /dev/null
+++ b/connection/testing/httpmessage_test.cc
@@ -0,0 +1,130 @@
+#include "connection/httpmessage.h"
+
+#include <doctest/doctest.h>
+#include <string>
+#include <vector>
+
+using namespace briarwharf;
+
+namespace {
+
+struct Collected : HttpMessageSink {
+    HttpHead head;
+    std::string body;
+    int heads = 0;
+    int ends = 0;
+
+    void messageHead(const HttpHead& value) override
+    {
+        head = value;
+        ++heads;
+    }
+    void messageBody(std::string_view bytes) override { body += bytes; }
+    void messageEnd() override { ++ends; }
+};
+
+constexpr std::size_t maxHead = 4096;
+
+struct MalformedRequest {
+    std::string what;
+    std::string bytes;
+};
+
+// Each of these lets one request hide in another if two parsers read it differently.
+const std::vector<MalformedRequest> malformedRequests {
+    { "length and chunks",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" },
+    { "two lengths", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!" },
+    { "length that is no number", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5x\r\n\r\nhello" },
+    { "space before the colon", "POST / HTTP/1.1\r\nHost : a\r\n\r\n" },
+    { "chunk size that is no number", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n" },
+    { "no HTTP", "hello there\r\n\r\n" },
+};
+
+} // namespace
+
+TEST_CASE("a request is read the same however its bytes are cut")
+{
+    std::string bytes = "POST /a/b?c=d HTTP/1.1\r\nHost: desk.example\r\nX-One: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    for (std::size_t piece = 1; piece <= bytes.size(); ++piece) {
+        HttpParser parser(HttpParser::Kind::Request, maxHead);
+        Collected collected;
+        for (std::size_t at = 0; at < bytes.size(); at += piece)
+            parser.feed(std::string_view(bytes).substr(at, piece), collected);
+        REQUIRE(parser.complete());
+        CHECK(collected.head.method == "POST");
+        CHECK(collected.head.target == "/a/b?c=d");
+        CHECK(collected.head.fields.find("x-one") == "1");
+        CHECK(collected.head.framing == BodyFraming::Chunked);
+        CHECK(collected.body == "abcde");
+    }
+}
+
+// Guards against request smuggling.
+TEST_CASE("requests that can be read in two ways are refused")
+{
+    for (const auto& malformed : malformedRequests) {
+        CAPTURE(malformed.what);
+        HttpParser parser(HttpParser::Kind::Request, maxHead);
+        Collected collected;
+        parser.feed(malformed.bytes, collected);
+        CHECK(parser.failed());
+        CHECK(collected.ends == 0);
+    }
+}
+
+TEST_CASE("the parser stops after one message and leaves the rest to the owner")
+{
+    std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    std::string second = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+    HttpParser parser(HttpParser::Kind::Answer, maxHead);
+    Collected collected;
+    CHECK(parser.feed(first + second, collected) == first.size());
+    CHECK(collected.body == "ok");
+    parser.next();
+    CHECK(parser.feed(second, collected) == second.size());
+    CHECK(collected.head.status == 404);
+    CHECK(collected.ends == 2);
+}
+
+TEST_CASE("an answer without a length ends with its connection only")
+{
+    HttpParser parser(HttpParser::Kind::Answer, maxHead);
+    Collected collected;
+    parser.feed("HTTP/1.1 200 OK\r\n\r\npart", collected);
+    CHECK_FALSE(parser.complete());
+    CHECK(parser.head().framing == BodyFraming::UntilClose);
+    CHECK(parser.feedEnd(collected));
+    CHECK(collected.body == "part");
+    CHECK(collected.ends == 1);
+}
+
+// Guards against a truncated answer that counts as whole.
+TEST_CASE("an answer with a length does not end with its connection")
+{
+    HttpParser parser(HttpParser::Kind::Answer, maxHead);
+    Collected collected;
+    parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart", collected);
+    CHECK_FALSE(parser.feedEnd(collected));
+    CHECK(collected.ends == 0);
+}
+
+TEST_CASE("interim answers are passed over")
+{
+    HttpParser parser(HttpParser::Kind::Answer, maxHead);
+    Collected collected;
+    parser.feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", collected);
+    CHECK(parser.complete());
+    CHECK(collected.heads == 1);
+    CHECK(collected.head.status == 200);
+}
+
+TEST_CASE("a head over the bound is refused")
+{
+    HttpParser parser(HttpParser::Kind::Request, 100);
+    Collected collected;
+    parser.feed("GET / HTTP/1.1\r\nX-Long: " + std::string(200, 'x') + "\r\n\r\n", collected);
+    CHECK(parser.failed());
+    CHECK(parser.headTooLarge());
+}
--- /dev/null
+++ b/coordination/testing/directory_test.cc
@@ -0,0 +1,107 @@
+#include "coordination/coordination.h"
+
+#include <doctest/doctest.h>
+
+using namespace briarwharf;
+
+namespace {
+
+constexpr Milliseconds hold { 1700 };
+const MonotonicTime start { std::chrono::hours(1) };
+
+UpstreamEntry entry(const std::string& id, std::uint64_t revision, bool draining = false)
+{
+    UpstreamEntry result;
+    result.id = id;
+    result.pool = "models";
+    result.endpoint = { "10.0.0.1", 8000 };
+    result.revision = revision;
+    result.draining = draining;
+    return result;
+}
+
+UpstreamDirectory loaded()
+{
+    UpstreamDirectory directory({ hold });
+    directory.apply({ 0, 10, { entry("a", 3), entry("b", 4), entry("c", 5) }, {} }, start);
+    return directory;
+}
+
+} // namespace
+
+TEST_CASE("a draining entry that leaves is gone at once")
+{
+    UpstreamDirectory directory = loaded();
+    CHECK(directory.apply({ 10, 11, { entry("a", 11, true) }, {} }, start));
+    CHECK(directory.upstreams().at("a").draining);
+    CHECK(directory.apply({ 11, 12, {}, { { "a", 12 } } }, start));
+    CHECK(directory.upstreams().count("a") == 0);
+}
+
+// Guards against an empty fleet of upstreams when all entries lapse during an outage of the registry.
+TEST_CASE("entries that vanish unannounced lapse, and are withdrawn unless they come back in time")
+{
+    UpstreamDirectory directory = loaded();
+    CHECK(directory.apply({ 10, 13, {}, { { "a", 11 }, { "b", 12 }, { "c", 13 } } }, start));
+    CHECK(directory.upstreams().size() == 3);
+    CHECK(directory.upstreams().at("a").lapsed);
+    CHECK(directory.apply({ 13, 14, { entry("b", 14) }, {} }, start + Milliseconds(900)));
+    CHECK_FALSE(directory.upstreams().at("b").lapsed);
+    CHECK_FALSE(directory.expire(start + hold - Milliseconds(1)));
+    CHECK(directory.expire(start + hold));
+    CHECK(directory.upstreams().size() == 1);
+    CHECK(directory.upstreams().count("b") == 1);
+}
+
+TEST_CASE("a whole list withdraws what it does not name, and older lists change nothing")
+{
+    UpstreamDirectory directory = loaded();
+    CHECK_FALSE(directory.apply({ 0, 9, { entry("z", 9) }, {} }, start));
+    CHECK(directory.apply({ 0, 20, { entry("a", 3) }, {} }, start));
+    CHECK(directory.upstreams().at("b").lapsed);
+    CHECK(directory.revision() == 20);
+    CHECK_FALSE(directory.apply({ 15, 19, { entry("z", 19) }, {} }, start));
+    CHECK_FALSE(directory.apply({ 25, 30, { entry("z", 30) }, {} }, start));
+}
+
+TEST_CASE("an upstream that starts again under its id is a change")
+{
+    UpstreamDirectory directory = loaded();
+    UpstreamEntry again = entry("a", 11);
+    again.started = 5000;
+    CHECK(directory.apply({ 10, 11, { again }, {} }, start));
+    CHECK(directory.upstreams().at("a").started == 5000);
+}
+
+TEST_CASE("a peer that is behind gets what changed since, withdrawals that are on hold included")
+{
+    UpstreamDirectory directory = loaded();
+    directory.apply({ 10, 12, { entry("d", 11) }, { { "a", 12 } } }, start);
+    DirectoryChanges changes = directory.changesSince(10);
+    CHECK(changes.from == 10);
+    REQUIRE(changes.entries.size() == 1);
+    CHECK(changes.entries[0].id == "d");
+    REQUIRE(changes.removed.size() == 1);
+    CHECK(changes.removed[0].id == "a");
+
+    UpstreamDirectory peer({ hold });
+    peer.apply({ 0, 10, { entry("a", 3), entry("b", 4), entry("c", 5) }, {} }, start);
+    CHECK(peer.apply(changes, start));
+    CHECK(peer.upstreams().at("a").lapsed);
+    directory.expire(start + hold);
+    CHECK(directory.changesSince(10).removed.size() == 1);
+}
+
+TEST_CASE("a peer from before the remembered removals gets everything")
+{
+    UpstreamDirectory directory({ Milliseconds(0), 2 });
+    directory.apply({ 0, 10, { entry("a", 1), entry("b", 2), entry("c", 3), entry("d", 4) }, {} }, start);
+    for (const char* id : { "a", "b", "c" }) {
+        std::uint64_t next = directory.revision() + 1;
+        directory.apply({ directory.revision(), next, {}, { { id, next } } }, start);
+        directory.expire(start);
+    }
+    CHECK(directory.changesSince(10).from == 0);
+    CHECK(directory.changesSince(12).from == 12);
+    CHECK(directory.changesSince(0).entries.size() == 1);
+}
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -389,6 +389,7 @@
         .field("connections", m_callers.connections())
         .field("grace_ms", m_settings.limits.shutdownGrace.count());
     m_callers.startClosing();
+    m_forwarder.stopBy(m_stoppingSince + m_settings.limits.shutdownGrace - endBefore);
     m_mesh.leave();
     m_source->leave();
 }
--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -12,6 +12,7 @@
     // What a caller is told to wait before it comes back.
     constexpr Milliseconds retryWithoutConfiguration { 1000 };
     constexpr Milliseconds retryWithoutUpstream { 500 };
+    constexpr Milliseconds retryAtAnotherInstance { 20 };
     constexpr Milliseconds retryAfterRefusal { 250 };
 
     // An upstream that refused is passed over for this long: its queue is full.
@@ -34,6 +35,11 @@
     constexpr double leastSlowness = 0.5;
     constexpr double mostSlowness = 10;
 
+    // For the end of a request during shutdown: time for one token of output at a busy engine, and targets for
+    // a call to a plain service.
+    constexpr Milliseconds slowestToken { 5 };
+    constexpr int plainTargets = 4;
+
     // The engines' scale of urgency: 0 to 9.
     constexpr int firstUrgency = 2;
     constexpr int lastUrgency = 9;
@@ -76,7 +82,7 @@
         return finish("refused", 503, "no configuration or list of upstreams yet");
     }
     readDeadline();
-    if (!findRoute() || !findOrganisation())
+    if (!findRoute() || !findOrganisation() || !endsBeforeStop())
         return;
     std::uint64_t requestHash = hash64(m_fields.requestId);
     m_pool = RoutingTable::choosePool(*m_route, requestHash);
@@ -96,6 +102,30 @@
     m_deadline = m_request.received + m_fields.deadline.value_or(unstated);
 }
 
+Milliseconds ForwardedRequest::expectedDuration() const
+{
+    if (m_route->kind != RouteKind::Stream)
+        return std::min(m_route->timeout, plainTargets * m_route->targetLatency);
+    std::int64_t tokens = m_fields.maxOutputTokens;
+    if (m_fields.outputHint > 0 && tokens > 0)
+        tokens = std::min(tokens, 2 * m_fields.outputHint);
+    if (tokens <= 0)
+        return m_route->timeout;
+    return std::min(m_route->timeout, m_route->targetLatency + tokens * slowestToken);
+}
+
+// While this instance shuts down it takes no request that it would have to cut.
+bool ForwardedRequest::endsBeforeStop()
+{
+    MonotonicTime end = std::min(m_deadline, m_request.received + expectedDuration());
+    if (!m_forwarder.m_stopBy || end <= *m_forwarder.m_stopBy)
+        return true;
+    answerOwn({ 503, "shutting_down", "this instance shuts down; the request did not run: send it again",
+        retryAtAnotherInstance });
+    finish("refused", 503, "this instance shuts down before the request would end");
+    return false;
+}
+
 bool ForwardedRequest::findRoute()
 {
     m_route = m_table->findRoute(m_request.head.fields.find("Host"), m_request.head.target);
@@ -284,6 +314,7 @@
     bool unfinished = m_mode == AnswerMode::Events && !m_relay.isAtBoundary();
     if (unfinished)
         return attemptEnded(AttemptEnd::Broken, "the stream ended in the middle of an event");
+    ++m_attempts;
     noteHealth(AttemptEnd::TimeUp, false);
     closeAttempt();
     if (m_caller) {
@@ -304,6 +335,7 @@
         return attemptEnded(AttemptEnd::Refused, "the upstream refused");
     if (m_head.status >= 500 || promisesNotRun(m_head.status))
         return attemptEnded(AttemptEnd::FailureAnswered, "the upstream failed");
+    ++m_attempts;
     noteHealth(AttemptEnd::TimeUp, false);
     closeAttempt();
     deliverHeld();
--- a/process/forwardedrequest.h
+++ b/process/forwardedrequest.h
@@ -53,6 +53,8 @@
     bool findRoute();
     bool findOrganisation();
     void readDeadline();
+    bool endsBeforeStop();
+    Milliseconds expectedDuration() const;
     void place();
     void send(std::shared_ptr<Forwarder::Upstream>, const CostDecision&);
     void beginAnswer(std::string_view firstPart);
--- a/process/forwarder.h
+++ b/process/forwarder.h
@@ -11,6 +11,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -59,6 +60,8 @@
     void setRouting(std::shared_ptr<const RoutingTable>);
     void setUpstreams(const std::map<std::string, UpstreamEntry>&, std::uint64_t revision);
     void setInstances(std::size_t instances);
+    // From now on, requests that are not expected to end by then are refused, so that none is cut.
+    void stopBy(MonotonicTime deadline) { m_stopBy = deadline; }
     void setBudget(const FleetBudgetSettings& settings) { m_budget.setSettings(settings); }
 
     // Both a configuration and a list of upstreams are in force.
@@ -110,6 +113,7 @@
     std::shared_ptr<const RoutingTable> m_routing;
     std::uint64_t m_directoryRevision = 0;
     std::size_t m_instances = 1;
+    std::optional<MonotonicTime> m_stopBy; // this instance shuts down
     std::map<std::string, std::shared_ptr<Upstream>> m_upstreams; // by id
     std::unordered_map<std::string, Pool> m_pools; // serving upstreams
     std::list<std::unique_ptr<ForwardedRequest>> m_requests;
--- /dev/null
+++ b/process/testing/forward_test.cc
@@ -0,0 +1,324 @@
+#include "process/testing/forwardfixture.h"
+
+#include "base/base.h"
+#include <doctest/doctest.h>
+
+using namespace briarwharf;
+
+namespace {
+
+ScriptedServer::Handler answering(const std::string& body)
+{
+    return [body](const ScriptedRequest& request) {
+        return Script { ScriptStep::send(upstreamAnswer(request, 200, body)) };
+    };
+}
+
+std::string plainEvents(int first, int last)
+{
+    std::string out;
+    for (int number = first; number <= last; ++number)
+        out += "id: " + std::to_string(number) + "\ndata: part " + std::to_string(number) + "\n\n";
+    return out;
+}
+
+std::string_view field(const ScriptedRequest& request, std::string_view name)
+{
+    return request.head.fields.find(name);
+}
+
+// Requests that two upstreams have read, wherever placement sent them.
+std::size_t total(const ScriptedServer& one, const ScriptedServer& other)
+{
+    return one.requests().size() + other.requests().size();
+}
+
+} // namespace
+
+TEST_CASE("a request reaches its upstream unchanged, with what this system sets and without the key")
+{
+    ForwardFixture fixture;
+    ScriptedServer& upstream = fixture.addUpstream("desk-1", answering("booked"));
+    ForwardDaemon& daemon = fixture.startDaemon();
+    auto answer = fixture.call(daemon, "/book/job?x=1%20y", "the body",
+        "X-Own: 1\r\nX-Briarwharf-Organisation: forged\r\nX-Briarwharf-Expect-Upstream: forged\r\n"
+        "Connection: X-Hop\r\nX-Hop: 1\r\nX-Briarwharf-Deadline-Ms: 3000\r\n");
+    CHECK(answer->head.status == 200);
+    CHECK(answer->body == "booked");
+    CHECK(answer->head.fields.find("X-Briarwharf-Signature") == "signed");
+    REQUIRE(upstream.requests().size() == 1);
+    const ScriptedRequest& seen = upstream.requests()[0];
+    CHECK(seen.head.method == "POST");
+    CHECK(seen.head.target == "/book/job?x=1%20y");
+    CHECK(seen.body == "the body");
+    CHECK(field(seen, "X-Own") == "1");
+    CHECK(field(seen, "X-Briarwharf-Organisation") == "saqib");
+    CHECK(field(seen, "X-Briarwharf-Expect-Upstream") == "desk-1");
+    CHECK_FALSE(seen.head.fields.has("X-Briarwharf-Key"));
+    CHECK_FALSE(seen.head.fields.has("X-Hop"));
+    CHECK(std::stoi(std::string(field(seen, "X-Briarwharf-Deadline-Ms"))) <= 3000);
+}
+
+// Guards against callers that are told that their route or key is wrong by an instance that knows neither yet.
+TEST_CASE("without a configuration every request is refused as not run, and the instance is not ready")
+{
+    ForwardFixture fixture;
+    fixture.directory.away = true;
+    ForwardDaemon& daemon = fixture.startDaemon();
+    auto answer = fixture.call(daemon, "/read/x");
+    CHECK(answer->head.status == 503);
+    CHECK(answer->head.fields.has("Retry-After"));
+    CHECK(fixture.admin(daemon, "/readyz")->head.status == 503);
+    CHECK(fixture.admin(daemon, "/healthz")->head.status == 200);
+}
+
+TEST_CASE("unknown routes and keys are told so; the other interfaces answer")
+{
+    ForwardFixture fixture;
+    fixture.addUpstream("desk-1", answering("ok"));
+    ForwardDaemon& daemon = fixture.startDaemon();
+    CHECK(fixture.call(daemon, "/nothing/x")->head.status == 404);
+    CHECK(fixture.call(daemon, "/read/x", "", "X-Briarwharf-Key: wrong\r\n")->head.status == 401);
+    CHECK(fixture.admin(daemon, "/readyz")->head.status == 200);
+    CHECK(fixture.admin(daemon, "/metrics")->body.find("briarwharf_forwarded_requests_total") != std::string::npos);
+    auto shown = parseJson(fixture.admin(daemon, "/show/upstreams")->body, "answer");
+    REQUIRE(shown);
+    CHECK(shown.value()["rows"][0]["id"] == "desk-1");
+    CHECK(fixture.admin(daemon, "/show/routes")->body.find("at-most-once") != std::string::npos);
+    CHECK(fixture.admin(daemon, "/show/instances")->head.status == 200);
+    CHECK(fixture.admin(daemon, "/other")->head.status == 404);
+}
+
+// Guards against money moved twice.
+TEST_CASE("a request that may run once is not sent again after its connection broke")
+{
+    ForwardFixture fixture;
+    auto reset = [](const ScriptedRequest&) { return Script { ScriptStep::reset() }; };
+    ScriptedServer& one = fixture.addUpstream("desk-1", reset);
+    ScriptedServer& other = fixture.addUpstream("desk-2", reset);
+    ForwardDaemon& daemon = fixture.startDaemon();
+    auto answer = fixture.call(daemon, "/book/x", "deposit");
+    CHECK(answer->head.status == 502);
+    CHECK(total(one, other) == 1);
+}
+
+TEST_CASE("a request that may run once goes on after a refusal, while attempts are left")
+{
+    ForwardFixture fixture;
+    auto refuse = [](const ScriptedRequest& request) {
+        return Script { ScriptStep::send(upstreamAnswer(request, 503, "", "X-Briarwharf-Not-Run: 1\r\n")) };
+    };
+    ScriptedServer& one = fixture.addUpstream("desk-1", refuse);
+    ScriptedServer& other = fixture.addUpstream("desk-2", refuse);
+    ForwardDaemon& daemon = fixture.startDaemon();
+    auto twice = fixture.call(daemon, "/book/x", "deposit");
+    CHECK(twice->head.status == 503);
+    CHECK(twice->head.fields.has("Retry-After"));
+    CHECK(total(one, other) == 2);
+    CHECK(fixture.call(daemon, "/once/x", "deposit")->head.status == 503);
+    CHECK(total(one, other) == 3);
+}
+
+// Guards against a 503 of an upstream that did run the request being passed on as a promise that it did not.
+TEST_CASE("a 503 that does not say that the request did not run is no refusal")
+{
+    ForwardFixture fixture;
+    fixture.addUpstream("desk-1", [](const ScriptedRequest& request) {
+        return Script { ScriptStep::send(upstreamAnswer(request, 503, "busy")) };
+    });
+    ForwardDaemon& daemon = fixture.startDaemon();
+    auto answer = fixture.call(daemon, "/book/x", "deposit");
+    CHECK(answer->head.status == 502);
+    CHECK_FALSE(answer->head.fields.has("X-Briarwharf-Signature"));
+}
+
+TEST_CASE("a failure of an upstream is passed on with its signature, or asked again where that is allowed")
+{
+    ForwardFixture fixture;
+    auto fail = [](const ScriptedRequest& request) {
+        return Script { ScriptStep::send(upstreamAnswer(request, 500, "failed")) };
+    };
+    ScriptedServer& one = fixture.addUpstream("desk-1", fail);
+    ScriptedServer& other = fixture.addUpstream("desk-2", fail);
+    ForwardDaemon& daemon = fixture.startDaemon();
+    auto booked = fixture.call(daemon, "/book/x", "deposit");
+    CHECK(booked->head.status == 500);
+    CHECK(booked->head.fields.has("X-Briarwharf-Signature"));
+    CHECK(total(one, other) == 1);
+    fixture.call(daemon, "/read/x");
+    CHECK(total(one, other) == 3);
+}
+
+TEST_CASE("an address that refuses connections, or is another upstream's now, costs nothing but a detour")
+{
+    ForwardFixture fixture;
+    ScriptedServer& reused = fixture.addUpstream("gone", [](const ScriptedRequest& request) {
+        return Script { ScriptStep::send(upstreamAnswer(request, 421, "")) };
+    });
+    Endpoint closed;
+    {
+        ScriptedServer server(fixture.base(), [](const ScriptedRequest&) { return Script {}; });
+        closed = server.endpoint();
+    }
+    fixture.addEntry("closed", closed);
+    ScriptedServer& sound = fixture.addUpstream("desk-1", answering("booked"));
+    ForwardDaemon& daemon = fixture.startDaemon();
+    for (int request = 0; request < 6; ++request) {
+        auto answer = fixture.call(daemon, "/once/" + std::to_string(request), "deposit");
+        CHECK(answer->head.status == 200);
+    }
+    CHECK(sound.requests().size() == 6);
+    CHECK(reused.requests().size() <= 6);
+}
+
+// Guards against success without the upstream's signature, and answers to other requests.
+TEST_CASE("what is not the upstream's whole answer to this request is not passed on")
+{
+    ForwardFixture fixture;
+    fixture.addUpstream("desk-1", [](const ScriptedRequest& request) {
+        if (request.head.target == "/book/unsigned")
+            return Script { ScriptStep::send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") };
+        if (request.head.target == "/book/short")
+            return Script { ScriptStep::send("HTTP/1.1 200 OK\r\nX-Briarwharf-Signature: s\r\n"
+                                             "Content-Length: 10\r\n\r\npart"),
+                ScriptStep::close() };
+        return Script { ScriptStep::send("HTTP/1.1 200 OK\r\nX-Briarwharf-Request-Id: other\r\n"
+                                         "X-Briarwharf-Signature: s\r\nContent-Length: 5\r\n\r\nwrong"
+                            + upstreamAnswer(request, 200, "right")) };
+    });
+    ForwardDaemon& daemon = fixture.startDaemon();
+    CHECK(fixture.call(daemon, "/book/unsigned", "x")->head.status == 502);
+    CHECK(fixture.call(daemon, "/book/short", "x")->head.status == 502);
+    CHECK(fixture.call(daemon, "/book/crossed", "x")->body == "right");
+}
+
+TEST_CASE("a broken stream is continued after its last whole event, under the first upstream's head")
+{
+    ForwardFixture fixture;
+    auto handler = [](const ScriptedRequest& request) {
+        if (field(request, "Last-Event-Id").empty())
+            return Script { ScriptStep::send(streamHead(request) + streamEvents(1, 3) + "b\r\nid: 4\ndata:\r\n"),
+                ScriptStep::wait(Milliseconds(20)), ScriptStep::reset() };
+        int next = std::stoi(std::string(field(request, "Last-Event-Id"))) + 1;
+        return Script { ScriptStep::send(streamHead(request) + streamEvents(next, 6) + streamEnd()) };
+    };
+    ScriptedServer& one = fixture.addUpstream("engine-1", handler);
+    ScriptedServer& other = fixture.addUpstream("engine-2", handler);
+    ForwardDaemon& daemon = fixture.startDaemon();
+    auto answer = fixture.call(daemon, "/chat/x", "prompt");
+    CHECK(answer->whole);
+    CHECK(answer->body == plainEvents(1, 6));
+    CHECK(one.requests().size() == 1);
+    CHECK(other.requests().size() == 1);
+}
+
+// Guards against a cut stream that looks whole.
+TEST_CASE("a stream that cannot be continued ends without its end")
+{
+    ForwardFixture fixture;
+    fixture.addUpstream("engine-1", [](const ScriptedRequest& request) {
+        return Script { ScriptStep::send(streamHead(request) + streamEvents(1, 3)),
+            ScriptStep::wait(Milliseconds(20)), ScriptStep::reset() };
+    });
+    ForwardDaemon& daemon = fixture.startDaemon();
+    auto answer = fixture.call(daemon, "/ask/x", "prompt");
+    CHECK(answer->failed);
+    CHECK(answer->body == plainEvents(1, 3));
+}
+
+// Guards against work for callers that are gone, and against bookings that are broken off half-way.
+TEST_CASE("a caller that leaves ends its stream at the upstream, but not a call that may run once")
+{
+    ForwardFixture fixture;
+    ScriptedServer& upstream = fixture.addUpstream("engine-1", [](const ScriptedRequest& request) {
+        if (request.head.target == "/chat/x")
+            return Script { ScriptStep::send(streamHead(request) + streamEvents(1, 1)), ScriptStep::silence() };
+        return Script { ScriptStep::wait(Milliseconds(100)), ScriptStep::send(upstreamAnswer(request, 200, "ok")) };
+    });
+    ForwardDaemon& daemon = fixture.startDaemon();
+    auto stream = fixture.send(daemon, "/chat/x", "prompt");
+    fixture.runUntil([&] { return !stream->body.empty(); });
+    stream->exchange.reset();
+    fixture.runUntil([&] { return upstream.openConnections() == 0; });
+
+    auto booking = fixture.send(daemon, "/book/x", "deposit");
+    fixture.runUntil([&] { return upstream.requests().size() == 2; });
+    booking->exchange.reset();
+    fixture.runUntil([&] { return daemon.forwarder().counters().answered == 1; });
+    CHECK(daemon.forwarder().counters().callersLeft == 2);
+}
+
+TEST_CASE("a request that is not answered in its time is told so: not run only if nothing was sent")
+{
+    ForwardFixture fixture;
+    fixture.addUpstream("desk-1", [](const ScriptedRequest&) { return Script { ScriptStep::silence() }; });
+    ForwardDaemon& daemon = fixture.startDaemon();
+    auto answer = fixture.call(daemon, "/book/x", "deposit", "X-Briarwharf-Deadline-Ms: 150\r\n");
+    CHECK(answer->head.status == 504);
+}
+
+TEST_CASE("draining upstreams get nothing new; lapsed ones only when there is no other")
+{
+    ForwardFixture fixture;
+    ScriptedServer& one = fixture.addUpstream("desk-1", answering("1"));
+    ScriptedServer& other = fixture.addUpstream("desk-2", answering("2"));
+    ForwardDaemon& daemon = fixture.startDaemon();
+    fixture.directory.upstreams[0].draining = true;
+    fixture.directory.upstreams[0].revision = fixture.directory.revision + 1;
+    fixture.directory.publishUpstreams();
+    for (int request = 0; request < 4; ++request)
+        CHECK(fixture.call(daemon, "/read/x")->body == "2");
+    CHECK(one.requests().empty());
+    fixture.directory.upstreams.clear(); // all entries lapse at once
+    fixture.directory.publishUpstreams();
+    CHECK(fixture.call(daemon, "/read/x")->body == "2");
+    CHECK(other.requests().size() == 5);
+}
+
+// Guards against an instance that restarts while the source is away and serves nothing until it is back.
+TEST_CASE("an instance without a source starts from its peers and follows them")
+{
+    ForwardFixture fixture;
+    fixture.addUpstream("desk-1", answering("ok"));
+    ForwardDaemon& served = fixture.startDaemon();
+    FakeDirectory silent;
+    silent.away = true;
+    silent.routing = fixture.directory.routing;
+    ForwardDaemon& alone = fixture.startDaemon(true, &silent);
+    fixture.waitReady(alone);
+    CHECK(fixture.call(alone, "/read/x")->body == "ok");
+
+    fixture.directory.routing.version = 2;
+    fixture.directory.publishRouting();
+    fixture.runUntil([&] { return alone.forwarder().routing()->version() == 2; });
+    fixture.directory.routing.version = 1;
+    fixture.directory.publishRouting();
+    CHECK(served.forwarder().routing()->version() == 2);
+}
+
+// Guards against streams that are cut by the end of the grace time (LOST on trouble-2 of both sites).
+TEST_CASE("shutdown: not ready at once, still serving, and nothing taken that would have to be cut")
+{
+    ForwardFixture fixture;
+    fixture.addUpstream("engine-1", [](const ScriptedRequest& request) {
+        if (request.head.target == "/chat/long")
+            return Script { ScriptStep::send(streamHead(request) + streamEvents(1, 1)),
+                ScriptStep::wait(Milliseconds(300)), ScriptStep::send(streamEvents(2, 2) + streamEnd()) };
+        return Script { ScriptStep::send(upstreamAnswer(request, 200, "ok")) };
+    });
+    ForwardDaemon& daemon = fixture.startDaemon();
+    auto running = fixture.send(daemon, "/chat/long", "prompt");
+    fixture.runUntil([&] { return !running->body.empty(); });
+    daemon.shutDown();
+    CHECK(fixture.admin(daemon, "/readyz")->head.status == 503);
+    auto read = fixture.call(daemon, "/read/x", "", "X-Briarwharf-Deadline-Ms: 1000\r\n");
+    CHECK(read->head.status == 200);
+    CHECK(read->head.fields.find("Connection") == "close");
+    // A stream of this length at a busy engine might not end within the grace time.
+    auto late = fixture.call(daemon, "/chat/short", "prompt", "X-Briarwharf-Tokens: 1000,4000\r\n");
+    CHECK(late->head.status == 503);
+    CHECK(late->head.fields.has("Retry-After"));
+    fixture.runUntil([&] { return running->done(); });
+    CHECK(running->whole);
+    CHECK(running->body == plainEvents(1, 2));
+}
--- /dev/null
+++ b/process/testing/forwardheaders_test.cc
@@ -0,0 +1,85 @@
+#include "process/forwardheaders.h"
+
+#include <doctest/doctest.h>
+
+using namespace briarwharf;
+
+namespace {
+
+HttpHead headWith(std::initializer_list<std::pair<const char*, const char*>> fields)
+{
+    HttpHead head;
+    head.method = "GET";
+    head.target = "/x";
+    for (const auto& [name, value] : fields)
+        head.fields.add(name, value);
+    return head;
+}
+
+} // namespace
+
+TEST_CASE("callers' fields are read once; what cannot be read counts as absent")
+{
+    ForwardingHeaders headers;
+    HttpHead head = headWith({ { "x-briarwharf-prompt-parts", "5c1e07a2:800, 91bd3f06:410,e4402b7d:250" },
+        { "X-Briarwharf-Tokens", "1460,80" }, { "X-Briarwharf-Deadline-Ms", "12000" }, { "Last-Event-Id", "12" },
+        { "X-Briarwharf-Output-Hint", "64.5" } });
+    CallerFields fields = readCallerFields(head.fields, headers);
+    REQUIRE(fields.parts.size() == 3);
+    CHECK(fields.parts[1] == PromptPart { 0x91bd3f06, 410 });
+    CHECK(fields.promptTokens == 1460);
+    CHECK(fields.maxOutputTokens == 80);
+    CHECK(fields.outputHint == 64);
+    CHECK(fields.deadline == Milliseconds(12000));
+    CHECK(fields.lastEvent == 12);
+
+    HttpHead bad = headWith({ { "X-Briarwharf-Prompt-Parts", "zz:800,1:-5" }, { "X-Briarwharf-Tokens", "many" },
+        { "X-Briarwharf-Deadline-Ms", "-1" }, { "Last-Event-Id", "x" } });
+    CallerFields none = readCallerFields(bad.fields, headers);
+    CHECK(none.parts.empty());
+    CHECK(none.promptTokens == 0);
+    CHECK_FALSE(none.deadline);
+    CHECK_FALSE(none.lastEvent);
+}
+
+TEST_CASE("a resumed stream carries the place to go on instead of the caller's")
+{
+    ForwardingHeaders headers;
+    HttpHead head = headWith({ { "Last-Event-Id", "3" } });
+    UpstreamFields fields;
+    fields.upstream = "u";
+    fields.timeLeft = Milliseconds(100);
+    CHECK(upstreamHead(head, headers, fields, 0).find("Last-Event-Id: 3\r\n") != std::string::npos);
+    fields.lastEvent = 9;
+    std::string resumed = upstreamHead(head, headers, fields, 0);
+    CHECK(resumed.find("Last-Event-Id: 9\r\n") != std::string::npos);
+    CHECK(resumed.find("Last-Event-Id: 3\r\n") == std::string::npos);
+}
+
+// Guards against a caller that claims memory or places at an engine for itself.
+TEST_CASE("reserved fields of a caller never reach an upstream, internal ones of an upstream no caller")
+{
+    ForwardingHeaders headers;
+    headers.reserved = { "X-Reserved" };
+    headers.internal = { "X-Internal" };
+    HttpHead head = headWith({ { "x-reserved", "1" }, { "X-Briarwharf-Urgency", "0" }, { "TE", "trailers" } });
+    UpstreamFields fields;
+    fields.upstream = "u";
+    std::string out = upstreamHead(head, headers, fields, 0);
+    CHECK(out.find("eserved") == std::string::npos);
+    CHECK(out.find("Urgency") == std::string::npos);
+    CHECK(out.find("TE:") == std::string::npos);
+    HttpHead answer = headWith(
+        { { "X-Internal", "1" }, { "Content-Type", "text/plain" }, { "Content-Length", "5" }, { "Keep-Alive", "x" } });
+    CHECK(callerLines(answer.fields, headers) == "Content-Type: text/plain\r\n");
+}
+
+TEST_CASE("a load report is three numbers")
+{
+    auto load = parseLoad("3,0, 8");
+    REQUIRE(load);
+    CHECK(load->running == 3);
+    CHECK(load->slots == 8);
+    CHECK_FALSE(parseLoad("3,0"));
+    CHECK_FALSE(parseLoad("a,b,c"));
+}
--- /dev/null
+++ b/request/testing/attempt_test.cc
@@ -0,0 +1,133 @@
+#include "request/attempt.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+#include <string>
+#include <vector>
+
+using namespace briarwharf;
+
+namespace {
+
+enum class Kind { AtMostOnce, Repeatable, Resumable };
+
+AttemptSituation situationOf(Kind kind)
+{
+    AttemptSituation situation;
+    situation.repeatable = kind != Kind::AtMostOnce;
+    situation.resumable = kind == Kind::Resumable;
+    situation.maxAttempts = 2;
+    situation.budgetLeft = true;
+    situation.timeLeft = Milliseconds(500);
+    return situation;
+}
+
+struct Row {
+    const char* what;
+    Kind kind;
+    AttemptEnd end;
+    int attempts; // handed to the network, this one included
+    bool mayHaveRun;
+    bool begun;
+    Verdict verdict;
+};
+
+const std::vector<Row> rows {
+    // Nothing reached the network: another upstream, whatever the kind.
+    { "not connected", Kind::AtMostOnce, AttemptEnd::NotConnected, 0, false, false, Verdict::TryAgain },
+    { "not connected", Kind::Repeatable, AttemptEnd::NotConnected, 0, false, false, Verdict::TryAgain },
+    { "not connected while resuming", Kind::Resumable, AttemptEnd::NotConnected, 1, true, true, Verdict::Resume },
+    // The upstream says that it did not run.
+    { "refused, attempts left", Kind::AtMostOnce, AttemptEnd::Refused, 1, false, false, Verdict::TryAgain },
+    { "refused, none left", Kind::AtMostOnce, AttemptEnd::Refused, 2, false, false, Verdict::RefuseNotRun },
+    { "refused after one in doubt", Kind::Repeatable, AttemptEnd::Refused, 2, true, false, Verdict::Fail },
+    { "refused while resuming", Kind::Resumable, AttemptEnd::Refused, 2, true, true, Verdict::Cut },
+    { "wrong upstream", Kind::AtMostOnce, AttemptEnd::WrongUpstream, 0, false, false, Verdict::TryAgain },
+    // In doubt: only what may run again is sent again, and a refusal is never claimed.
+    { "broken", Kind::AtMostOnce, AttemptEnd::Broken, 1, true, false, Verdict::Fail },
+    { "broken", Kind::Repeatable, AttemptEnd::Broken, 1, true, false, Verdict::TryAgain },
+    { "broken, none left", Kind::Repeatable, AttemptEnd::Broken, 2, true, false, Verdict::Fail },
+    { "broken before events", Kind::Resumable, AttemptEnd::Broken, 1, true, false, Verdict::TryAgain },
+    { "broken after events", Kind::Resumable, AttemptEnd::Broken, 1, true, true, Verdict::Resume },
+    { "broken after events, none left", Kind::Resumable, AttemptEnd::Broken, 2, true, true, Verdict::Cut },
+    { "broken after the answer began", Kind::AtMostOnce, AttemptEnd::Broken, 1, true, true, Verdict::Cut },
+    // The upstream's own failure: it ran.
+    { "failure", Kind::AtMostOnce, AttemptEnd::FailureAnswered, 1, true, false, Verdict::PassOn },
+    { "failure", Kind::Repeatable, AttemptEnd::FailureAnswered, 1, true, false, Verdict::TryAgain },
+    { "failure, none left", Kind::Repeatable, AttemptEnd::FailureAnswered, 2, true, false, Verdict::PassOn },
+    { "failure while resuming", Kind::Resumable, AttemptEnd::FailureAnswered, 2, true, true, Verdict::Cut },
+    // Time is over.
+    { "time up before anything was sent", Kind::AtMostOnce, AttemptEnd::TimeUp, 0, false, false,
+        Verdict::RefuseNotRun },
+    { "time up after a refusal", Kind::AtMostOnce, AttemptEnd::TimeUp, 1, false, false, Verdict::RefuseNotRun },
+    { "time up in doubt", Kind::AtMostOnce, AttemptEnd::TimeUp, 1, true, false, Verdict::TimeOut },
+    { "time up in a stream", Kind::Resumable, AttemptEnd::TimeUp, 1, true, true, Verdict::Cut },
+};
+
+} // namespace
+
+// Guards against a second run of what may run once, and against a refusal of what may have run.
+TEST_CASE("the verdict after each end of an attempt")
+{
+    for (const Row& row : rows) {
+        CAPTURE(row.what);
+        CAPTURE(static_cast<int>(row.kind));
+        AttemptSituation situation = situationOf(row.kind);
+        situation.attempts = row.attempts;
+        situation.sent = row.attempts > 0;
+        situation.mayHaveRun = row.mayHaveRun;
+        situation.answerBegun = row.begun;
+        CHECK(verdictName(decideNext(row.end, situation)) == verdictName(row.verdict));
+    }
+}
+
+TEST_CASE("no repeat without budget, without time, or beyond the detours")
+{
+    AttemptSituation situation = situationOf(Kind::Repeatable);
+    situation.attempts = 1;
+    situation.sent = situation.mayHaveRun = true;
+    situation.budgetLeft = false;
+    CHECK(decideNext(AttemptEnd::Broken, situation) == Verdict::Fail);
+    situation.budgetLeft = true;
+    situation.timeLeft = Milliseconds(10);
+    CHECK(decideNext(AttemptEnd::Broken, situation) == Verdict::Fail);
+    AttemptSituation fresh = situationOf(Kind::AtMostOnce);
+    fresh.detours = AttemptLimits {}.maxDetours;
+    CHECK(decideNext(AttemptEnd::NotConnected, fresh) == Verdict::RefuseNotRun);
+}
+
+// Random orders of ends, played as the forwarder plays them.
+TEST_CASE("no order of events runs a request twice or refuses what may have run")
+{
+    rc::check([] {
+        auto kind = static_cast<Kind>(*rc::gen::inRange(0, 3));
+        AttemptSituation situation = situationOf(kind);
+        situation.maxAttempts = *rc::gen::inRange(1, 5);
+        int runs = 0;
+        for (int step = 0; step < 20; ++step) {
+            auto end = static_cast<AttemptEnd>(*rc::gen::inRange(0, 6));
+            situation.budgetLeft = *rc::gen::arbitrary<bool>();
+            situation.timeLeft = Milliseconds(*rc::gen::inRange(0, 200));
+            bool ran = end == AttemptEnd::FailureAnswered || end == AttemptEnd::Broken || end == AttemptEnd::TimeUp;
+            bool free = end == AttemptEnd::NotConnected || end == AttemptEnd::WrongUpstream;
+            runs += ran ? 1 : 0;
+            situation.attempts += free ? 0 : 1;
+            situation.detours += free ? 1 : 0;
+            situation.sent = situation.sent || !free;
+            situation.mayHaveRun = situation.mayHaveRun || ran;
+            if (ran && kind == Kind::Resumable && *rc::gen::arbitrary<bool>())
+                situation.answerBegun = true;
+            situation.repeatable = kind == Kind::Repeatable || (kind == Kind::Resumable && !situation.answerBegun);
+            Verdict verdict = decideNext(end, situation);
+            if (verdict == Verdict::RefuseNotRun)
+                RC_ASSERT(runs == 0);
+            if (kind == Kind::AtMostOnce && runs > 0)
+                RC_ASSERT(verdict != Verdict::TryAgain && verdict != Verdict::Resume);
+            if (situation.answerBegun)
+                RC_ASSERT(verdict == Verdict::Resume || verdict == Verdict::Cut);
+            if (verdict != Verdict::TryAgain && verdict != Verdict::Resume)
+                break;
+            RC_ASSERT(situation.attempts < situation.maxAttempts || free);
+        }
+    });
+}
--- /dev/null
+++ b/request/testing/costplacement_test.cc
@@ -0,0 +1,146 @@
+#include "request/costplacement.h"
+
+#include "base/hash.h"
+#include "base/random.h"
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <map>
+#include <vector>
+
+using namespace briarwharf;
+
+namespace {
+
+constexpr std::int64_t memoryTokens = 500000;
+
+std::vector<UpstreamCandidate> engines(std::size_t count)
+{
+    std::vector<UpstreamCandidate> result(count);
+    for (std::size_t index = 0; index < count; ++index) {
+        result[index].hash = static_cast<std::uint32_t>(hash64("engine-" + std::to_string(index)));
+        result[index].slots = 64;
+    }
+    return result;
+}
+
+WorkItem chat(std::uint64_t session, std::uint64_t request)
+{
+    WorkItem item;
+    item.parts = { { 1, 512 }, { 1000 + session, 10000 }, { 1000000 + request, 1300 } };
+    item.promptTokens = 11812;
+    item.outputTokens = 400;
+    item.hash = combineHashes(session, request);
+    return item;
+}
+
+} // namespace
+
+// Guards against contexts that are read again because instances send the same session to different engines.
+TEST_CASE("instances that know nothing of each other agree on a session's engine")
+{
+    auto candidates = engines(12);
+    CostPlacement one({});
+    CostPlacement other({});
+    for (std::uint64_t session = 0; session < 50; ++session) {
+        auto left = one.chooseEngine(chat(session, 1), candidates);
+        auto right = other.chooseEngine(chat(session, 2), candidates);
+        REQUIRE(left);
+        CHECK(left->home);
+        CHECK(left->index == right->index);
+        CHECK(left->heldTokens == 10512);
+    }
+}
+
+TEST_CASE("sessions spread over all engines")
+{
+    auto candidates = engines(12);
+    CostPlacement placement({});
+    std::map<std::size_t, int> counts;
+    for (std::uint64_t session = 0; session < 1200; ++session)
+        ++counts[placement.chooseEngine(chat(session, 1), candidates)->index];
+    CHECK(counts.size() == 12);
+    for (const auto& [index, count] : counts)
+        CHECK(count < 160);
+}
+
+// Guards against a queue at one engine while others idle: one session draws a quarter of all requests.
+TEST_CASE("a hot session spills to a second engine when waiting costs more than reading the context")
+{
+    auto candidates = engines(12);
+    CostPlacement placement({});
+    std::size_t home = placement.chooseEngine(chat(7, 0), candidates)->index;
+    candidates[home].requests = 3;
+    candidates[home].promptTokens = 60000;
+    auto spilled = placement.chooseEngine(chat(7, 1), candidates);
+    CHECK(spilled->index != home);
+    placement.placed(chat(7, 1), candidates[spilled->index].hash, memoryTokens);
+    auto again = placement.chooseEngine(chat(7, 2), candidates);
+    CHECK(again->index == spilled->index);
+    CHECK(again->heldTokens == 10512);
+}
+
+// The users' bound is twice the mean and three; this one leaves room for reports that lag.
+TEST_CASE("no engine gets work over the load bound while another is under it")
+{
+    auto candidates = engines(12);
+    CostPlacement placement({});
+    std::size_t home = placement.chooseEngine(chat(7, 0), candidates)->index;
+    for (auto& candidate : candidates)
+        candidate.requests = 4;
+    candidates[home].requests = 12;
+    CHECK(placement.chooseEngine(chat(7, 1), candidates)->index != home);
+}
+
+TEST_CASE("an engine to be avoided is used only if all are")
+{
+    auto candidates = engines(3);
+    CostPlacement placement({});
+    std::size_t home = placement.chooseEngine(chat(7, 0), candidates)->index;
+    candidates[home].avoid = true;
+    CHECK(placement.chooseEngine(chat(7, 0), candidates)->index != home);
+    for (auto& candidate : candidates)
+        candidate.avoid = true;
+    CHECK(placement.chooseEngine(chat(7, 0), candidates)->index == home);
+    CHECK_FALSE(placement.chooseEngine(chat(7, 0), {}));
+}
+
+TEST_CASE("a slow engine loses its sessions for as long as it is slow")
+{
+    auto candidates = engines(12);
+    CostPlacement placement({});
+    std::size_t home = placement.chooseEngine(chat(7, 0), candidates)->index;
+    candidates[home].slowness = 8;
+    CHECK(placement.chooseEngine(chat(7, 1), candidates)->index != home);
+}
+
+TEST_CASE("a plain service's request stays in its failure domain until that is loaded")
+{
+    auto candidates = engines(4);
+    for (auto& candidate : candidates)
+        candidate.slots = 6;
+    candidates[2].sameDomain = true;
+    CostPlacement placement({});
+    WorkItem item;
+    item.hash = 5;
+    CHECK(placement.chooseService(item, candidates)->index == 2);
+    candidates[2].requests = 5;
+    CHECK(placement.chooseService(item, candidates)->index != 2);
+}
+
+TEST_CASE("an engine's memory holds the parts used last, and only with all parts before them")
+{
+    PartMemory memory(25000);
+    WorkItem first = chat(1, 1);
+    WorkItem second = chat(2, 2);
+    WorkItem third = chat(3, 3);
+    memory.use(first.parts);
+    memory.use(second.parts);
+    CHECK(memory.heldTokens(first.parts) == 11812);
+    memory.use(third.parts);
+    CHECK(memory.tokens() <= 25000);
+    CHECK(memory.heldTokens(third.parts) == 11812);
+    CHECK(memory.heldTokens(first.parts) <= 512);
+    PartMemory orphan(100000);
+    orphan.use({ first.parts[1] });
+    CHECK(orphan.heldTokens(first.parts) == 0);
+}
--- /dev/null
+++ b/request/testing/eventrelay_test.cc
@@ -0,0 +1,101 @@
+#include "request/eventrelay.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+#include <string>
+
+using namespace briarwharf;
+
+namespace {
+
+std::string event(int number) { return "id: " + std::to_string(number) + "\ndata: part " + std::to_string(number) + "\n\n"; }
+
+std::string events(int first, int last)
+{
+    std::string text;
+    for (int number = first; number <= last; ++number)
+        text += event(number);
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("events pass whole, however the bytes are cut")
+{
+    std::string bytes = events(1, 5);
+    for (std::size_t piece = 1; piece < bytes.size(); ++piece) {
+        EventRelay relay;
+        std::string out;
+        for (std::size_t at = 0; at < bytes.size(); at += piece)
+            REQUIRE(relay.feed(std::string_view(bytes).substr(at, piece), out));
+        CHECK(out == bytes);
+        CHECK(relay.isAtBoundary());
+        CHECK(relay.lastEvent() == 5);
+    }
+}
+
+// Guards against the pieces of two runs joined within one event.
+TEST_CASE("an event that breaks off is dropped, and the next upstream's events follow the last whole one")
+{
+    EventRelay relay;
+    std::string out;
+    REQUIRE(relay.feed(events(1, 3) + "id: 4\ndata: pa", out));
+    CHECK_FALSE(relay.isAtBoundary());
+    relay.restart();
+    REQUIRE(relay.feed(events(4, 6), out));
+    CHECK(out == events(1, 6));
+}
+
+TEST_CASE("events that the caller already has are dropped, and a gap is an error")
+{
+    EventRelay relay(3);
+    std::string out;
+    REQUIRE(relay.feed(events(2, 4), out));
+    CHECK(out == event(4));
+    Status gap = relay.feed(event(6), out);
+    REQUIRE_FALSE(gap);
+    CHECK(gap.error().kind == ErrorKind::Corrupt);
+    CHECK(out == event(4));
+}
+
+TEST_CASE("comments and events without a number pass as they are")
+{
+    std::string bytes = ": keep-alive\n\ndata: x\r\n\r\nid: a\ndata: y\n\n";
+    EventRelay relay;
+    std::string out;
+    REQUIRE(relay.feed(bytes, out));
+    CHECK(out == bytes);
+    CHECK(relay.events() == 3);
+}
+
+TEST_CASE("an endless event is refused before it fills the memory")
+{
+    EventRelay relay;
+    std::string out;
+    std::string piece(300 * 1024, 'x');
+    Status status = ok();
+    for (int count = 0; status && count < 10; ++count)
+        status = relay.feed(piece, out);
+    REQUIRE_FALSE(status);
+    CHECK(status.error().kind == ErrorKind::TooLarge);
+}
+
+// Random breaks: the stream is cut anywhere, and continued from the last whole event any number of times.
+TEST_CASE("whatever breaks, the caller's events are those of one run")
+{
+    rc::check([] {
+        int last = *rc::gen::inRange(1, 30);
+        EventRelay relay;
+        std::string out;
+        for (int resume = 0; resume < 50; ++resume) {
+            int next = static_cast<int>(relay.lastEvent().value_or(0)) + 1;
+            if (next > last)
+                break;
+            std::string rest = events(next, last);
+            std::size_t cut = *rc::gen::inRange<std::size_t>(0, rest.size() + 1);
+            relay.restart();
+            RC_ASSERT(bool(relay.feed(std::string_view(rest).substr(0, cut), out)));
+        }
+        RC_ASSERT(events(1, last).substr(0, out.size()) == out);
+    });
+}
