--- a/base/base.h
+++ b/base/base.h
@@ -1,6 +1,7 @@
 #pragma once
 
-// The public header of the base library: errors, time, addresses, hashing, random numbers, logging and JSON access.
+// The public header of the base library: errors, time, addresses, hashing, random numbers, logging and JSON
+// access.
 //
 //   Result<Port> parsePort(std::string_view text)
 //   {
--- a/base/testing/log_test.cc
+++ b/base/testing/log_test.cc
@@ -46,7 +46,10 @@
 {
     CapturedOutput output;
     configureLogging("info");
-    LogLine(LogLevel::Info, "request", "placed").field("id", "a\"b\n\xff").field("load", 3).field("late", false);
+    LogLine(LogLevel::Info, "request", "placed")
+        .field("id", "a\"b\n\xff")
+        .field("load", 3)
+        .field("late", false);
     std::string line = output.take();
     auto parsed = parseJson(line, "log line");
     REQUIRE(parsed);
--- a/connection/httpcall.cc
+++ b/connection/httpcall.cc
@@ -53,8 +53,8 @@
         if (m_failure)
             return finish(*m_failure);
         bool sent = m_exchange && m_exchange->written();
-        finish(Error { sent ? ErrorKind::DeadlineExceeded : ErrorKind::Unavailable,
-            m_what + ": no answer in time" });
+        finish(Error {
+            sent ? ErrorKind::DeadlineExceeded : ErrorKind::Unavailable, m_what + ": no answer in time" });
     }
 
     void finish(Result<HttpAnswer> result)
--- a/connection/httppool.h
+++ b/connection/httppool.h
@@ -108,8 +108,7 @@
     HttpPool& operator=(const HttpPool&) = delete;
 
     // Errors: Overloaded (the bound on connections is reached), InvalidArgument, Unavailable (no descriptor).
-    Result<std::unique_ptr<OutgoingExchange>> start(
-        const Endpoint&, const OutgoingRequest&, OutgoingEvents&);
+    Result<std::unique_ptr<OutgoingExchange>> start(const Endpoint&, const OutgoingRequest&, OutgoingEvents&);
 
     // Closes idle connections to an address that is no longer used.
     void closeIdle(const Endpoint&);
--- a/connection/ingress.h
+++ b/connection/ingress.h
@@ -72,7 +72,8 @@
 
 class IngressConnection;
 
-// Callers' HTTP/1.1 connections: reads one request at a time, whole, and hands it on. Pipelined requests wait.
+// Callers' HTTP/1.1 connections: reads one request at a time, whole, and hands it on. Pipelined requests
+// wait.
 //
 //   Ingress ingress(base, limits, [](IngressRequest request, CallerExchange& caller) { ... });
 //   ingress.listen({ "10.0.0.1", 8080 });
--- a/connection/tcpstream.h
+++ b/connection/tcpstream.h
@@ -34,8 +34,8 @@
     virtual void streamDrained() { }
 };
 
-// A TCP connection on the event loop. Writes go to the socket at once and wait in memory only when it is full,
-// which saves a wake-up and a system call for most messages over a buffered event.
+// A TCP connection on the event loop. Writes go to the socket at once and wait in memory only when it is
+// full, which saves a wake-up and a system call for most messages over a buffered event.
 //
 //   auto stream = TcpStream::connect(base, "10.0.0.1", 8080, options, events);
 //   stream->write("GET / HTTP/1.1\r\n\r\n");   // sent once connected
--- a/connection/testing/httpfaults_test.cc
+++ b/connection/testing/httpfaults_test.cc
@@ -29,8 +29,8 @@
 OutgoingRequest requestNamed(const std::string& id, std::string body = {})
 {
     OutgoingRequest request;
-    request.head = "POST /x HTTP/1.1\r\nHost: a\r\nX-Id: " + id + "\r\nContent-Length: "
-        + std::to_string(body.size()) + "\r\n\r\n";
+    request.head = "POST /x HTTP/1.1\r\nHost: a\r\nX-Id: " + id
+        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     if (!body.empty())
         request.body = std::make_shared<const std::string>(std::move(body));
     request.identifierField = "X-Id";
@@ -59,9 +59,10 @@
         { ScriptStep::send("HTTP/1.1 200 OK\r\nX-Id: 1\r\nKeep-Al"), ScriptStep::wait(Milliseconds(5)),
             ScriptStep::send("ive: timeout=5\r\nContent-Length: 2\r\n\r\nok") },
         End::Whole, "ok", {}, true },
-    { "bytes after the answer", { ScriptStep::send(answer("1", "ok") + "junk") }, End::Whole, "ok", {}, false },
-    { "a second answer at once", { ScriptStep::send(answer("1", "ok") + answer("1", "ok")) }, End::Whole, "ok", {},
+    { "bytes after the answer", { ScriptStep::send(answer("1", "ok") + "junk") }, End::Whole, "ok", {},
         false },
+    { "a second answer at once", { ScriptStep::send(answer("1", "ok") + answer("1", "ok")) }, End::Whole,
+        "ok", {}, false },
     { "an answer to another request first", { ScriptStep::send(answer("0", "no") + answer("1", "ok")) },
         End::Whole, "ok", {}, false },
     { "only an answer to another request", { ScriptStep::send(answer("0", "no")), ScriptStep::close() },
@@ -70,25 +71,29 @@
         { ScriptStep::send("HTTP/1.1 200 OK\r\nX-Id: 0\r\n\r\nno"), ScriptStep::close() }, End::Failed, "",
         ExchangeFailureKind::Broken, false },
     { "a truncated answer",
-        { ScriptStep::send("HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 10\r\n\r\npart"), ScriptStep::close() },
+        { ScriptStep::send("HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 10\r\n\r\npart"),
+            ScriptStep::close() },
         End::Failed, "part", ExchangeFailureKind::Broken, false },
     { "a truncated chunked answer",
         { ScriptStep::send("HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"),
             ScriptStep::close() },
         End::Failed, "part", ExchangeFailureKind::Broken, false },
     { "an answer without a length",
-        { ScriptStep::send("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nwhole"), ScriptStep::close() }, End::Whole, "whole",
-        {}, false },
+        { ScriptStep::send("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nwhole"), ScriptStep::close() }, End::Whole,
+        "whole", {}, false },
     { "an answer without a length that is reset",
         { ScriptStep::send("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart"), ScriptStep::wait(Milliseconds(20)),
             ScriptStep::reset() },
         End::Failed, "part", ExchangeFailureKind::Broken, false },
     { "bytes that are no answer", { ScriptStep::send("garbage\r\n\r\n") }, End::Failed, "",
         ExchangeFailureKind::Invalid, false },
-    { "a reset before the answer", { ScriptStep::reset() }, End::Failed, "", ExchangeFailureKind::Broken, false },
-    { "a close before the answer", { ScriptStep::close() }, End::Failed, "", ExchangeFailureKind::Broken, false },
+    { "a reset before the answer", { ScriptStep::reset() }, End::Failed, "", ExchangeFailureKind::Broken,
+        false },
+    { "a close before the answer", { ScriptStep::close() }, End::Failed, "", ExchangeFailureKind::Broken,
+        false },
     { "a close announced",
-        { ScriptStep::send("HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok") },
+        { ScriptStep::send(
+            "HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok") },
         End::Whole, "ok", {}, false },
 };
 
@@ -128,8 +133,8 @@
 TEST_CASE("a connection on which anything arrives while it is idle is closed")
 {
     Base base = makeBase();
-    ScriptedServer server(base.get(),
-        [](const ScriptedRequest&) { return Script { ScriptStep::send(answer("1", "ok")) }; });
+    ScriptedServer server(
+        base.get(), [](const ScriptedRequest&) { return Script { ScriptStep::send(answer("1", "ok")) }; });
     HttpPool pool(base.get(), {});
     Client first;
     auto exchange = pool.start(server.endpoint(), requestNamed("1"), first);
@@ -181,7 +186,8 @@
 TEST_CASE("an exchange that is given up closes its connection")
 {
     Base base = makeBase();
-    ScriptedServer server(base.get(), [](const ScriptedRequest&) { return Script { ScriptStep::silence() }; });
+    ScriptedServer server(
+        base.get(), [](const ScriptedRequest&) { return Script { ScriptStep::silence() }; });
     HttpPool pool(base.get(), {});
     Client client;
     auto exchange = pool.start(server.endpoint(), requestNamed("1"), client);
@@ -214,7 +220,8 @@
 TEST_CASE("connections to one address are bounded")
 {
     Base base = makeBase();
-    ScriptedServer server(base.get(), [](const ScriptedRequest&) { return Script { ScriptStep::silence() }; });
+    ScriptedServer server(
+        base.get(), [](const ScriptedRequest&) { return Script { ScriptStep::silence() }; });
     HttpPool pool(base.get(), {});
     Client first;
     Client second;
@@ -244,7 +251,8 @@
     std::optional<Result<HttpAnswer>> reset;
     caller.call({ "GET", "/x", "", Milliseconds(5000) }, [&](auto result) { answered = std::move(result); });
     caller.call({ "GET", "/silent", "", Milliseconds(30) }, [&](auto result) { silent = std::move(result); });
-    caller.call({ "PUT", "/reset", "{}", Milliseconds(5000) }, [&](auto result) { reset = std::move(result); });
+    caller.call(
+        { "PUT", "/reset", "{}", Milliseconds(5000) }, [&](auto result) { reset = std::move(result); });
     runUntil(base.get(), [&] { return answered && silent && reset; });
     REQUIRE(*answered);
     CHECK(answered->value().status == 409);
--- a/connection/testing/httpmessage_test.cc
+++ b/connection/testing/httpmessage_test.cc
@@ -37,7 +37,8 @@
     { "two lengths", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!" },
     { "length that is no number", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5x\r\n\r\nhello" },
     { "space before the colon", "POST / HTTP/1.1\r\nHost : a\r\n\r\n" },
-    { "chunk size that is no number", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n" },
+    { "chunk size that is no number",
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n" },
     { "no HTTP", "hello there\r\n\r\n" },
 };
 
@@ -45,8 +46,9 @@
 
 TEST_CASE("a request is read the same however its bytes are cut")
 {
-    std::string bytes = "POST /a/b?c=d HTTP/1.1\r\nHost: desk.example\r\nX-One: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
-                        "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    std::string bytes
+        = "POST /a/b?c=d HTTP/1.1\r\nHost: desk.example\r\nX-One: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
     for (std::size_t piece = 1; piece <= bytes.size(); ++piece) {
         HttpParser parser(HttpParser::Kind::Request, maxHead);
         Collected collected;
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -116,7 +116,8 @@
     , m_fileTicker(base, fileCheckInterval, [this] { checkSettingsFile(); })
     , m_started(clockNow())
 {
-    for (HeartbeatSection* section : std::initializer_list<HeartbeatSection*> { &m_relay, &m_work, &m_health })
+    for (HeartbeatSection* section :
+        std::initializer_list<HeartbeatSection*> { &m_relay, &m_work, &m_health })
         m_mesh.membership().addSection(*section);
 }
 
@@ -264,7 +265,8 @@
     if (path == "/readyz" && isReady())
         return answerText(caller, 200, "ready\n");
     if (path == "/readyz")
-        return answerText(caller, 503, m_stopping ? "shutting down\n" : "no configuration or upstreams yet\n");
+        return answerText(
+            caller, 503, m_stopping ? "shutting down\n" : "no configuration or upstreams yet\n");
     if (path == "/metrics")
         return caller.answer(200, "Content-Type: text/plain; version=0.0.4\r\n", metricsText());
     if (path.substr(0, show.size()) == show) {
@@ -272,8 +274,8 @@
         if (!text.empty())
             return caller.answer(200, "Content-Type: application/json\r\n", text);
     }
-    answerText(caller, 404,
-        "use /healthz, /readyz, /metrics, /show/routes, /show/upstreams or /show/instances\n");
+    answerText(
+        caller, 404, "use /healthz, /readyz, /metrics, /show/routes, /show/upstreams or /show/instances\n");
 }
 
 std::string ForwardDaemon::showText(std::string_view what) const
@@ -290,8 +292,9 @@
         MonotonicTime now = clockNow();
         for (const auto& [id, entry] : m_directory.upstreams()) {
             auto hash = static_cast<std::uint32_t>(hash64(id));
-            rows.push_back({ { "id", id }, { "pool", entry.pool }, { "address", printEndpoint(entry.endpoint) },
-                { "domain", entry.failureDomain }, { "draining", entry.draining }, { "lapsed", entry.lapsed },
+            rows.push_back({ { "id", id }, { "pool", entry.pool },
+                { "address", printEndpoint(entry.endpoint) }, { "domain", entry.failureDomain },
+                { "draining", entry.draining }, { "lapsed", entry.lapsed },
                 { "usable", m_health.usable(hash, now) }, { "requests", m_work.own(hash).requests },
                 { "requests_elsewhere", m_work.others(hash).requests } });
         }
@@ -324,7 +327,8 @@
         forwarded.callersLeft);
     total("briarwharf_upstream_connections_opened_total", "Connections opened to upstreams.",
         connections.opened);
-    total("briarwharf_upstream_connections_reused_total", "Requests on kept connections.", connections.reused);
+    total(
+        "briarwharf_upstream_connections_reused_total", "Requests on kept connections.", connections.reused);
     total("briarwharf_stray_answers_total", "Answers and bytes that belonged to no open request.",
         connections.strayAnswers);
     total("briarwharf_caller_connections_accepted_total", "Connections of callers.", callers.accepted);
@@ -344,7 +348,8 @@
         static_cast<double>(m_directory.revision()));
     m_metrics.set("briarwharf_requests_in_progress", "Requests that wait for their answer's end.",
         static_cast<double>(m_forwarder.requestsInProgress()));
-    m_metrics.set("briarwharf_linked_peers", "Links to other instances.", static_cast<double>(m_mesh.linkCount()));
+    m_metrics.set(
+        "briarwharf_linked_peers", "Links to other instances.", static_cast<double>(m_mesh.linkCount()));
     return m_metrics.serialize();
 }
 
--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -35,8 +35,8 @@
     constexpr double leastSlowness = 0.5;
     constexpr double mostSlowness = 10;
 
-    // For the end of a request during shutdown: time for one token of output at a busy engine, and targets for
-    // a call to a plain service.
+    // For the end of a request during shutdown: time for one token of output at a busy engine, and targets
+    // for a call to a plain service.
     constexpr Milliseconds slowestToken { 5 };
     constexpr int plainTargets = 4;
 
@@ -47,7 +47,10 @@
     MonotonicTime clockNow() { return std::chrono::steady_clock::now(); }
 
     // Statuses that promise that a request did not run; said only where that is known.
-    bool promisesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
+    bool promisesNotRun(int status)
+    {
+        return status == 408 || status == 421 || status == 429 || status == 503;
+    }
 
     double milliseconds(MonotonicTime::duration duration)
     {
@@ -221,7 +224,8 @@
 
 bool ForwardedRequest::mayRepeat() const
 {
-    return m_route->kind == RouteKind::Repeatable || (m_route->kind == RouteKind::Stream && m_route->resumable);
+    return m_route->kind == RouteKind::Repeatable
+        || (m_route->kind == RouteKind::Stream && m_route->resumable);
 }
 
 void ForwardedRequest::answerHead(const HttpHead& head)
@@ -358,8 +362,8 @@
 {
     if (m_done)
         return;
-    AttemptEnd end = failure.kind == ExchangeFailureKind::NotConnected ? AttemptEnd::NotConnected
-                                                                       : AttemptEnd::Broken;
+    AttemptEnd end
+        = failure.kind == ExchangeFailureKind::NotConnected ? AttemptEnd::NotConnected : AttemptEnd::Broken;
     noteHealth(end, failure.keptConnection);
     attemptEnded(end, failure.reason);
 }
@@ -583,7 +587,8 @@
     ended.totalSeconds = milliseconds(now - m_request.received) / 1000;
     if (first >= 0)
         ended.firstByteSeconds = first / 1000;
-    ended.onTime = outcome == "answered" && m_route && first <= static_cast<double>(m_route->targetLatency.count());
+    ended.onTime
+        = outcome == "answered" && m_route && first <= static_cast<double>(m_route->targetLatency.count());
     if (outcome == "answered") {
         ended.forecastRatio = milliseconds(m_firstByte - m_sentAt) / std::max(1.0, m_decision.expectedMs);
         ended.promptTokens = m_item.promptTokens;
--- a/process/forwardmetrics.cc
+++ b/process/forwardmetrics.cc
@@ -27,12 +27,13 @@
 ForwardMetrics::ForwardMetrics()
     : m_registry(std::make_shared<prometheus::Registry>())
     , m_requests(&prometheus::BuildCounter()
-              .Name("briarwharf_forwarded_requests_total")
-              .Help("Requests that ended, by outcome.")
-              .Register(*m_registry))
+                      .Name("briarwharf_forwarded_requests_total")
+                      .Help("Requests that ended, by outcome.")
+                      .Register(*m_registry))
     , m_onTime(&counter(*m_registry, "briarwharf_forwarded_on_time_total",
           "Requests whose first byte came within the target of their route."))
-    , m_promptTokens(&counter(*m_registry, "briarwharf_prompt_tokens_total", "Prompt tokens of answered requests."))
+    , m_promptTokens(
+          &counter(*m_registry, "briarwharf_prompt_tokens_total", "Prompt tokens of answered requests."))
     , m_tokensToRead(&counter(*m_registry, "briarwharf_prompt_tokens_to_read_total",
           "Prompt tokens that were expected not to be in the engine's memory."))
     , m_firstByte(&histogram(*m_registry, "briarwharf_forwarded_first_byte_seconds",
@@ -80,6 +81,9 @@
         value->Increment(total - value->Value());
 }
 
-std::string ForwardMetrics::serialize() const { return prometheus::TextSerializer().Serialize(m_registry->Collect()); }
+std::string ForwardMetrics::serialize() const
+{
+    return prometheus::TextSerializer().Serialize(m_registry->Collect());
+}
 
 } // namespace briarwharf
--- a/process/testing/forward_test.cc
+++ b/process/testing/forward_test.cc
@@ -59,7 +59,8 @@
     CHECK(std::stoi(std::string(field(seen, "X-Briarwharf-Deadline-Ms"))) <= 3000);
 }
 
-// Guards against callers that are told that their route or key is wrong by an instance that knows neither yet.
+// Guards against callers that are told that their route or key is wrong by an instance that knows neither
+// yet.
 TEST_CASE("without a configuration every request is refused as not run, and the instance is not ready")
 {
     ForwardFixture fixture;
@@ -80,7 +81,8 @@
     CHECK(fixture.call(daemon, "/nothing/x")->head.status == 404);
     CHECK(fixture.call(daemon, "/read/x", "", "X-Briarwharf-Key: wrong\r\n")->head.status == 401);
     CHECK(fixture.admin(daemon, "/readyz")->head.status == 200);
-    CHECK(fixture.admin(daemon, "/metrics")->body.find("briarwharf_forwarded_requests_total") != std::string::npos);
+    CHECK(fixture.admin(daemon, "/metrics")->body.find("briarwharf_forwarded_requests_total")
+        != std::string::npos);
     auto shown = parseJson(fixture.admin(daemon, "/show/upstreams")->body, "answer");
     REQUIRE(shown);
     CHECK(shown.value()["rows"][0]["id"] == "desk-1");
@@ -184,7 +186,7 @@
                 ScriptStep::close() };
         return Script { ScriptStep::send("HTTP/1.1 200 OK\r\nX-Briarwharf-Request-Id: other\r\n"
                                          "X-Briarwharf-Signature: s\r\nContent-Length: 5\r\n\r\nwrong"
-                            + upstreamAnswer(request, 200, "right")) };
+            + upstreamAnswer(request, 200, "right")) };
     });
     ForwardDaemon& daemon = fixture.startDaemon();
     CHECK(fixture.call(daemon, "/book/unsigned", "x")->head.status == 502);
@@ -197,7 +199,8 @@
     ForwardFixture fixture;
     auto handler = [](const ScriptedRequest& request) {
         if (field(request, "Last-Event-Id").empty())
-            return Script { ScriptStep::send(streamHead(request) + streamEvents(1, 3) + "b\r\nid: 4\ndata:\r\n"),
+            return Script { ScriptStep::send(
+                                streamHead(request) + streamEvents(1, 3) + "b\r\nid: 4\ndata:\r\n"),
                 ScriptStep::wait(Milliseconds(20)), ScriptStep::reset() };
         int next = std::stoi(std::string(field(request, "Last-Event-Id"))) + 1;
         return Script { ScriptStep::send(streamHead(request) + streamEvents(next, 6) + streamEnd()) };
@@ -232,8 +235,10 @@
     ForwardFixture fixture;
     ScriptedServer& upstream = fixture.addUpstream("engine-1", [](const ScriptedRequest& request) {
         if (request.head.target == "/chat/x")
-            return Script { ScriptStep::send(streamHead(request) + streamEvents(1, 1)), ScriptStep::silence() };
-        return Script { ScriptStep::wait(Milliseconds(100)), ScriptStep::send(upstreamAnswer(request, 200, "ok")) };
+            return Script { ScriptStep::send(streamHead(request) + streamEvents(1, 1)),
+                ScriptStep::silence() };
+        return Script { ScriptStep::wait(Milliseconds(100)),
+            ScriptStep::send(upstreamAnswer(request, 200, "ok")) };
     });
     ForwardDaemon& daemon = fixture.startDaemon();
     auto stream = fixture.send(daemon, "/chat/x", "prompt");
--- a/process/testing/forwardfixture.cc
+++ b/process/testing/forwardfixture.cc
@@ -34,7 +34,7 @@
     // A port that was free a moment ago.
     std::uint16_t freePort(event_base* base)
     {
-        return TcpListener::listen(base, "127.0.0.1", 0, [](int) { }).value()->port();
+        return TcpListener::listen(base, "127.0.0.1", 0, [](int) {}).value()->port();
     }
 
 } // namespace
@@ -166,8 +166,8 @@
     return answer;
 }
 
-std::shared_ptr<CallerAnswer> ForwardFixture::send(ForwardDaemon& daemon, const std::string& target,
-    const std::string& body, const std::string& extraLines)
+std::shared_ptr<CallerAnswer> ForwardFixture::send(
+    ForwardDaemon& daemon, const std::string& target, const std::string& body, const std::string& extraLines)
 {
     std::string head = (body.empty() ? "GET " : "POST ") + target + " HTTP/1.1\r\nHost: " + host + "\r\n";
     appendField(head, "X-Briarwharf-Request-Id", "request-" + std::to_string(++m_requests));
@@ -179,8 +179,8 @@
     return start(daemon.callerPort(), head + "\r\n", body);
 }
 
-std::shared_ptr<CallerAnswer> ForwardFixture::call(ForwardDaemon& daemon, const std::string& target,
-    const std::string& body, const std::string& extraLines)
+std::shared_ptr<CallerAnswer> ForwardFixture::call(
+    ForwardDaemon& daemon, const std::string& target, const std::string& body, const std::string& extraLines)
 {
     auto answer = send(daemon, target, body, extraLines);
     runUntil([&] { return answer->done(); });
--- a/process/testing/forwardfixture.h
+++ b/process/testing/forwardfixture.h
@@ -74,10 +74,10 @@
     ForwardDaemon& startDaemon(bool seeds = false, FakeDirectory* directory = nullptr);
     void waitReady(ForwardDaemon&);
 
-    std::shared_ptr<CallerAnswer> send(ForwardDaemon&, const std::string& target, const std::string& body = {},
-        const std::string& extraLines = {});
-    std::shared_ptr<CallerAnswer> call(ForwardDaemon&, const std::string& target, const std::string& body = {},
-        const std::string& extraLines = {});
+    std::shared_ptr<CallerAnswer> send(ForwardDaemon&, const std::string& target,
+        const std::string& body = {}, const std::string& extraLines = {});
+    std::shared_ptr<CallerAnswer> call(ForwardDaemon&, const std::string& target,
+        const std::string& body = {}, const std::string& extraLines = {});
     std::shared_ptr<CallerAnswer> admin(ForwardDaemon&, const std::string& target);
 
     template <typename Condition> void runUntil(Condition condition)
@@ -104,8 +104,8 @@
 };
 
 // A whole answer of an upstream to the request, with the signature that a success needs.
-std::string upstreamAnswer(const ScriptedRequest&, int status, const std::string& body,
-    const std::string& extraLines = {});
+std::string upstreamAnswer(
+    const ScriptedRequest&, int status, const std::string& body, const std::string& extraLines = {});
 // The head of a stream of events.
 std::string streamHead(const ScriptedRequest&);
 std::string streamEvents(int first, int last); // in chunks
--- a/process/testing/forwardheaders_test.cc
+++ b/process/testing/forwardheaders_test.cc
@@ -22,8 +22,8 @@
 {
     ForwardingHeaders headers;
     HttpHead head = headWith({ { "x-briarwharf-prompt-parts", "5c1e07a2:800, 91bd3f06:410,e4402b7d:250" },
-        { "X-Briarwharf-Tokens", "1460,80" }, { "X-Briarwharf-Deadline-Ms", "12000" }, { "Last-Event-Id", "12" },
-        { "X-Briarwharf-Output-Hint", "64.5" } });
+        { "X-Briarwharf-Tokens", "1460,80" }, { "X-Briarwharf-Deadline-Ms", "12000" },
+        { "Last-Event-Id", "12" }, { "X-Briarwharf-Output-Hint", "64.5" } });
     CallerFields fields = readCallerFields(head.fields, headers);
     REQUIRE(fields.parts.size() == 3);
     CHECK(fields.parts[1] == PromptPart { 0x91bd3f06, 410 });
@@ -33,8 +33,8 @@
     CHECK(fields.deadline == Milliseconds(12000));
     CHECK(fields.lastEvent == 12);
 
-    HttpHead bad = headWith({ { "X-Briarwharf-Prompt-Parts", "zz:800,1:-5" }, { "X-Briarwharf-Tokens", "many" },
-        { "X-Briarwharf-Deadline-Ms", "-1" }, { "Last-Event-Id", "x" } });
+    HttpHead bad = headWith({ { "X-Briarwharf-Prompt-Parts", "zz:800,1:-5" },
+        { "X-Briarwharf-Tokens", "many" }, { "X-Briarwharf-Deadline-Ms", "-1" }, { "Last-Event-Id", "x" } });
     CallerFields none = readCallerFields(bad.fields, headers);
     CHECK(none.parts.empty());
     CHECK(none.promptTokens == 0);
@@ -62,15 +62,16 @@
     ForwardingHeaders headers;
     headers.reserved = { "X-Reserved" };
     headers.internal = { "X-Internal" };
-    HttpHead head = headWith({ { "x-reserved", "1" }, { "X-Briarwharf-Urgency", "0" }, { "TE", "trailers" } });
+    HttpHead head
+        = headWith({ { "x-reserved", "1" }, { "X-Briarwharf-Urgency", "0" }, { "TE", "trailers" } });
     UpstreamFields fields;
     fields.upstream = "u";
     std::string out = upstreamHead(head, headers, fields, 0);
     CHECK(out.find("eserved") == std::string::npos);
     CHECK(out.find("Urgency") == std::string::npos);
     CHECK(out.find("TE:") == std::string::npos);
-    HttpHead answer = headWith(
-        { { "X-Internal", "1" }, { "Content-Type", "text/plain" }, { "Content-Length", "5" }, { "Keep-Alive", "x" } });
+    HttpHead answer = headWith({ { "X-Internal", "1" }, { "Content-Type", "text/plain" },
+        { "Content-Length", "5" }, { "Keep-Alive", "x" } });
     CHECK(callerLines(answer.fields, headers) == "Content-Type: text/plain\r\n");
 }
 
--- a/request/costplacement.cc
+++ b/request/costplacement.cc
@@ -80,9 +80,10 @@
         bool home = rank < homes;
         std::int64_t held = expectedHeld(item, candidate.hash, home);
         std::int64_t toRead = std::max<std::int64_t>(0, item.promptTokens - held);
-        double expected = (m_settings.firstTokenMs
-                              + static_cast<double>(candidate.promptTokens + toRead) / m_settings.promptTokensPerMs
-                              + m_settings.requestMs * candidate.requests)
+        double expected
+            = (m_settings.firstTokenMs
+                  + static_cast<double>(candidate.promptTokens + toRead) / m_settings.promptTokensPerMs
+                  + m_settings.requestMs * candidate.requests)
             * candidate.slowness;
         double cost = (expected + (candidate.sameDomain ? 0 : m_settings.crossDomainMs))
             * (1 + m_settings.jitter * jitter(item, candidate));
--- a/request/costplacement.h
+++ b/request/costplacement.h
@@ -38,7 +38,8 @@
     // No upstream gets a request while it holds more than this multiple of the mean of its pool, and a few.
     double loadBound = 1.5;
     double loadBoundExtra = 2;
-    // An upstream this far down the rendezvous order of a part is assumed to hold it, as others were sent there.
+    // An upstream this far down the rendezvous order of a part is assumed to hold it, as others were sent
+    // there.
     std::size_t homes = 1;
     double jitter = 0.02; // share of the cost, by hash of the request
 };
@@ -51,9 +52,9 @@
     bool home = false; // first in the rendezvous order
 };
 
-// Chooses the upstream with the least expected time to the first byte, where prompt parts that an engine holds
-// count as time saved: reuse and balance are one currency. All instances rank the engines of a prompt part by
-// the same rendezvous order, so they agree on its home without talking.
+// Chooses the upstream with the least expected time to the first byte, where prompt parts that an engine
+// holds count as time saved: reuse and balance are one currency. All instances rank the engines of a prompt
+// part by the same rendezvous order, so they agree on its home without talking.
 //
 //   CostPlacement placement(settings);
 //   auto decision = placement.chooseEngine(item, candidates);
--- a/request/eventrelay.cc
+++ b/request/eventrelay.cc
@@ -11,7 +11,8 @@
     // Length of the first event with the empty line that ends it; 0 if it is not whole.
     std::size_t eventLength(std::string_view bytes)
     {
-        for (std::size_t end = bytes.find('\n'); end != std::string_view::npos; end = bytes.find('\n', end + 1)) {
+        for (std::size_t end = bytes.find('\n'); end != std::string_view::npos;
+             end = bytes.find('\n', end + 1)) {
             if (end + 1 < bytes.size() && bytes[end + 1] == '\n')
                 return end + 2;
             if (end + 2 < bytes.size() && bytes[end + 1] == '\r' && bytes[end + 2] == '\n')
--- a/request/testing/attempt_test.cc
+++ b/request/testing/attempt_test.cc
@@ -36,7 +36,8 @@
     // Nothing reached the network: another upstream, whatever the kind.
     { "not connected", Kind::AtMostOnce, AttemptEnd::NotConnected, 0, false, false, Verdict::TryAgain },
     { "not connected", Kind::Repeatable, AttemptEnd::NotConnected, 0, false, false, Verdict::TryAgain },
-    { "not connected while resuming", Kind::Resumable, AttemptEnd::NotConnected, 1, true, true, Verdict::Resume },
+    { "not connected while resuming", Kind::Resumable, AttemptEnd::NotConnected, 1, true, true,
+        Verdict::Resume },
     // The upstream says that it did not run.
     { "refused, attempts left", Kind::AtMostOnce, AttemptEnd::Refused, 1, false, false, Verdict::TryAgain },
     { "refused, none left", Kind::AtMostOnce, AttemptEnd::Refused, 2, false, false, Verdict::RefuseNotRun },
@@ -59,7 +60,8 @@
     // Time is over.
     { "time up before anything was sent", Kind::AtMostOnce, AttemptEnd::TimeUp, 0, false, false,
         Verdict::RefuseNotRun },
-    { "time up after a refusal", Kind::AtMostOnce, AttemptEnd::TimeUp, 1, false, false, Verdict::RefuseNotRun },
+    { "time up after a refusal", Kind::AtMostOnce, AttemptEnd::TimeUp, 1, false, false,
+        Verdict::RefuseNotRun },
     { "time up in doubt", Kind::AtMostOnce, AttemptEnd::TimeUp, 1, true, false, Verdict::TimeOut },
     { "time up in a stream", Kind::Resumable, AttemptEnd::TimeUp, 1, true, true, Verdict::Cut },
 };
@@ -108,7 +110,8 @@
             auto end = static_cast<AttemptEnd>(*rc::gen::inRange(0, 6));
             situation.budgetLeft = *rc::gen::arbitrary<bool>();
             situation.timeLeft = Milliseconds(*rc::gen::inRange(0, 200));
-            bool ran = end == AttemptEnd::FailureAnswered || end == AttemptEnd::Broken || end == AttemptEnd::TimeUp;
+            bool ran = end == AttemptEnd::FailureAnswered || end == AttemptEnd::Broken
+                || end == AttemptEnd::TimeUp;
             bool free = end == AttemptEnd::NotConnected || end == AttemptEnd::WrongUpstream;
             runs += ran ? 1 : 0;
             situation.attempts += free ? 0 : 1;
@@ -117,7 +120,8 @@
             situation.mayHaveRun = situation.mayHaveRun || ran;
             if (ran && kind == Kind::Resumable && *rc::gen::arbitrary<bool>())
                 situation.answerBegun = true;
-            situation.repeatable = kind == Kind::Repeatable || (kind == Kind::Resumable && !situation.answerBegun);
+            situation.repeatable
+                = kind == Kind::Repeatable || (kind == Kind::Resumable && !situation.answerBegun);
             Verdict verdict = decideNext(end, situation);
             if (verdict == Verdict::RefuseNotRun)
                 RC_ASSERT(runs == 0);
--- a/request/testing/eventrelay_test.cc
+++ b/request/testing/eventrelay_test.cc
@@ -8,7 +8,10 @@
 
 namespace {
 
-std::string event(int number) { return "id: " + std::to_string(number) + "\ndata: part " + std::to_string(number) + "\n\n"; }
+std::string event(int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: part " + std::to_string(number) + "\n\n";
+}
 
 std::string events(int first, int last)
 {
--- a/request/testing/fleetbudget_test.cc
+++ b/request/testing/fleetbudget_test.cc
@@ -64,8 +64,8 @@
     }
 }
 
-// Each instance has a floor of one repeat, which a fleet of 480 with a slack of 58 would pass in the worst case;
-// at that size the slack of the deployment is larger, as the users' own figures grow with their fleets.
+// Each instance has a floor of one repeat, which a fleet of 480 with a slack of 58 would pass in the worst
+// case; at that size the slack of the deployment is larger, as the users' own figures grow with their fleets.
 TEST_CASE("a fleet of 480 instances stays under the bound of its size")
 {
     std::vector<FleetBudget> fleet(480, FleetBudget({ ratio, window, 1200 }));
--- a/version/testing/routing_test.cc
+++ b/version/testing/routing_test.cc
@@ -24,7 +24,8 @@
     config.version = 3;
     config.routes = { route("root", "desk.example", "/"), route("book", "desk.example", "/book/"),
         route("deep", "desk.example", "/book/job/"), route("other", "other.example", "/book/") };
-    config.organisations = { { "saqib", { "key-1", "key-2" }, 1 }, { "hallsberg", { "key-3" }, std::nullopt } };
+    config.organisations
+        = { { "saqib", { "key-1", "key-2" }, 1 }, { "hallsberg", { "key-3" }, std::nullopt } };
     config.keysRequired = true;
     config.pools = { { "pool-book", 110, std::nullopt } };
     return RoutingTable(std::move(config));
