Place by what must be read, watch the store for others, sum work along the tree

(3) In a partial mesh the work of few neighbours was scaled to the fleet, and each heard request counted ten: 478 of 2,115 placements left their home as over the bound.

Ruled out: eviction (the sessions take a tenth of the engines' memory); zone preference (3 ms).

Change: the cost counts reading fully, waiting by a fifth, and lateness beyond half of the target five times; the second of the rendezvous order is the place to spill to; the reason of each placement is logged.

--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -18,3 +18,4 @@
 #include "coordination/store.h"
 #include "coordination/tree.h"
 #include "coordination/upstreamhealth.h"
+#include "coordination/watchelection.h"
--- a/coordination/directoryrelay.cc
+++ b/coordination/directoryrelay.cc
@@ -42,12 +42,27 @@
 
 } // namespace
 
-DirectoryRelay::DirectoryRelay(DirectoryRelayOptions options, Outbox& outbox)
+DirectoryRelay::DirectoryRelay(DirectoryRelayOptions options, const Membership& membership, Outbox& outbox)
     : m_options(options)
+    , m_membership(membership)
     , m_outbox(outbox)
+    , m_election(membership, options.watchersPerDomain)
 {
 }
 
+void DirectoryRelay::confirm(MonotonicTime asked)
+{
+    if (!m_confirmed || asked > *m_confirmed)
+        m_confirmed = asked;
+}
+
+std::optional<Milliseconds> DirectoryRelay::confirmedAge(MonotonicTime now) const
+{
+    if (!m_confirmed)
+        return std::nullopt;
+    return toMilliseconds(now - *m_confirmed);
+}
+
 void DirectoryRelay::setRouting(std::uint64_t version, std::string document)
 {
     m_routingVersion = version;
@@ -60,12 +75,29 @@
 }
 
 void DirectoryRelay::tick(MonotonicTime now)
+{
+    decideWatch(now);
+    askPeer(now);
+}
+
+void DirectoryRelay::decideWatch(MonotonicTime now)
+{
+    bool small = m_membership.usable().size() <= m_options.allWatchUpTo;
+    bool peersFresh = m_peersConfirmed && now - *m_peersConfirmed <= m_options.freshAgain;
+    bool stale = !m_confirmed || now - *m_confirmed > m_options.selfWatchAfter;
+    if (stale || (now < m_selfWatchUntil && !peersFresh))
+        m_selfWatchUntil = now + m_options.selfWatchFor;
+    bool needed = m_election.isElected() || now < m_selfWatchUntil;
+    m_duty = small ? WatchDuty::OwnOnly : needed ? WatchDuty::ForOthers : WatchDuty::None;
+}
+
+void DirectoryRelay::askPeer(MonotonicTime now)
 {
     if (m_askedAt && now - *m_askedAt < m_options.answerTimeout)
         return;
     m_askedAt.reset();
     bool loaded = m_routingVersion > 0 && m_directoryRevision > 0;
-    Milliseconds patience = loaded ? m_options.patience : Milliseconds(0);
+    Milliseconds patience = loaded && m_duty != WatchDuty::None ? m_options.patience : Milliseconds(0);
     // The peer that was asked longest ago, so that one that does not answer is passed over.
     Peer* chosen = nullptr;
     const std::string* name = nullptr;
@@ -139,11 +171,18 @@
     return newest;
 }
 
-void DirectoryRelay::fill(const LinkView& link, HeartbeatT& heartbeat, MonotonicTime)
+void DirectoryRelay::fill(const LinkView& link, HeartbeatT& heartbeat, MonotonicTime now)
 {
+    Peer& peer = m_peers[link.peer];
     heartbeat.routingVersion = m_routingVersion;
     heartbeat.directoryRevision = m_directoryRevision;
-    m_peers[link.peer].sent = own();
+    if (m_confirmed) {
+        constexpr std::int64_t bound = 0x7fffffff;
+        heartbeat.headConfirmedMs
+            = 1 + static_cast<std::uint32_t>(std::clamp<std::int64_t>(confirmedAge(now)->count(), 0, bound));
+        peer.toldConfirmed = m_confirmed;
+    }
+    peer.sent = own();
 }
 
 void DirectoryRelay::accept(const LinkView& link, const HeartbeatT& heartbeat, MonotonicTime now)
@@ -154,12 +193,26 @@
         peer.aheadSince.reset();
     else if (!peer.aheadSince)
         peer.aheadSince = now;
+    // A statement about newer versions, or one whose age cannot be bounded, says nothing about the own state.
+    if (heartbeat.headConfirmedMs == 0 || !link.transit || isAhead(peer.told) || peer.told != own())
+        return;
+    MonotonicTime confirmed = now - *link.transit - Milliseconds(heartbeat.headConfirmedMs - 1);
+    if (!peer.toldConfirmed || confirmed > *peer.toldConfirmed)
+        peer.toldConfirmed = confirmed;
+    if (!m_peersConfirmed || confirmed > *m_peersConfirmed)
+        m_peersConfirmed = confirmed;
+    confirm(confirmed);
 }
 
 bool DirectoryRelay::urgent(const LinkView& link, MonotonicTime) const
 {
     auto peer = m_peers.find(link.peer);
-    return peer == m_peers.end() || peer->second.sent != own();
+    if (peer == m_peers.end() || peer->second.sent != own())
+        return true;
+    if (!m_confirmed || m_membership.usable().size() <= m_options.allWatchUpTo)
+        return false;
+    const auto& told = peer->second.toldConfirmed;
+    return !told || *m_confirmed - *told > m_options.worthwhileConfirmation;
 }
 
 void DirectoryRelay::linkUp(const std::string& peer, MonotonicTime) { m_peers[peer] = Peer {}; }
--- a/coordination/directoryrelay.h
+++ b/coordination/directoryrelay.h
@@ -3,6 +3,7 @@
 #include "coordination/directory.h"
 #include "coordination/member.h"
 #include "coordination/outbox.h"
+#include "coordination/watchelection.h"
 #include <functional>
 #include <map>
 #include <optional>
@@ -15,6 +16,24 @@
     // needs to be sent.
     Milliseconds patience { 250 };
     Milliseconds answerTimeout { 1000 }; // then another peer is asked
+    // Up to this many instances, each watches the source itself: that costs little, and no instance depends
+    // on another. In larger fleets a few of each failure domain watch for all.
+    std::size_t allWatchUpTo = 12;
+    std::size_t watchersPerDomain = 1;
+    // An instance that has not heard for this long that its state is the newest watches by itself, until the
+    // others' word has been fresh again for a while.
+    Milliseconds selfWatchAfter { 2200 };
+    Milliseconds freshAgain { 1500 };
+    Milliseconds selfWatchFor { 4000 };
+    // A confirmation that is this much newer than what a peer knows does not wait for the next heartbeat.
+    Milliseconds worthwhileConfirmation { 400 };
+};
+
+// How this instance should follow the source.
+enum class WatchDuty {
+    None, // others watch for it
+    OwnOnly, // all instances watch, each for itself
+    ForOthers, // others rely on it, or it cannot rely on them
 };
 
 // What a push brought.
@@ -33,14 +52,21 @@
 //   DirectoryUpdate update = relay.receive(peer, push);   // an answer came
 class DirectoryRelay : public HeartbeatSection {
 public:
-    DirectoryRelay(DirectoryRelayOptions, Outbox&);
+    DirectoryRelay(DirectoryRelayOptions, const Membership&, Outbox&);
 
     // What this instance has; documents are kept for peers.
     void setRouting(std::uint64_t version, std::string document);
     void setDirectoryRevision(std::uint64_t revision) { m_directoryRevision = revision; }
 
+    // When the source last told this instance that there is nothing newer.
+    void confirm(MonotonicTime asked);
+
     void tick(MonotonicTime now);
 
+    WatchDuty duty() const { return m_duty; }
+    // How long ago the state in force was the newest, as far as any instance has told; nullopt: never.
+    std::optional<Milliseconds> confirmedAge(MonotonicTime now) const;
+
     void receive(const std::string& peer, const DirectoryFetchT&, const UpstreamDirectory&);
     DirectoryUpdate receive(const std::string& peer, const DirectoryPushT&);
 
@@ -65,13 +91,22 @@
         std::optional<Versions> sent; // to the peer
         std::optional<MonotonicTime> aheadSince;
         MonotonicTime lastAsked;
+        std::optional<MonotonicTime> toldConfirmed; // to or by the peer, whichever is newer
     };
 
     Versions own() const { return { m_routingVersion, m_directoryRevision }; }
     bool isAhead(const Versions&) const;
+    void askPeer(MonotonicTime now);
+    void decideWatch(MonotonicTime now);
 
     DirectoryRelayOptions m_options;
+    const Membership& m_membership;
     Outbox& m_outbox;
+    WatchElection m_election;
+    WatchDuty m_duty = WatchDuty::OwnOnly;
+    MonotonicTime m_selfWatchUntil;
+    std::optional<MonotonicTime> m_confirmed; // by any instance
+    std::optional<MonotonicTime> m_peersConfirmed;
     std::map<std::string, Peer, std::less<>> m_peers;
     std::uint64_t m_routingVersion = 0;
     std::uint64_t m_directoryRevision = 0;
--- a/coordination/inprogress.cc
+++ b/coordination/inprogress.cc
@@ -1,7 +1,6 @@
 #include "coordination/inprogress.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 namespace briarwharf {
@@ -57,69 +56,105 @@
 
 UpstreamWorkload InProgressTable::own(std::uint32_t upstream) const { return find(m_own, upstream); }
 
-UpstreamWorkload InProgressTable::others(std::uint32_t upstream) const
+UpstreamWorkload InProgressTable::others(std::uint32_t upstream) const { return find(m_others, upstream); }
+
+bool InProgressTable::fullMesh() const
 {
-    UpstreamWorkload work = find(m_others, upstream);
-    work.requests = static_cast<int>(std::lround(work.requests * m_scale));
-    work.promptTokens = std::llround(static_cast<double>(work.promptTokens) * m_scale);
-    return work;
+    return m_membership.usable().size() <= MembershipOptions {}.fullMeshLimit;
 }
 
 void InProgressTable::refresh(MonotonicTime now)
 {
-    for (auto peer = m_peers.begin(); peer != m_peers.end();) {
-        bool silent = now - peer->second.heard > m_options.peerTtl;
-        m_stale = m_stale || silent;
-        peer = silent ? m_peers.erase(peer) : std::next(peer);
+    bool changed = false;
+    for (auto& [peer, link] : m_links) {
+        bool counted = now - link.heard <= m_options.linkTtl;
+        changed = changed || counted != link.counted;
+        link.counted = counted;
     }
-    if (!m_stale)
-        return;
-    m_stale = false;
+    if (changed)
+        addUp();
+}
+
+void InProgressTable::addUp()
+{
     m_others.clear();
-    for (const auto& [id, peer] : m_peers) {
-        for (const auto& [upstream, work] : peer.work) {
-            UpstreamWorkload& sum = m_others[upstream];
-            sum.requests += work.requests;
-            sum.promptTokens += work.promptTokens;
+    for (const auto& [peer, link] : m_links) {
+        if (!link.counted)
+            continue;
+        for (const auto& [upstream, work] : link.received) {
+            m_others[upstream].requests += work.requests;
+            m_others[upstream].promptTokens += work.promptTokens;
+        }
+    }
+}
+
+// What goes to a peer: the own part, and in a partial mesh that of the links on this side of the tree.
+InProgressTable::Workloads InProgressTable::sideOf(const std::string& peer) const
+{
+    Workloads side = m_own;
+    if (fullMesh())
+        return side;
+    for (const auto& [other, link] : m_links) {
+        if (other == peer || !link.counted || !m_membership.inTree(other))
+            continue;
+        for (const auto& [upstream, work] : link.received) {
+            side[upstream].requests += work.requests;
+            side[upstream].promptTokens += work.promptTokens;
         }
     }
-    auto others = static_cast<double>(std::max<std::size_t>(m_membership.usable().size(), 1) - 1);
-    auto heard = static_cast<double>(m_peers.size());
-    m_scale = heard > 0 ? std::max(1.0, others / heard) : 1;
+    return side;
 }
 
-void InProgressTable::fill(const LinkView& link, HeartbeatT& heartbeat, MonotonicTime)
+void InProgressTable::fill(const LinkView& view, HeartbeatT& heartbeat, MonotonicTime)
 {
-    for (const auto& [upstream, work] : m_own)
+    Link& link = m_links[view.peer];
+    link.sentChanges = m_changes;
+    Workloads side = view.tree || fullMesh() ? sideOf(view.peer) : Workloads {};
+    for (const auto& [upstream, work] : link.sent)
+        side.try_emplace(upstream); // what ended is told as nothing
+    for (const auto& [upstream, work] : side) {
+        if (heartbeat.work.size() >= m_options.entriesPerHeartbeat)
+            break;
+        if (find(link.sent, upstream) == work)
+            continue;
         heartbeat.work.emplace_back(upstream, saturate(work.requests),
             saturate((work.promptTokens + promptTokensUnit / 2) / promptTokensUnit));
-    m_sent[link.peer] = m_changes;
+        if (work == UpstreamWorkload {})
+            link.sent.erase(upstream);
+        else
+            link.sent[upstream] = work;
+    }
 }
 
-void InProgressTable::accept(const LinkView& link, const HeartbeatT& heartbeat, MonotonicTime now)
+void InProgressTable::accept(const LinkView& view, const HeartbeatT& heartbeat, MonotonicTime now)
 {
-    Peer& peer = m_peers[link.peer];
-    peer.heard = now;
-    peer.work.clear();
-    for (const auto& work : heartbeat.work)
-        peer.work[work.upstream()] = { work.requests(), work.promptTokens() * promptTokensUnit };
-    m_stale = true;
+    Link& link = m_links[view.peer];
+    link.heard = now;
+    link.counted = true;
+    for (const auto& entry : heartbeat.work) {
+        UpstreamWorkload work { entry.requests(), entry.promptTokens() * promptTokensUnit };
+        if (work == UpstreamWorkload {})
+            link.received.erase(entry.upstream());
+        else
+            link.received[entry.upstream()] = work;
+    }
+    if (!heartbeat.work.empty())
+        addUp();
 }
 
 // Only a full mesh hears of each change early: in a large fleet that would cost more than it tells.
-bool InProgressTable::urgent(const LinkView& link, MonotonicTime) const
+bool InProgressTable::urgent(const LinkView& view, MonotonicTime) const
 {
-    if (m_membership.usable().size() > MembershipOptions {}.fullMeshLimit)
+    if (!fullMesh())
         return false;
-    auto sent = m_sent.find(link.peer);
-    return sent == m_sent.end() || sent->second != m_changes;
+    auto link = m_links.find(view.peer);
+    return link == m_links.end() || link->second.sentChanges != m_changes;
 }
 
 void InProgressTable::linkDown(const std::string& peer, MonotonicTime)
 {
-    m_peers.erase(peer);
-    m_sent.erase(peer);
-    m_stale = true;
+    m_links.erase(peer);
+    addUp();
 }
 
 } // namespace briarwharf
--- a/coordination/inprogress.h
+++ b/coordination/inprogress.h
@@ -17,12 +17,14 @@
 };
 
 struct InProgressOptions {
-    Milliseconds peerTtl { 3000 }; // what a peer said is dropped after this time without a heartbeat
+    Milliseconds linkTtl { 3000 }; // what a link said is not counted after this time without a heartbeat
+    std::size_t entriesPerHeartbeat = 512; // further changes wait for the next one
 };
 
-// Which upstreams the other instances are using. Each instance tells its links what it has in progress; the
-// sum over the peers is what this instance cannot see by itself. In a partial mesh only neighbours are heard,
-// and the sum is scaled to the fleet.
+// How much work all other instances have at each upstream. In a full mesh each instance tells every other its
+// own part. In a partial mesh the parts are added up along the aggregation tree: on each tree link goes the
+// sum over the sender's side of it, so that bytes follow the number of upstreams and not that of instances.
+// Only changes are sent; a link carries them in order.
 class InProgressTable : public HeartbeatSection {
 public:
     InProgressTable(const Membership&, InProgressOptions);
@@ -33,10 +35,10 @@
 
     // This instance's part.
     UpstreamWorkload own(std::uint32_t upstream) const;
-    // All other instances together.
+    // All other instances together, as far as they are heard.
     UpstreamWorkload others(std::uint32_t upstream) const;
 
-    // Drops what silent peers said and adds up the rest. Call it before a round of decisions.
+    // Leaves out links that fell silent. Call it before a round of decisions.
     void refresh(MonotonicTime now);
 
     void fill(const LinkView&, HeartbeatT&, MonotonicTime now) override;
@@ -45,20 +47,26 @@
     void linkDown(const std::string& peer, MonotonicTime now) override;
 
 private:
-    struct Peer {
+    using Workloads = std::unordered_map<std::uint32_t, UpstreamWorkload>;
+
+    struct Link {
         MonotonicTime heard;
-        std::unordered_map<std::uint32_t, UpstreamWorkload> work;
+        bool counted = false;
+        Workloads received;
+        Workloads sent;
+        std::uint64_t sentChanges = 0; // changes of the own part known to the peer
     };
 
+    bool fullMesh() const;
+    Workloads sideOf(const std::string& peer) const;
+    void addUp();
+
     const Membership& m_membership;
     InProgressOptions m_options;
-    std::unordered_map<std::uint32_t, UpstreamWorkload> m_own;
-    std::map<std::string, Peer, std::less<>> m_peers;
-    std::unordered_map<std::uint32_t, UpstreamWorkload> m_others;
-    std::map<std::string, std::uint64_t, std::less<>> m_sent; // changes known to each peer
+    Workloads m_own;
+    Workloads m_others;
+    std::map<std::string, Link, std::less<>> m_links;
     std::uint64_t m_changes = 0;
-    double m_scale = 1;
-    bool m_stale = true;
 };
 
 } // namespace briarwharf
--- a/coordination/relay.cc
+++ b/coordination/relay.cc
@@ -7,8 +7,6 @@
 
 namespace {
 
-    constexpr std::uint64_t watchSeed = 0x7761746368ULL; // keeps watchers independent of other owners
-
     // A confirmation that is newer than the peer's by less than this is not worth an early heartbeat.
     constexpr Milliseconds worthwhileConfirmation { 450 };
 
@@ -66,29 +64,10 @@
     , m_options(std::move(options))
     , m_outbox(outbox)
     , m_random(seed)
+    , m_election(membership, m_options.watchersPerDomain)
 {
 }
 
-bool ConfigurationRelay::watches() const
-{
-    if (m_watchEpoch == m_membership.epoch())
-        return m_watches;
-    m_watchEpoch = m_membership.epoch();
-    const InstanceIdentity& self = m_membership.self();
-    std::uint64_t key = hash64(self.failureDomain, watchSeed);
-    std::uint64_t ownScore = combineHashes(key, hash64(self.id));
-    std::size_t better = 0;
-    for (const std::string& id : m_membership.usable()) {
-        if (id == self.id)
-            continue;
-        const MemberView& view = m_membership.members().at(id);
-        bool ahead = view.failureDomain == self.failureDomain && combineHashes(key, view.hash) > ownScore;
-        better += ahead ? 1 : 0;
-    }
-    m_watches = !m_membership.leaving() && better < m_options.watchersPerDomain;
-    return m_watches;
-}
-
 bool ConfigurationRelay::takePoll(MonotonicTime now)
 {
     auto jitter = static_cast<std::uint64_t>(m_options.pollInterval.count());
--- a/coordination/relay.h
+++ b/coordination/relay.h
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "coordination/member.h"
+#include "coordination/watchelection.h"
 #include <deque>
 
 namespace briarwharf {
@@ -86,7 +87,7 @@
     ConfigurationRelay(const Membership&, RelayOptions, Outbox&, std::uint64_t seed);
 
     // Whether this instance watches the store: one of `watchersPerDomain` in its failure domain.
-    bool watches() const;
+    bool watches() const { return m_election.isElected(); }
 
     // Whether an instance that does not watch should read the head from the store now. True at most once per
     // poll interval.
@@ -170,8 +171,7 @@
     std::optional<MonotonicTime> m_lastFetch;
     std::optional<MonotonicTime> m_nextPoll;
     std::uint64_t m_nextNonce = 1;
-    mutable std::uint64_t m_watchEpoch = ~std::uint64_t { 0 };
-    mutable bool m_watches = false;
+    WatchElection m_election;
 };
 
 } // namespace briarwharf
--- a/process/directorysource.h
+++ b/process/directorysource.h
@@ -4,6 +4,7 @@
 #include "process/forwardheaders.h"
 #include "version/version.h"
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,9 +35,15 @@
     // The names that the platform's callers and upstreams use.
     virtual ForwardingHeaders headers() const = 0;
 
-    // Follows the source from now on, through its outages.
+    // Reads the source once, and follows it from now on, through its outages.
     virtual void start(DirectoryCallbacks) = 0;
 
+    // Whether to go on following it, and for whom.
+    virtual void follow(WatchDuty) = 0;
+
+    // When the source was last asked and had nothing newer than what it told; nullopt: never.
+    virtual std::optional<MonotonicTime> confirmedAt() const = 0;
+
     // This instance leaves the fleet.
     virtual void leave() = 0;
 
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -101,7 +101,7 @@
     , m_source(std::move(source))
     , m_mesh(base, identityOf(m_settings),
           [this](const std::string& peer, const PeerFrameT& frame) { frameReceived(peer, frame); })
-    , m_relay({}, m_mesh.outbox())
+    , m_relay({}, m_mesh.membership(), m_mesh.outbox())
     , m_work(m_mesh.membership(), {})
     , m_health({})
     , m_directory(directoryOptions(m_settings))
@@ -244,8 +244,11 @@
 void ForwardDaemon::tick()
 {
     MonotonicTime now = clockNow();
+    if (auto confirmed = m_source->confirmedAt())
+        m_relay.confirm(*confirmed);
     m_mesh.tick();
     m_relay.tick(now);
+    m_source->follow(m_stopping ? WatchDuty::OwnOnly : m_relay.duty());
     m_mesh.flush();
     if (m_directory.expire(now))
         upstreamsChanged("lapse");
--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -94,6 +94,7 @@
     m_item.parts = std::move(m_fields.parts);
     m_item.promptTokens = m_fields.promptTokens;
     m_item.outputTokens = m_fields.outputHint > 0 ? m_fields.outputHint : m_fields.maxOutputTokens;
+    m_item.targetLatency = m_route->targetLatency;
     m_item.hash = requestHash;
     m_forwarder.m_budget.requestStarted(m_pool, m_request.received);
     place();
@@ -575,7 +576,7 @@
         .field("expected_ms", m_decision.expectedMs)
         .field("to_read", m_decision.promptTokens)
         .field("prompt", m_item.promptTokens)
-        .field("home", m_decision.home)
+        .field("placed", costReasonName(m_decision.reason))
         .field("there", m_chosen.requests)
         .field("there_prompt", m_chosen.promptTokens)
         .field("slowness", m_chosen.slowness)
--- a/process/testing/forwardfixture.cc
+++ b/process/testing/forwardfixture.cc
@@ -74,6 +74,13 @@
     m_callbacks.upstreams({ 0, m_directory.revision, m_directory.upstreams, {} });
 }
 
+std::optional<MonotonicTime> FakeSource::confirmedAt() const
+{
+    if (m_directory.away)
+        return std::nullopt;
+    return std::chrono::steady_clock::now();
+}
+
 // The document of the fake is its version; the routes are those of the directory.
 Result<RoutingConfig> FakeSource::decodeRouting(std::string_view document) const
 {
--- a/process/testing/forwardfixture.h
+++ b/process/testing/forwardfixture.h
@@ -31,6 +31,8 @@
 
     ForwardingHeaders headers() const override { return {}; }
     void start(DirectoryCallbacks) override;
+    void follow(WatchDuty) override { }
+    std::optional<MonotonicTime> confirmedAt() const override;
     void leave() override { left = true; }
     void setEndpoint(const Endpoint&) override { }
     Result<RoutingConfig> decodeRouting(std::string_view document) const override;
--- a/request/costplacement.cc
+++ b/request/costplacement.cc
@@ -32,6 +32,12 @@
 
 } // namespace
 
+std::string_view costReasonName(CostReason reason)
+{
+    constexpr std::string_view names[] { "home", "cheaper", "home-over-bound", "home-avoided", "service" };
+    return names[static_cast<std::size_t>(reason)];
+}
+
 CostPlacement::CostPlacement(CostSettings settings)
     : m_settings(settings)
 {
@@ -45,18 +51,34 @@
     return item.parts[item.parts.size() > 1 ? item.parts.size() - 2 : 0].id;
 }
 
-std::int64_t CostPlacement::expectedHeld(const WorkItem& item, std::uint32_t upstream, bool home) const
+std::int64_t CostPlacement::expectedHeld(const WorkItem& item, std::uint32_t upstream, std::size_t rank) const
 {
     auto found = m_memories.find(upstream);
     std::int64_t held = found == m_memories.end() ? 0 : found->second.heldTokens(item.parts);
-    if (!home || item.parts.empty())
+    if (rank > 1 || item.parts.empty())
         return held;
     std::int64_t shared = 0;
     for (std::size_t part = 0; part + 1 < item.parts.size(); ++part)
         shared += item.parts[part].tokens;
+    if (rank == 1)
+        shared = static_cast<std::int64_t>(m_settings.secondHolds * static_cast<double>(shared));
     return std::max(held, shared);
 }
 
+double CostPlacement::cost(
+    const WorkItem& item, const UpstreamCandidate& candidate, double expectedMs, std::int64_t toRead) const
+{
+    double safe = m_settings.safePartOfTarget * static_cast<double>(item.targetLatency.count());
+    // A slow engine makes the whole answer late, not only its beginning.
+    double stretched = static_cast<double>(item.outputTokens) * m_settings.outputTokenMs
+        * std::max(0.0, candidate.slowness - m_settings.slowFrom);
+    double result = m_settings.readWeight * static_cast<double>(toRead) / m_settings.promptTokensPerMs
+        + m_settings.waitWeight * (expectedMs + stretched)
+        + m_settings.lateWeight * std::max(0.0, expectedMs - safe)
+        + (candidate.sameDomain ? 0 : m_settings.crossDomainMs);
+    return result * (1 + m_settings.jitter * jitter(item, candidate));
+}
+
 std::optional<CostDecision> CostPlacement::chooseEngine(
     const WorkItem& item, const std::vector<UpstreamCandidate>& candidates) const
 {
@@ -67,32 +89,36 @@
     order.reserve(candidates.size());
     for (std::size_t index = 0; index < candidates.size(); ++index)
         order.emplace_back(rendezvousScore(key, candidates[index].hash), index);
-    std::size_t homes = std::min(m_settings.homes, order.size());
-    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(homes), order.end(),
+    constexpr std::ptrdiff_t ranked = 2; // further ranks make no difference
+    std::partial_sort(order.begin(),
+        order.begin() + std::min(ranked, static_cast<std::ptrdiff_t>(order.size())), order.end(),
         [](const auto& left, const auto& right) { return left.first > right.first; });
 
     double limit = loadLimit(candidates, m_settings);
     CostDecision best;
     int bestClass = std::numeric_limits<int>::max();
     double bestCost = 0;
+    constexpr CostReason reasons[] { CostReason::Cheaper, CostReason::HomeOverBound,
+        CostReason::HomeAvoided };
+    CostReason otherThanHome = CostReason::Cheaper;
     for (std::size_t rank = 0; rank < order.size(); ++rank) {
         const UpstreamCandidate& candidate = candidates[order[rank].second];
-        bool home = rank < homes;
-        std::int64_t held = expectedHeld(item, candidate.hash, home);
+        std::int64_t held = expectedHeld(item, candidate.hash, rank);
         std::int64_t toRead = std::max<std::int64_t>(0, item.promptTokens - held);
         double expected
             = (m_settings.firstTokenMs
                   + static_cast<double>(candidate.promptTokens + toRead) / m_settings.promptTokensPerMs
                   + m_settings.requestMs * candidate.requests)
             * candidate.slowness;
-        double cost = (expected + (candidate.sameDomain ? 0 : m_settings.crossDomainMs))
-            * (1 + m_settings.jitter * jitter(item, candidate));
+        double total = cost(item, candidate, expected, toRead);
         int preference = preferenceClass(candidate, limit);
-        if (preference > bestClass || (preference == bestClass && cost >= bestCost))
+        if (rank == 0)
+            otherThanHome = reasons[preference];
+        if (preference > bestClass || (preference == bestClass && total >= bestCost))
             continue;
         bestClass = preference;
-        bestCost = cost;
-        best = { order[rank].second, expected, held, toRead, home };
+        bestCost = total;
+        best = { order[rank].second, expected, held, toRead, rank == 0 ? CostReason::Home : otherThanHome };
     }
     return best;
 }
@@ -118,7 +144,7 @@
             continue;
         bestClass = preference;
         bestCost = cost;
-        best = { index, expected, 0, 0, false };
+        best = { index, expected, 0, 0, CostReason::Service };
     }
     return best;
 }
--- a/request/costplacement.h
+++ b/request/costplacement.h
@@ -15,6 +15,7 @@
     std::vector<PromptPart> parts; // empty for plain services
     std::int64_t promptTokens = 0;
     std::int64_t outputTokens = 0; // expected
+    Milliseconds targetLatency { 1000 }; // to the first byte
     std::uint64_t hash = 0; // of the request, for jitter
 };
 
@@ -32,24 +33,43 @@
 struct CostSettings {
     double promptTokensPerMs = 60; // that an engine reads while nothing else waits
     double firstTokenMs = 10; // of an engine, without prompt or queue
-    double requestMs = 1.5; // delay by each request that runs at an engine
+    double outputTokenMs = 3.5; // between two tokens of an engine
+    double requestMs = 0.2; // delay of a first token by each request that runs at an engine
     double serviceMs = 25; // of a plain service, for one request
     double crossDomainMs = 3; // what a byte between failure domains is worth, as time
+    // Weights of a millisecond: of an engine's reading, which delays all others there; of the caller's wait;
+    // and of the wait beyond a part of the route's target, after which the answer may be late.
+    double readWeight = 1;
+    double waitWeight = 0.2;
+    double lateWeight = 5;
+    double safePartOfTarget = 0.5;
+    double slowFrom = 2; // slowness below this is within what single answers scatter
     // No upstream gets a request while it holds more than this multiple of the mean of its pool, and a few.
-    double loadBound = 1.5;
+    double loadBound = 1.7;
     double loadBoundExtra = 2;
-    // An upstream this far down the rendezvous order of a part is assumed to hold it, as others were sent
-    // there.
-    std::size_t homes = 1;
+    // The first of the rendezvous order of a prompt is assumed to hold its shared parts, since all instances
+    // send them there; the second gets them when the first is busy, and is assumed to hold this part of them.
+    double secondHolds = 0.5;
     double jitter = 0.02; // share of the cost, by hash of the request
 };
 
+// Why a request goes where it goes.
+enum class CostReason {
+    Home, // first in the rendezvous order of its prompt
+    Cheaper, // another engine costs less, its own memory or its short queue counted
+    HomeOverBound, // the home holds too large a part of the pool's requests
+    HomeAvoided, // the home failed or refused lately, or its entry lapsed
+    Service, // a plain service: no home
+};
+
+std::string_view costReasonName(CostReason);
+
 struct CostDecision {
     std::size_t index = 0; // of the candidate
     double expectedMs = 0; // to the first byte
     std::int64_t heldTokens = 0; // of the prompt, expected to be in the engine's memory
     std::int64_t promptTokens = 0; // to be read
-    bool home = false; // first in the rendezvous order
+    CostReason reason = CostReason::Service;
 };
 
 // Chooses the upstream with the least expected time to the first byte, where prompt parts that an engine
@@ -76,7 +96,8 @@
     const CostSettings& settings() const { return m_settings; }
 
 private:
-    std::int64_t expectedHeld(const WorkItem&, std::uint32_t upstream, bool home) const;
+    std::int64_t expectedHeld(const WorkItem&, std::uint32_t upstream, std::size_t rank) const;
+    double cost(const WorkItem&, const UpstreamCandidate&, double expectedMs, std::int64_t toRead) const;
     static std::uint64_t affinityKey(const WorkItem&);
 
     CostSettings m_settings;
