Refresh sums along the tree more often; trace requests across logs; fuzz the new decoders

Ruled out: the bound itself (1.7 times the mean was under the users' 2); full meshes.

Change: changes of sums travel every 400 ms along the tree; bound 1.6.

--- a/base/base.h
+++ b/base/base.h
@@ -15,5 +15,6 @@
 #include "base/hash.h"
 #include "base/json.h"
 #include "base/log.h"
+#include "base/logtrace.h"
 #include "base/random.h"
 #include "base/time.h"
--- a/base/testing/log_test.cc
+++ b/base/testing/log_test.cc
@@ -1,46 +1,11 @@
 #include "base/base.h"
+#include "base/testing/capturedoutput.h"
 #include <doctest/doctest.h>
-#include <fcntl.h>
+#include <sstream>
 #include <string>
-#include <unistd.h>
 
 namespace briarwharf {
 
-namespace {
-
-    // Standard output is a pipe for the lifetime of the object.
-    class CapturedOutput {
-    public:
-        CapturedOutput()
-            : m_saved(dup(STDOUT_FILENO))
-        {
-            REQUIRE(pipe(m_pipe) == 0);
-            fcntl(m_pipe[0], F_SETFL, O_NONBLOCK);
-            dup2(m_pipe[1], STDOUT_FILENO);
-        }
-        ~CapturedOutput()
-        {
-            dup2(m_saved, STDOUT_FILENO);
-            close(m_saved);
-            close(m_pipe[0]);
-            close(m_pipe[1]);
-        }
-        std::string take()
-        {
-            std::string text;
-            char buffer[4096];
-            for (ssize_t count; (count = read(m_pipe[0], buffer, sizeof buffer)) > 0;)
-                text.append(buffer, static_cast<std::size_t>(count));
-            return text;
-        }
-
-    private:
-        int m_saved;
-        int m_pipe[2] {};
-    };
-
-} // namespace
-
 // Guards against identifiers from outside that break a line's syntax.
 TEST_CASE("a log line is one JSON object whatever its values hold")
 {
@@ -105,4 +70,20 @@
     configureLogging("warning");
 }
 
+TEST_CASE("a request's lines are gathered from several logs in order of time")
+{
+    std::istringstream one("{\"time\":\"2026-01-01T00:00:02Z\",\"id\":\"a1\",\"event\":\"end\"}\n"
+                           "not a line with a1\n{\"time\":\"2026-01-01T00:00:01Z\",\"id\":\"b2\"}\n");
+    std::istringstream other("stamp {\"time\":\"2026-01-01T00:00:01Z\",\"id\":\"a1\",\"event\":\"attempt\"}\n"
+                             "{\"time\":\"2026-01-01T00:00:03Z\",\"id\":\"xa1\"}\n{broken a1\n");
+    LogTrace trace("a1");
+    trace.read(one, "entry-1");
+    trace.read(other, "entry-2");
+    auto lines = trace.lines();
+    REQUIRE(lines.size() == 2);
+    CHECK(lines[0].origin == "entry-2");
+    CHECK(lines[0].text.find("attempt") != std::string::npos);
+    CHECK(lines[1].origin == "entry-1");
+}
+
 } // namespace briarwharf
--- a/coordination/inprogress.cc
+++ b/coordination/inprogress.cc
@@ -105,10 +105,11 @@
     return side;
 }
 
-void InProgressTable::fill(const LinkView& view, HeartbeatT& heartbeat, MonotonicTime)
+void InProgressTable::fill(const LinkView& view, HeartbeatT& heartbeat, MonotonicTime now)
 {
     Link& link = m_links[view.peer];
     link.sentChanges = m_changes;
+    link.sentAt = now;
     Workloads side = view.tree || fullMesh() ? sideOf(view.peer) : Workloads {};
     for (const auto& [upstream, work] : link.sent)
         side.try_emplace(upstream); // what ended is told as nothing
@@ -138,17 +139,23 @@
         else
             link.received[entry.upstream()] = work;
     }
-    if (!heartbeat.work.empty())
-        addUp();
+    if (heartbeat.work.empty())
+        return;
+    addUp();
+    if (!fullMesh())
+        ++m_changes; // for the other links of the tree
 }
 
-// Only a full mesh hears of each change early: in a large fleet that would cost more than it tells.
-bool InProgressTable::urgent(const LinkView& view, MonotonicTime) const
+bool InProgressTable::urgent(const LinkView& view, MonotonicTime now) const
 {
-    if (!fullMesh())
+    bool full = fullMesh();
+    if (!full && !view.tree)
         return false;
     auto link = m_links.find(view.peer);
-    return link == m_links.end() || link->second.sentChanges != m_changes;
+    if (link == m_links.end())
+        return true;
+    bool due = full || now - link->second.sentAt >= m_options.treeInterval;
+    return due && link->second.sentChanges != m_changes;
 }
 
 void InProgressTable::linkDown(const std::string& peer, MonotonicTime)
--- a/coordination/inprogress.h
+++ b/coordination/inprogress.h
@@ -19,6 +19,8 @@
 struct InProgressOptions {
     Milliseconds linkTtl { 3000 }; // what a link said is not counted after this time without a heartbeat
     std::size_t entriesPerHeartbeat = 512; // further changes wait for the next one
+    // Between heartbeats with changes along the aggregation tree: at each hop a sum waits half of this.
+    Milliseconds treeInterval { 400 };
 };
 
 // How much work all other instances have at each upstream. In a full mesh each instance tells every other its
@@ -54,7 +56,8 @@
         bool counted = false;
         Workloads received;
         Workloads sent;
-        std::uint64_t sentChanges = 0; // changes of the own part known to the peer
+        std::uint64_t sentChanges = 0; // changes of this side known to the peer
+        MonotonicTime sentAt;
     };
 
     bool fullMesh() const;
--- a/ctl/briarwharfctl_main.cc
+++ b/ctl/briarwharfctl_main.cc
@@ -9,6 +9,8 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <string>
+#include <vector>
 
 namespace briarwharf {
 
@@ -28,6 +30,9 @@
     constexpr std::string_view usage
         = "usage: briarwharfctl --server IP:PORT [--server IP:PORT ...] --token-file FILE [options] "
           "'COMMANDS'\n"
+          "       briarwharfctl trace ID LOG-FILE ...    the lines about one request, from several "
+          "instances\n"
+          "       briarwharfctl --version\n"
           "Commands come from the arguments, from --file, or else from standard input, separated by ';'.\n"
           "Exit status: 0 done, 1 refused, 2 usage or syntax error, 3 no server reached, 4 outcome unknown,\n"
           "5 conflict with another change. It stops at the first command that is not done; after 1, 2, 3 and "
@@ -287,6 +292,28 @@
         return ExitDone;
     }
 
+    // Exit status: 0 if there are lines about the request, 1 if there are none, 2 for unreadable files.
+    int runTrace(const std::vector<std::string>& words)
+    {
+        if (words.size() < 2) {
+            std::cerr << "briarwharfctl: trace needs a request's id and log files\n";
+            return ExitUsage;
+        }
+        LogTrace trace(words[0]);
+        for (std::size_t index = 1; index < words.size(); ++index) {
+            std::ifstream file(words[index]);
+            if (!file) {
+                std::cerr << "briarwharfctl: cannot read " << words[index]
+                          << ": check the path and its permissions\n";
+                return ExitUsage;
+            }
+            trace.read(file, words[index]);
+        }
+        for (const TracedLine& line : trace.lines())
+            std::cout << line.origin << " " << line.text << "\n";
+        return trace.lines().empty() ? ExitRefused : ExitDone;
+    }
+
 } // namespace
 
 } // namespace briarwharf
@@ -295,6 +322,13 @@
 {
     briarwharf::ignoreBrokenPipes();
     briarwharf::configureLogging("error");
+    std::vector<std::string> words(values + 1, values + count);
+    if (!words.empty() && words[0] == "trace")
+        return briarwharf::runTrace({ words.begin() + 1, words.end() });
+    if (words.size() == 1 && words[0] == "--version") {
+        std::cout << "briarwharfctl " << BRIARWHARF_VERSION << "\n";
+        return briarwharf::ExitDone;
+    }
     auto arguments = briarwharf::parseArguments(count, values);
     if (!arguments)
         return briarwharf::printError(arguments.error(), briarwharf::ExitUsage, false);
--- a/daemon/briarwharfd_main.cc
+++ b/daemon/briarwharfd_main.cc
@@ -15,7 +15,6 @@
 
 constexpr int exitCannotStart = 1;
 constexpr int exitUsage = 2;
-constexpr const char* version = "0.1.0";
 
 struct BaseDeleter {
     void operator()(event_base* base) const { event_base_free(base); }
@@ -97,7 +96,7 @@
         return 0;
     }
     if (arguments.count("version")) {
-        std::cout << "briarwharfd " << version << "\n";
+        std::cout << "briarwharfd " << BRIARWHARF_VERSION << "\n";
         return 0;
     }
     if (arguments.count("print-example")) {
--- a/process/adminapi.h
+++ b/process/adminapi.h
@@ -9,7 +9,7 @@
 namespace briarwharf {
 
 // The operators' HTTP interface: health checks, metrics and the command language. docs/commands.md has the
-// language, docs/operations.md the rest.
+// language, docs/OPERATIONS.md the rest.
 class AdminApi {
 public:
     // Fills in what this process knows at run time, for SHOW.
--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -201,7 +201,9 @@
     outgoing.body = m_request.body;
     outgoing.identifierField = m_forwarder.m_headers.requestId;
     outgoing.identifier = m_fields.requestId;
-    if (!mayRepeat())
+    if (m_attempts > 0)
+        outgoing.maxIdle = Milliseconds(-1); // what broke one kept connection may have broken others
+    else if (!mayRepeat())
         outgoing.maxIdle = freshConnectionIdle;
     outgoing.maxConnections = m_forwarder.connectionLimit(m_pool);
     auto exchange = m_forwarder.m_connections.start(upstream->entry.endpoint, outgoing, *this);
--- a/process/metrics.h
+++ b/process/metrics.h
@@ -12,7 +12,7 @@
 
 namespace briarwharf {
 
-// The daemon's metrics; docs/operations.md lists them. Names start with "briarwharf_".
+// The daemon's metrics; docs/OPERATIONS.md lists them. Names start with "briarwharf_".
 class Metrics {
 public:
     Metrics();
--- a/process/testing/corpus_test.cc
+++ b/process/testing/corpus_test.cc
@@ -34,4 +34,5 @@
     CHECK(replay("settings", testing::exerciseSettings) >= 2);
     CHECK(replay("caller", testing::exerciseCaller) >= 4);
     CHECK(replay("claims", testing::exerciseClaims) >= 1);
+    CHECK(replay("http", testing::exerciseHttp) >= 4);
 }
--- a/process/testing/decoders.h
+++ b/process/testing/decoders.h
@@ -54,6 +54,43 @@
     require(whole == cut);
 }
 
+// HTTP messages and event streams. However the bytes are cut, they are read the same.
+inline void exerciseHttp(std::string_view bytes)
+{
+    struct Collected : HttpMessageSink {
+        std::string text;
+        void messageHead(const HttpHead& head) override
+        {
+            text += head.method + " " + head.target + " " + std::to_string(head.status) + "\n";
+            for (std::size_t index = 0; index < head.fields.size(); ++index)
+                appendField(text, head.fields.at(index).name, head.fields.at(index).value);
+        }
+        void messageBody(std::string_view part) override { text += part; }
+        void messageEnd() override { text += "\nend\n"; }
+    };
+    constexpr std::size_t maxHead = 4096;
+    for (auto kind : { HttpParser::Kind::Request, HttpParser::Kind::Answer }) {
+        HttpParser whole(kind, maxHead);
+        HttpParser cut(kind, maxHead);
+        Collected wholeText;
+        Collected cutText;
+        whole.feed(bytes, wholeText);
+        for (std::size_t at = 0; at < bytes.size() && !cut.failed() && !cut.complete(); ++at)
+            cut.feed(bytes.substr(at, 1), cutText);
+        require(whole.complete() == cut.complete());
+        require(!whole.complete() || wholeText.text == cutText.text);
+    }
+    EventRelay wholeRelay;
+    EventRelay cutRelay;
+    std::string wholeOut;
+    std::string cutOut;
+    bool wholeFine = wholeRelay.feed(bytes, wholeOut).has_value();
+    bool cutFine = true;
+    for (char byte : bytes)
+        cutFine = cutFine && cutRelay.feed({ &byte, 1 }, cutOut).has_value();
+    require(wholeFine == cutFine && wholeOut == cutOut);
+}
+
 // Records and snapshots of claims, as the store answers them.
 inline void exerciseClaims(std::string_view bytes)
 {
--- a/process/testing/forward_test.cc
+++ b/process/testing/forward_test.cc
@@ -1,7 +1,9 @@
 #include "process/testing/forwardfixture.h"
 
 #include "base/base.h"
+#include "base/testing/capturedoutput.h"
 #include <doctest/doctest.h>
+#include <sstream>
 
 using namespace briarwharf;
 
@@ -327,3 +329,89 @@
     CHECK(running->whole);
     CHECK(running->body == plainEvents(1, 2));
 }
+
+namespace {
+
+// The lines about a request, as an operator gets them from the log with `briarwharfctl trace`.
+std::vector<Json> traced(const std::string& log, const std::string& id)
+{
+    std::istringstream stream(log);
+    LogTrace trace(id);
+    trace.read(stream, "entry-1");
+    std::vector<Json> lines;
+    for (const auto& line : trace.lines())
+        lines.push_back(parseJson(line.text, "line").value());
+    return lines;
+}
+
+// Runs the scenario and returns what it logged.
+template <typename Scenario> std::string logged(Scenario scenario)
+{
+    CapturedOutput output;
+    configureLogging("info");
+    scenario();
+    configureLogging("warning");
+    return output.take();
+}
+
+} // namespace
+
+// Guards against failures that cannot be explained afterwards; docs/OPERATIONS.md leads through the same
+// lines.
+TEST_CASE("the cause of a refused request is found from its id")
+{
+    ForwardFixture fixture;
+    fixture.addUpstream("desk-1", [](const ScriptedRequest& request) {
+        return Script { ScriptStep::send(upstreamAnswer(request, 503, "", "X-Briarwharf-Not-Run: 1\r\n")) };
+    });
+    std::string log = logged([&] {
+        ForwardDaemon& daemon = fixture.startDaemon();
+        fixture.call(daemon, "/once/x", "deposit");
+        std::string metrics = fixture.admin(daemon, "/metrics")->body;
+        CHECK(
+            metrics.find("briarwharf_forwarded_requests_total{outcome=\"refused\"} 1") != std::string::npos);
+    });
+    auto lines = traced(log, "request-1");
+    REQUIRE(lines.size() == 2);
+    CHECK(lines[0]["end"] == "refused");
+    CHECK(lines[0]["upstream"] == "desk-1");
+    CHECK(lines[0]["verdict"] == "refuse-not-run");
+    CHECK(lines[1]["status"] == 503);
+    CHECK(lines[1]["routing_version"] == 1);
+}
+
+TEST_CASE("the cause of a broken stream is found from its id")
+{
+    ForwardFixture fixture;
+    fixture.addUpstream("engine-1", [](const ScriptedRequest& request) {
+        return Script { ScriptStep::send(streamHead(request) + streamEvents(1, 3)),
+            ScriptStep::wait(Milliseconds(20)), ScriptStep::reset() };
+    });
+    std::string log = logged([&] {
+        ForwardDaemon& daemon = fixture.startDaemon();
+        fixture.call(daemon, "/ask/x", "prompt");
+    });
+    auto lines = traced(log, "request-1");
+    REQUIRE(lines.size() == 2);
+    CHECK(lines[0]["end"] == "broken");
+    CHECK(lines[0]["reason"] == "Connection reset by peer");
+    CHECK(lines[0]["verdict"] == "cut");
+    CHECK(lines[1]["outcome"] == "cut");
+    CHECK(lines[1]["events"] == 3);
+}
+
+TEST_CASE("the cause of an unknown outcome is found from its id")
+{
+    ForwardFixture fixture;
+    fixture.addUpstream("desk-1", [](const ScriptedRequest&) { return Script { ScriptStep::close() }; });
+    std::string log = logged([&] {
+        ForwardDaemon& daemon = fixture.startDaemon();
+        fixture.call(daemon, "/book/x", "deposit");
+    });
+    auto lines = traced(log, "request-1");
+    REQUIRE(lines.size() == 2);
+    CHECK(lines[0]["written"] == true);
+    CHECK(lines[0]["reason"] == "closed by the other side before the answer was whole");
+    CHECK(lines[0]["verdict"] == "fail");
+    CHECK(lines[1]["status"] == 502);
+}
--- a/request/costplacement.h
+++ b/request/costplacement.h
@@ -45,7 +45,7 @@
     double safePartOfTarget = 0.5;
     double slowFrom = 2; // slowness below this is within what single answers scatter
     // No upstream gets a request while it holds more than this multiple of the mean of its pool, and a few.
-    double loadBound = 1.7;
+    double loadBound = 1.6;
     double loadBoundExtra = 2;
     // The first of the rendezvous order of a prompt is assumed to hold its shared parts, since all instances
     // send them there; the second gets them when the first is busy, and is assumed to hold this part of them.
