--- a/base/endpoint.h
+++ b/base/endpoint.h
@@ -12,7 +12,11 @@
     std::uint16_t port = 0;
 
     bool operator==(const Endpoint&) const = default;
-    auto operator<=>(const Endpoint&) const = default;
+    // For keys of maps.
+    bool operator<(const Endpoint& other) const
+    {
+        return address != other.address ? address < other.address : port < other.port;
+    }
 };
 
 // An IP number and port ("10.0.0.1:8080", "[::1]:8080"). Errors: InvalidArgument.
--- a/base/testing/log_test.cc
+++ b/base/testing/log_test.cc
@@ -62,10 +62,10 @@
     configureLogging("info");
     std::uint64_t before = droppedLogLines();
     for (int line = 0; line < 3000; ++line)
-        LogLine(LogLevel::Info, "noisy", "event");
+        LogLine(LogLevel::Info, "noisy", "event").field("line", line);
     CHECK(droppedLogLines() > before);
     output.take();
-    LogLine(LogLevel::Info, "quiet", "event");
+    LogLine(LogLevel::Info, "quiet", "event").field("line", 1);
     CHECK(output.take().find("quiet") != std::string::npos);
     configureLogging("warning");
 }
--- a/bench/costplacement_bench_main.cc
+++ b/bench/costplacement_bench_main.cc
@@ -37,6 +37,7 @@
         candidate.slots = 64;
     }
     std::vector<WorkItem> items;
+    items.reserve(1000);
     for (int count = 0; count < 1000; ++count)
         items.push_back(randomItem(random));
     CostPlacement placement({});
--- a/connection/ingress.h
+++ b/connection/ingress.h
@@ -44,6 +44,7 @@
 class CallerExchange {
 public:
     virtual ~CallerExchange() = default;
+    // Who is told; null for nobody. Set it to null before the events object is destroyed.
     virtual void setEvents(CallerEvents*) = 0;
 
     // A whole answer. `fields` are complete lines without Content-Length, Connection and the empty line.
--- a/coordination/directoryrelay.cc
+++ b/coordination/directoryrelay.cc
@@ -115,7 +115,7 @@
     DirectoryFetchT fetch;
     fetch.routingVersion = m_routingVersion;
     fetch.directoryRevision = m_directoryRevision;
-    m_outbox.send(*name, std::move(fetch));
+    m_outbox.send(*name, fetch);
 }
 
 void DirectoryRelay::receive(
--- a/process/peermesh.cc
+++ b/process/peermesh.cc
@@ -33,7 +33,7 @@
     , m_transport(base, PeerLinkOptions {},
           { [this](LinkId link, const HelloT& hello, bool outgoing) { linkUp(link, hello, outgoing); },
               [this](LinkId link, const Error&) { linkDown(link); },
-              [this](LinkId link, PeerFrameT frame) { frameReceived(link, std::move(frame)); } })
+              [this](LinkId link, const PeerFrameT& frame) { frameReceived(link, frame); } })
 {
     m_transport.setSelf(memberOf(m_membership.self()));
 }
@@ -115,7 +115,7 @@
     closePeer(peer);
 }
 
-void PeerMesh::frameReceived(LinkId link, PeerFrameT frame)
+void PeerMesh::frameReceived(LinkId link, const PeerFrameT& frame)
 {
     auto found = m_peers.find(link);
     if (found == m_peers.end())
--- a/process/peermesh.h
+++ b/process/peermesh.h
@@ -63,7 +63,7 @@
 
     void linkUp(LinkId, const HelloT&, bool outgoing);
     void linkDown(LinkId);
-    void frameReceived(LinkId, PeerFrameT);
+    void frameReceived(LinkId, const PeerFrameT&);
     void closePeer(const std::string& peer);
     void dialMissing();
     void dial(const std::string& peer, MonotonicTime now);
--- a/process/peers.cc
+++ b/process/peers.cc
@@ -29,8 +29,7 @@
 
 PeerService::PeerService(event_base* base, const Settings& settings, HttpStore& store, ConfigService& config,
     FrameCallback onFrame)
-    : m_settings(settings)
-    , m_store(store)
+    : m_store(store)
     , m_config(config)
     , m_onFrame(std::move(onFrame))
     , m_mesh(base, identityOf(settings),
--- a/process/peers.h
+++ b/process/peers.h
@@ -69,7 +69,6 @@
     void answerSnapshotRequests();
     void refreshList();
 
-    const Settings& m_settings;
     HttpStore& m_store;
     ConfigService& m_config;
     FrameCallback m_onFrame;
--- a/soak/soakupstream.cc
+++ b/soak/soakupstream.cc
@@ -75,7 +75,7 @@
     , m_log(log)
     , m_random(seed)
     , m_server(base, {},
-          [this](IngressRequest request, CallerExchange& caller) { handle(std::move(request), caller); })
+          [this](const IngressRequest& request, CallerExchange& caller) { handle(request, caller); })
 {
     m_port = m_server.listen({ "127.0.0.1", 0 }).value();
 }
@@ -92,7 +92,7 @@
     return "id: " + std::to_string(number) + "\ndata: " + std::string(requestId) + "\n\n";
 }
 
-void SoakUpstream::handle(IngressRequest request, CallerExchange& caller)
+void SoakUpstream::handle(const IngressRequest& request, CallerExchange& caller)
 {
     m_runs.remove_if([](const auto& run) { return run->isDone(); });
     const HttpFields& fields = request.head.fields;
--- a/soak/soakupstream.h
+++ b/soak/soakupstream.h
@@ -38,7 +38,7 @@
 private:
     class Run;
 
-    void handle(IngressRequest, CallerExchange&);
+    void handle(const IngressRequest&, CallerExchange&);
 
     event_base* m_base;
     std::string m_id;
