Give each test process its own loopback addresses; repair two cases under sanitizers

Outgoing connections have 127.0.0.1 as their source, so an address 127.a.b.n that depends on the process id is used by nobody else, and the peer port can be fixed. Ruled out: port 0 for peers in the daemon; all instances of a fleet use one peer port, which seeds rely on. CTest's limit follows the build: 600 s with sanitizers, 120 s without; the property outweighed the script's option.

--- a/cmake/library.cmake
+++ b/cmake/library.cmake
@@ -16,7 +16,12 @@
     add_executable(${name}_test ${test_sources} ${CMAKE_SOURCE_DIR}/base/testing/main.cc)
     target_link_libraries(${name}_test PRIVATE ${name} rapidcheck)
     add_test(NAME ${name}_test COMMAND ${name}_test)
-    set_tests_properties(${name}_test PROPERTIES TIMEOUT 120)
+    # Sanitizers slow the tests down several times.
+    set(limit_seconds 120)
+    if(BRIARWHARF_SANITIZE)
+      set(limit_seconds 600)
+    endif()
+    set_tests_properties(${name}_test PROPERTIES TIMEOUT ${limit_seconds})
   endif()
 endfunction()
 
--- a/process/testing/fleet.cc
+++ b/process/testing/fleet.cc
@@ -1,11 +1,8 @@
 #include "process/testing/fleet.h"
 
 #include "base/base.h"
-#include <arpa/inet.h>
+#include "connection/testing/loopback.h"
 #include <doctest/doctest.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 namespace briarwharf {
 
@@ -32,20 +29,7 @@
         return options;
     }
 
-    // Returns a port that was free during the call, for addresses that must be known before the listener
-    // exists.
-    std::uint16_t freePort()
-    {
-        int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof(address);
-        REQUIRE(bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) == 0);
-        getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
-        close(descriptor);
-        return ntohs(address.sin_port);
-    }
+    constexpr std::uint16_t peerPort = 7400;
 
     std::string loopback(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
 
@@ -72,9 +56,9 @@
             m_base.get(), "engine-" + std::to_string(i), streamTokensPerSecond));
     Json list = Json::array();
     for (std::size_t i = 0; i < instances; ++i) {
-        m_peerPorts.push_back(freePort());
-        list.push_back({ { "id", "entry-" + std::to_string(i) }, { "address", loopback(m_peerPorts.back()) },
-            { "failure_domain", "a" } });
+        m_peerAddresses.push_back({ ownLoopbackAddress(i + 1), peerPort });
+        list.push_back({ { "id", "entry-" + std::to_string(i) },
+            { "address", printEndpoint(m_peerAddresses.back()) }, { "failure_domain", "a" } });
     }
     m_store.setInstances(list, std::chrono::steady_clock::now(), Milliseconds(0));
     m_daemons.resize(instances);
@@ -105,7 +89,7 @@
     settings.instance.id = "entry-" + std::to_string(instance);
     settings.listen.callers.port = 0;
     settings.listen.admin.port = 0;
-    settings.listen.peers.port = m_peerPorts[instance];
+    settings.listen.peers = m_peerAddresses[instance];
     settings.store.endpoint.port = m_storePort;
     settings.store.timeout = Milliseconds(500);
     settings.operators.tokenHash = sha256Hex(operatorToken);
--- a/process/testing/fleet.h
+++ b/process/testing/fleet.h
@@ -92,7 +92,7 @@
     ServiceServer m_serviceServer;
     std::uint16_t m_servicePort;
     std::vector<std::unique_ptr<EngineFixture>> m_engines;
-    std::vector<std::uint16_t> m_peerPorts;
+    std::vector<Endpoint> m_peerAddresses;
     std::vector<std::unique_ptr<Daemon>> m_daemons;
     std::map<std::uint16_t, std::unique_ptr<UpstreamClient>> m_clients;
 };
--- a/process/testing/forward_test.cc
+++ b/process/testing/forward_test.cc
@@ -331,11 +331,11 @@
 // again.
 TEST_CASE("an instance whose source is unreachable gets its configuration and changes from peers")
 {
+    FakeDirectory silent; // outlives the daemon that follows it
+    silent.unreachable = true;
     ForwardFixture fixture;
     fixture.addUpstream("desk-1", answering("ok"));
     ForwardDaemon& withSource = fixture.startDaemon();
-    FakeDirectory silent;
-    silent.unreachable = true;
     silent.routing = fixture.directory.routing;
     ForwardDaemon& withoutSource = fixture.startDaemon(true, &silent);
     fixture.waitReady(withoutSource);
--- a/process/testing/forwardfixture.cc
+++ b/process/testing/forwardfixture.cc
@@ -1,5 +1,6 @@
 #include "process/testing/forwardfixture.h"
 
+#include "connection/testing/loopback.h"
 #include <algorithm>
 
 namespace briarwharf {
@@ -31,11 +32,8 @@
         return out;
     }
 
-    // A port that is free now; another process may take it before it is used.
-    std::uint16_t freePort(event_base* base)
-    {
-        return TcpListener::listen(base, "127.0.0.1", 0, [](int) {}).value()->port();
-    }
+    // All instances use the same peer port, so each has its own loopback address.
+    constexpr std::uint16_t peerPort = 7400;
 
 } // namespace
 
@@ -135,12 +133,7 @@
     settings.directory.source = "platform";
     settings.listen.callers = { "127.0.0.1", 0 };
     settings.listen.admin = { "127.0.0.1", 0 };
-    // All instances use the same peer port, so each gets its own loopback address.
-    if (m_peerAddresses.empty())
-        m_peerAddresses.push_back({ "127.0.0.1", freePort(m_base.get()) });
-    else
-        m_peerAddresses.push_back(
-            { "127.0.0." + std::to_string(m_peerAddresses.size() + 1), m_peerAddresses[0].port });
+    m_peerAddresses.push_back({ ownLoopbackAddress(m_peerAddresses.size() + 1), peerPort });
     settings.listen.peers = m_peerAddresses.back();
     if (seeds)
         settings.fleet.seeds = m_peerAddresses;
--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -7,4 +7,4 @@
 export BUILD_DIR=${BUILD_DIR:-build-sanitize}
 export ASAN_OPTIONS=detect_leaks=0
 scripts/build.sh -DBRIARWHARF_SANITIZE=ON
-ctest --test-dir "$BUILD_DIR" --output-on-failure -j "${JOBS:-4}" --timeout 600
+ctest --test-dir "$BUILD_DIR" --output-on-failure -j "${JOBS:-4}"
