Send long lists of upstreams compressed and to three peers at a time

Cause: an instance that starts asks a peer for the whole list, some 130 bytes an entry, without bound on how many are served at once; after a second without an answer it asks the next one, while the first answer still occupies the link. Change: lists follow the permits of long documents and go compressed; a peer that reports what it was sent frees its permit. Peers of the own failure domain that answer are asked first. The conversion of messages has a file of its own. Tests: 13 instances on 10 Mbit/s links have 4,840 upstreams within 2 s (before: 12 lists of 600 KB on one link, 5.8 s by calculation); order of the peers asked, with one that does not answer.

--- /dev/null
+++ b/coordination/directorymessage.cc
@@ -0,0 +1,104 @@
+#include "coordination/directorymessage.h"
+
+#include "base/compression.h"
+#include "base/endpoint.h"
+#include <algorithm>
+
+namespace briarwharf {
+
+namespace {
+
+    // Bound for decompression; a list of this size has far more upstreams than a fleet can use.
+    constexpr std::size_t maxListBytes = 16 * 1024 * 1024;
+
+    std::unique_ptr<DirectoryUpstreamT> toMessage(const UpstreamEntry& entry)
+    {
+        auto message = std::make_unique<DirectoryUpstreamT>();
+        message->id = entry.id;
+        message->pool = entry.pool;
+        message->address = printEndpoint(entry.endpoint);
+        message->failureDomain = entry.failureDomain;
+        message->slots = static_cast<std::uint32_t>(entry.slots);
+        message->draining = entry.draining;
+        message->started = entry.started;
+        message->revision = entry.revision;
+        return message;
+    }
+
+    // Returns nullopt for an entry without an id or with an address that cannot be parsed.
+    std::optional<UpstreamEntry> fromMessage(const DirectoryUpstreamT& message)
+    {
+        auto endpoint = parseEndpoint(message.address);
+        if (!endpoint || message.id.empty())
+            return std::nullopt;
+        UpstreamEntry entry;
+        entry.id = message.id;
+        entry.pool = message.pool;
+        entry.endpoint = endpoint.value();
+        entry.failureDomain = message.failureDomain;
+        entry.slots = static_cast<int>(message.slots);
+        entry.draining = message.draining;
+        entry.started = message.started;
+        entry.revision = message.revision;
+        return entry;
+    }
+
+    // `Message` is DirectoryPushT or DirectoryListT, which have the same fields for the list.
+    template <typename Message> void fillList(const DirectoryChanges& changes, Message& message)
+    {
+        message.from = changes.from;
+        message.revision = changes.revision;
+        for (const UpstreamEntry& entry : changes.entries)
+            message.upstreams.push_back(toMessage(entry));
+        for (const RemovedUpstream& removed : changes.removed) {
+            auto removal = std::make_unique<DirectoryRemovalT>();
+            removal->id = removed.id;
+            removal->revision = removed.revision;
+            message.removed.push_back(std::move(removal));
+        }
+    }
+
+    template <typename Message> DirectoryChanges readList(const Message& message)
+    {
+        DirectoryChanges changes;
+        changes.from = message.from;
+        changes.revision = message.revision;
+        for (const auto& upstream : message.upstreams) {
+            if (auto entry = fromMessage(*upstream))
+                changes.entries.push_back(std::move(*entry));
+        }
+        for (const auto& removal : message.removed)
+            changes.removed.push_back({ removal->id, removal->revision });
+        return changes;
+    }
+
+} // namespace
+
+void addChanges(const DirectoryChanges& changes, DirectoryPushT& push) { fillList(changes, push); }
+
+DirectoryChanges changesOf(const DirectoryPushT& push) { return readList(push); }
+
+std::string compressChanges(const DirectoryChanges& changes)
+{
+    DirectoryListT list;
+    fillList(changes, list);
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(DirectoryList::Pack(builder, &list));
+    return compress({ reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() });
+}
+
+Result<DirectoryChanges> decompressChanges(std::string_view compressed)
+{
+    auto bytes = decompress(compressed, maxListBytes);
+    if (!bytes)
+        return bytes.error();
+    const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.value().data());
+    flatbuffers::Verifier verifier(data, bytes.value().size());
+    if (!verifier.VerifyBuffer<DirectoryList>(nullptr))
+        return Error { ErrorKind::Corrupt, "list of upstreams fails verification: request it again" };
+    DirectoryListT list;
+    flatbuffers::GetRoot<DirectoryList>(data)->UnPackTo(&list);
+    return readList(list);
+}
+
+} // namespace briarwharf
--- a/coordination/directoryrelay.cc
+++ b/coordination/directoryrelay.cc
@@ -1,9 +1,10 @@
 #include "coordination/directoryrelay.h"
 
 #include "base/compression.h"
-#include "base/endpoint.h"
 #include "base/hash.h"
+#include "coordination/directorymessage.h"
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace briarwharf {
@@ -13,37 +14,8 @@
     // Bound for decompression; the limits on a configuration allow only far shorter documents.
     constexpr std::size_t maxDocumentBytes = 64 * 1024 * 1024;
 
-    std::unique_ptr<DirectoryUpstreamT> toMessage(const UpstreamEntry& entry)
-    {
-        auto message = std::make_unique<DirectoryUpstreamT>();
-        message->id = entry.id;
-        message->pool = entry.pool;
-        message->address = printEndpoint(entry.endpoint);
-        message->failureDomain = entry.failureDomain;
-        message->slots = static_cast<std::uint32_t>(entry.slots);
-        message->draining = entry.draining;
-        message->started = entry.started;
-        message->revision = entry.revision;
-        return message;
-    }
-
-    // Returns nullopt for an entry without an id or with an address that cannot be parsed.
-    std::optional<UpstreamEntry> fromMessage(const DirectoryUpstreamT& message)
-    {
-        auto endpoint = parseEndpoint(message.address);
-        if (!endpoint || message.id.empty())
-            return std::nullopt;
-        UpstreamEntry entry;
-        entry.id = message.id;
-        entry.pool = message.pool;
-        entry.endpoint = endpoint.value();
-        entry.failureDomain = message.failureDomain;
-        entry.slots = static_cast<int>(message.slots);
-        entry.draining = message.draining;
-        entry.started = message.started;
-        entry.revision = message.revision;
-        return entry;
-    }
+    // Approximate size of an uncompressed entry of the list of upstreams.
+    constexpr std::size_t entryBytes = 128;
 
 } // namespace
 
@@ -107,18 +79,11 @@
     m_fetchSentAt.reset();
     bool loaded = m_routingVersion > 0 && m_directoryRevision > 0;
     Milliseconds fetchDelay = loaded && m_duty != WatchDuty::None ? m_options.fetchDelay : Milliseconds(0);
-    // Chooses the peer that was queried longest ago, so that a peer that does not answer is skipped. Peers
-    // that were never queried are ordered by a hash that differs between instances, so that not all instances
-    // query the same peer.
     Peer* chosen = nullptr;
     const std::string* chosenId = nullptr;
-    std::uint64_t self = hash64(m_membership.self().id);
-    auto order = [self](const std::string& id, const Peer& peer) {
-        return std::make_pair(peer.lastFetch, combineHashes(self, hash64(id)));
-    };
     for (auto& [id, peer] : m_peers) {
         bool due = peer.aheadSince && now - *peer.aheadSince >= fetchDelay && isAhead(peer.reportedVersions);
-        if (due && (!chosen || order(id, peer) < order(*chosenId, *chosen))) {
+        if (due && (!chosen || fetchOrder(id, peer) < fetchOrder(*chosenId, *chosen))) {
             chosen = &peer;
             chosenId = &id;
         }
@@ -126,36 +91,69 @@
     if (!chosen)
         return;
     chosen->lastFetch = now;
+    chosen->unanswered = true;
     m_fetchSentAt = now;
     DirectoryFetchT fetch;
     fetch.routingVersion = m_routingVersion;
     fetch.directoryRevision = m_directoryRevision;
     fetch.acceptsCompressed = true;
+    fetch.acceptsCompressedList = true;
     m_outbox.send(*chosenId, fetch);
 }
 
+// Peers that answered come first, those of the own failure domain before others; then peers that did not
+// answer, beginning with the one that was queried longest ago. Equal ones are ordered by a hash that differs
+// between instances, so that not all instances query the same peer.
+DirectoryRelay::FetchOrder DirectoryRelay::fetchOrder(const std::string& id, const Peer& peer) const
+{
+    const auto& members = m_membership.members();
+    auto member = members.find(id);
+    bool sameDomain = member != members.end()
+        && member->second.failureDomain == m_membership.self().failureDomain;
+    std::uint64_t tieBreaker = combineHashes(m_membership.selfHash(), hash64(id));
+    return { peer.unanswered, !peer.unanswered && !sameDomain, peer.lastFetch, tieBreaker };
+}
+
 void DirectoryRelay::receive(const std::string& peer, const DirectoryFetchT& fetch,
     const UpstreamDirectory& directory, MonotonicTime now)
 {
     DirectoryPushT push;
     if (m_routingVersion > fetch.routingVersion)
         addDocument(peer, fetch.acceptsCompressed, push, now);
-    if (directory.revision() > fetch.directoryRevision) {
-        DirectoryChanges changes = directory.changesSince(fetch.directoryRevision);
-        push.from = changes.from;
-        push.revision = changes.revision;
-        for (const auto& entry : changes.entries)
-            push.upstreams.push_back(toMessage(entry));
-        for (const auto& removed : changes.removed) {
-            auto message = std::make_unique<DirectoryRemovalT>();
-            message->id = removed.id;
-            message->revision = removed.revision;
-            push.removed.push_back(std::move(message));
-        }
-    }
+    if (directory.revision() > fetch.directoryRevision)
+        addList(peer, fetch, directory, push, now);
     m_outbox.send(peer, std::move(push));
 }
 
+void DirectoryRelay::addList(const std::string& peer, const DirectoryFetchT& fetch,
+    const UpstreamDirectory& directory, DirectoryPushT& push, MonotonicTime now)
+{
+    DirectoryChanges changes = directory.changesSince(fetch.directoryRevision);
+    bool isLong = (changes.entries.size() + changes.removed.size()) * entryBytes > m_options.longDocumentBytes;
+    if (!isLong)
+        return addChanges(changes, push);
+    LongPush* permit = acquirePushPermit(peer, now);
+    if (!permit) {
+        push.busy = true;
+        return;
+    }
+    permit->versions.directory = changes.revision;
+    if (!fetch.acceptsCompressedList)
+        return addChanges(changes, push);
+    const std::string& list = compressedList(changes);
+    push.compressedList.assign(list.begin(), list.end());
+}
+
+// Complete lists are kept, since many peers that start at the same time request the same one.
+const std::string& DirectoryRelay::compressedList(const DirectoryChanges& changes)
+{
+    bool isKept = changes.from == 0 && m_compressedListRevision == changes.revision;
+    if (!isKept)
+        m_compressedList = compressChanges(changes);
+    m_compressedListRevision = changes.from == 0 ? changes.revision : 0;
+    return m_compressedList;
+}
+
 const std::string& DirectoryRelay::compressedDocument()
 {
     if (m_compressed.empty())
@@ -167,34 +165,41 @@
     const std::string& peer, bool compressed, DirectoryPushT& push, MonotonicTime now)
 {
     const std::string& document = compressed ? compressedDocument() : m_document;
-    if (document.size() > m_options.longDocumentBytes && !acquirePushPermit(peer, now)) {
-        push.busy = true;
-        return;
+    if (document.size() > m_options.longDocumentBytes) {
+        LongPush* permit = acquirePushPermit(peer, now);
+        if (!permit) {
+            push.busy = true;
+            return;
+        }
+        permit->versions.routing = m_routingVersion;
     }
     push.routingVersion = m_routingVersion;
     auto& bytes = compressed ? push.compressedDocument : push.routingDocument;
     bytes.assign(document.begin(), document.end());
 }
 
-// Returns false while the maximum number of peers are being sent the document: those that have neither
+// Returns nullptr while the maximum number of peers are being sent a document or list: those that have neither
 // reported it in a heartbeat nor exceeded answerTimeout.
-bool DirectoryRelay::acquirePushPermit(const std::string& peer, MonotonicTime now)
+DirectoryRelay::LongPush* DirectoryRelay::acquirePushPermit(const std::string& peer, MonotonicTime now)
 {
     for (auto push = m_longPushes.begin(); push != m_longPushes.end();) {
-        bool isExpired = now - push->second >= m_options.answerTimeout;
+        bool isExpired = now - push->second.started >= m_options.answerTimeout;
         push = isExpired ? m_longPushes.erase(push) : std::next(push);
     }
     if (m_longPushes.count(peer) == 0 && m_longPushes.size() >= m_options.maxConcurrentLongPushes)
-        return false;
-    m_longPushes[peer] = now;
-    return true;
+        return nullptr;
+    LongPush& push = m_longPushes[peer];
+    push.started = now;
+    return &push;
 }
 
-// A busy peer answers without a document. The next tick then queries another peer, beginning with those that
-// were not queried yet.
-Result<DirectoryUpdate> DirectoryRelay::receive(const std::string&, const DirectoryPushT& push)
+// A busy peer answers without a document or list. The next tick then queries another peer.
+Result<DirectoryUpdate> DirectoryRelay::receive(const std::string& peer, const DirectoryPushT& push)
 {
     m_fetchSentAt.reset();
+    auto sender = m_peers.find(peer);
+    if (sender != m_peers.end() && !push.busy)
+        sender->second.unanswered = false;
     DirectoryUpdate update;
     update.routingVersion = push.routingVersion;
     update.routingDocument.assign(push.routingDocument.begin(), push.routingDocument.end());
@@ -207,18 +212,15 @@
         m_receivedVersion = push.routingVersion;
         m_received = std::move(compressed);
     }
-    if (push.revision == 0)
-        return update;
-    DirectoryChanges changes;
-    changes.from = push.from;
-    changes.revision = push.revision;
-    for (const auto& message : push.upstreams) {
-        if (auto entry = fromMessage(*message))
-            changes.entries.push_back(std::move(*entry));
+    if (!push.compressedList.empty()) {
+        auto changes = decompressChanges(
+            { reinterpret_cast<const char*>(push.compressedList.data()), push.compressedList.size() });
+        if (!changes)
+            return changes.error();
+        update.changes = std::move(changes.value());
+    } else if (push.revision > 0) {
+        update.changes = changesOf(push);
     }
-    for (const auto& message : push.removed)
-        changes.removed.push_back({ message->id, message->revision });
-    update.changes = std::move(changes);
     return update;
 }
 
@@ -240,8 +242,9 @@
 {
     Peer& peer = m_peers[link.peer];
     peer.reportedVersions = { heartbeat.routingVersion, heartbeat.directoryRevision };
-    if (peer.reportedVersions.routing >= m_routingVersion)
-        m_longPushes.erase(link.peer);
+    auto push = m_longPushes.find(link.peer);
+    if (push != m_longPushes.end() && peer.reportedVersions.includes(push->second.versions))
+        m_longPushes.erase(push);
     if (!isAhead(peer.reportedVersions))
         peer.aheadSince.reset();
     else if (!peer.aheadSince)
--- a/coordination/directoryrelay.h
+++ b/coordination/directoryrelay.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 
 namespace briarwharf {
 
@@ -27,9 +28,9 @@
     Milliseconds confirmationTimeout { 2200 };
     Milliseconds freshConfirmationAge { 1500 };
     Milliseconds selfWatchDuration { 4000 };
-    // A document that is longer than this in its transmitted form is sent to at most
-    // `maxConcurrentLongPushes` peers at a time, so that it does not occupy the sender's network link for
-    // long; other peers get it from those that have received it.
+    // A document or list of upstreams that is longer than this is sent to at most `maxConcurrentLongPushes`
+    // peers at a time, so that it does not occupy the sender's network link for long; other peers get it from
+    // those that have received it.
     std::size_t longDocumentBytes = 16 * 1024;
     std::size_t maxConcurrentLongPushes = 3;
     // A confirmation that is newer than the peer's by more than this is sent before the next regular
@@ -96,23 +97,39 @@
         std::uint64_t routing = 0;
         std::uint64_t directory = 0;
         bool operator==(const Versions&) const = default;
+        bool includes(const Versions& other) const
+        {
+            return routing >= other.routing && directory >= other.directory;
+        }
     };
     struct Peer {
         Versions reportedVersions; // by the peer's latest heartbeat
         std::optional<Versions> sentVersions; // with the latest heartbeat to the peer
         std::optional<MonotonicTime> aheadSince;
         MonotonicTime lastFetch;
+        bool unanswered = false; // the latest query, or the peer was busy
         // Newest confirmation time that was sent to the peer or reported by it.
         std::optional<MonotonicTime> knownConfirmation;
     };
 
+    // A document or list that is being sent to a peer.
+    struct LongPush {
+        MonotonicTime started;
+        Versions versions; // that the peer has after it
+    };
+    using FetchOrder = std::tuple<bool, bool, MonotonicTime, std::uint64_t>;
+
     Versions ownVersions() const { return { m_routingVersion, m_directoryRevision }; }
     bool isAhead(const Versions&) const;
     void fetchFromPeer(MonotonicTime now);
     void updateDuty(MonotonicTime now);
     void addDocument(const std::string& peer, bool compressed, DirectoryPushT&, MonotonicTime now);
-    bool acquirePushPermit(const std::string& peer, MonotonicTime now);
+    void addList(const std::string& peer, const DirectoryFetchT&, const UpstreamDirectory&, DirectoryPushT&,
+        MonotonicTime now);
+    FetchOrder fetchOrder(const std::string& id, const Peer&) const;
+    LongPush* acquirePushPermit(const std::string& peer, MonotonicTime now);
     const std::string& compressedDocument();
+    const std::string& compressedList(const DirectoryChanges&);
 
     DirectoryRelayOptions m_options;
     const Membership& m_membership;
@@ -130,7 +147,9 @@
     // The last compressed document that a peer sent, kept until it is in force here or another one arrives.
     std::uint64_t m_receivedVersion = 0;
     std::string m_received;
-    std::map<std::string, MonotonicTime, std::less<>> m_longPushes; // start of the transfer, by peer
+    std::string m_compressedList;
+    std::uint64_t m_compressedListRevision = 0; // of the complete list in m_compressedList; 0: none
+    std::map<std::string, LongPush, std::less<>> m_longPushes; // by peer
     std::optional<MonotonicTime> m_fetchSentAt; // set while an answer is awaited
 };
 
--- a/coordination/peer_generated.h
+++ b/coordination/peer_generated.h
@@ -127,6 +127,10 @@
 struct DirectoryPushBuilder;
 struct DirectoryPushT;
 
+struct DirectoryList;
+struct DirectoryListBuilder;
+struct DirectoryListT;
+
 struct PeerFrame;
 struct PeerFrameBuilder;
 struct PeerFrameT;
@@ -3197,6 +3201,7 @@
   uint64_t routingVersion = 0;
   uint64_t directoryRevision = 0;
   bool acceptsCompressed = false;
+  bool acceptsCompressedList = false;
 };
 
 struct DirectoryFetch FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3208,7 +3213,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ROUTINGVERSION = 4,
     VT_DIRECTORYREVISION = 6,
-    VT_ACCEPTSCOMPRESSED = 8
+    VT_ACCEPTSCOMPRESSED = 8,
+    VT_ACCEPTSCOMPRESSEDLIST = 10
   };
   uint64_t routingVersion() const {
     return GetField<uint64_t>(VT_ROUTINGVERSION, 0);
@@ -3219,11 +3225,15 @@
   bool acceptsCompressed() const {
     return GetField<uint8_t>(VT_ACCEPTSCOMPRESSED, 0) != 0;
   }
+  bool acceptsCompressedList() const {
+    return GetField<uint8_t>(VT_ACCEPTSCOMPRESSEDLIST, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ROUTINGVERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_DIRECTORYREVISION, 8) &&
            VerifyField<uint8_t>(verifier, VT_ACCEPTSCOMPRESSED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_ACCEPTSCOMPRESSEDLIST, 1) &&
            verifier.EndTable();
   }
   DirectoryFetchT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3244,6 +3254,9 @@
   void add_acceptsCompressed(bool acceptsCompressed) {
     fbb_.AddElement<uint8_t>(DirectoryFetch::VT_ACCEPTSCOMPRESSED, static_cast<uint8_t>(acceptsCompressed), 0);
   }
+  void add_acceptsCompressedList(bool acceptsCompressedList) {
+    fbb_.AddElement<uint8_t>(DirectoryFetch::VT_ACCEPTSCOMPRESSEDLIST, static_cast<uint8_t>(acceptsCompressedList), 0);
+  }
   explicit DirectoryFetchBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3259,10 +3272,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t routingVersion = 0,
     uint64_t directoryRevision = 0,
-    bool acceptsCompressed = false) {
+    bool acceptsCompressed = false,
+    bool acceptsCompressedList = false) {
   DirectoryFetchBuilder builder_(_fbb);
   builder_.add_directoryRevision(directoryRevision);
   builder_.add_routingVersion(routingVersion);
+  builder_.add_acceptsCompressedList(acceptsCompressedList);
   builder_.add_acceptsCompressed(acceptsCompressed);
   return builder_.Finish();
 }
@@ -3528,6 +3543,7 @@
   std::vector<std::unique_ptr<briarwharf::DirectoryRemovalT>> removed{};
   std::vector<uint8_t> compressedDocument{};
   bool busy = false;
+  std::vector<uint8_t> compressedList{};
   DirectoryPushT() = default;
   DirectoryPushT(const DirectoryPushT &o);
   DirectoryPushT(DirectoryPushT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3548,7 +3564,8 @@
     VT_UPSTREAMS = 12,
     VT_REMOVED = 14,
     VT_COMPRESSEDDOCUMENT = 16,
-    VT_BUSY = 18
+    VT_BUSY = 18,
+    VT_COMPRESSEDLIST = 20
   };
   uint64_t routingVersion() const {
     return GetField<uint64_t>(VT_ROUTINGVERSION, 0);
@@ -3574,6 +3591,9 @@
   bool busy() const {
     return GetField<uint8_t>(VT_BUSY, 0) != 0;
   }
+  const flatbuffers::Vector<uint8_t> *compressedList() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_COMPRESSEDLIST);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ROUTINGVERSION, 8) &&
@@ -3590,6 +3610,8 @@
            VerifyOffset(verifier, VT_COMPRESSEDDOCUMENT) &&
            verifier.VerifyVector(compressedDocument()) &&
            VerifyField<uint8_t>(verifier, VT_BUSY, 1) &&
+           VerifyOffset(verifier, VT_COMPRESSEDLIST) &&
+           verifier.VerifyVector(compressedList()) &&
            verifier.EndTable();
   }
   DirectoryPushT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3625,6 +3647,9 @@
   void add_busy(bool busy) {
     fbb_.AddElement<uint8_t>(DirectoryPush::VT_BUSY, static_cast<uint8_t>(busy), 0);
   }
+  void add_compressedList(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> compressedList) {
+    fbb_.AddOffset(DirectoryPush::VT_COMPRESSEDLIST, compressedList);
+  }
   explicit DirectoryPushBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3645,11 +3670,13 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::DirectoryUpstream>>> upstreams = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::DirectoryRemoval>>> removed = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> compressedDocument = 0,
-    bool busy = false) {
+    bool busy = false,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> compressedList = 0) {
   DirectoryPushBuilder builder_(_fbb);
   builder_.add_revision(revision);
   builder_.add_from(from);
   builder_.add_routingVersion(routingVersion);
+  builder_.add_compressedList(compressedList);
   builder_.add_compressedDocument(compressedDocument);
   builder_.add_removed(removed);
   builder_.add_upstreams(upstreams);
@@ -3667,11 +3694,13 @@
     const std::vector<flatbuffers::Offset<briarwharf::DirectoryUpstream>> *upstreams = nullptr,
     const std::vector<flatbuffers::Offset<briarwharf::DirectoryRemoval>> *removed = nullptr,
     const std::vector<uint8_t> *compressedDocument = nullptr,
-    bool busy = false) {
+    bool busy = false,
+    const std::vector<uint8_t> *compressedList = nullptr) {
   auto routingDocument__ = routingDocument ? _fbb.CreateVector<uint8_t>(*routingDocument) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::DirectoryUpstream>>(*upstreams) : 0;
   auto removed__ = removed ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::DirectoryRemoval>>(*removed) : 0;
   auto compressedDocument__ = compressedDocument ? _fbb.CreateVector<uint8_t>(*compressedDocument) : 0;
+  auto compressedList__ = compressedList ? _fbb.CreateVector<uint8_t>(*compressedList) : 0;
   return briarwharf::CreateDirectoryPush(
       _fbb,
       routingVersion,
@@ -3681,11 +3710,127 @@
       upstreams__,
       removed__,
       compressedDocument__,
-      busy);
+      busy,
+      compressedList__);
 }
 
 flatbuffers::Offset<DirectoryPush> CreateDirectoryPush(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryPushT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct DirectoryListT : public flatbuffers::NativeTable {
+  typedef DirectoryList TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.DirectoryListT";
+  }
+  uint64_t from = 0;
+  uint64_t revision = 0;
+  std::vector<std::unique_ptr<briarwharf::DirectoryUpstreamT>> upstreams{};
+  std::vector<std::unique_ptr<briarwharf::DirectoryRemovalT>> removed{};
+  DirectoryListT() = default;
+  DirectoryListT(const DirectoryListT &o);
+  DirectoryListT(DirectoryListT&&) FLATBUFFERS_NOEXCEPT = default;
+  DirectoryListT &operator=(DirectoryListT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct DirectoryList FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DirectoryListT NativeTableType;
+  typedef DirectoryListBuilder Builder;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.DirectoryList";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FROM = 4,
+    VT_REVISION = 6,
+    VT_UPSTREAMS = 8,
+    VT_REMOVED = 10
+  };
+  uint64_t from() const {
+    return GetField<uint64_t>(VT_FROM, 0);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<briarwharf::DirectoryUpstream>> *upstreams() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<briarwharf::DirectoryUpstream>> *>(VT_UPSTREAMS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<briarwharf::DirectoryRemoval>> *removed() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<briarwharf::DirectoryRemoval>> *>(VT_REMOVED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_FROM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyOffset(verifier, VT_UPSTREAMS) &&
+           verifier.VerifyVector(upstreams()) &&
+           verifier.VerifyVectorOfTables(upstreams()) &&
+           VerifyOffset(verifier, VT_REMOVED) &&
+           verifier.VerifyVector(removed()) &&
+           verifier.VerifyVectorOfTables(removed()) &&
+           verifier.EndTable();
+  }
+  DirectoryListT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DirectoryListT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<DirectoryList> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryListT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct DirectoryListBuilder {
+  typedef DirectoryList Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_from(uint64_t from) {
+    fbb_.AddElement<uint64_t>(DirectoryList::VT_FROM, from, 0);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(DirectoryList::VT_REVISION, revision, 0);
+  }
+  void add_upstreams(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::DirectoryUpstream>>> upstreams) {
+    fbb_.AddOffset(DirectoryList::VT_UPSTREAMS, upstreams);
+  }
+  void add_removed(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::DirectoryRemoval>>> removed) {
+    fbb_.AddOffset(DirectoryList::VT_REMOVED, removed);
+  }
+  explicit DirectoryListBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DirectoryList> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DirectoryList>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DirectoryList> CreateDirectoryList(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t from = 0,
+    uint64_t revision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::DirectoryUpstream>>> upstreams = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::DirectoryRemoval>>> removed = 0) {
+  DirectoryListBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_from(from);
+  builder_.add_removed(removed);
+  builder_.add_upstreams(upstreams);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<DirectoryList> CreateDirectoryListDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t from = 0,
+    uint64_t revision = 0,
+    const std::vector<flatbuffers::Offset<briarwharf::DirectoryUpstream>> *upstreams = nullptr,
+    const std::vector<flatbuffers::Offset<briarwharf::DirectoryRemoval>> *removed = nullptr) {
+  auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::DirectoryUpstream>>(*upstreams) : 0;
+  auto removed__ = removed ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::DirectoryRemoval>>(*removed) : 0;
+  return briarwharf::CreateDirectoryList(
+      _fbb,
+      from,
+      revision,
+      upstreams__,
+      removed__);
+}
+
+flatbuffers::Offset<DirectoryList> CreateDirectoryList(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryListT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct PeerFrameT : public flatbuffers::NativeTable {
   typedef PeerFrame TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
@@ -4827,6 +4972,7 @@
   { auto _e = routingVersion(); _o->routingVersion = _e; }
   { auto _e = directoryRevision(); _o->directoryRevision = _e; }
   { auto _e = acceptsCompressed(); _o->acceptsCompressed = _e; }
+  { auto _e = acceptsCompressedList(); _o->acceptsCompressedList = _e; }
 }
 
 inline flatbuffers::Offset<DirectoryFetch> DirectoryFetch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryFetchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4840,11 +4986,13 @@
   auto _routingVersion = _o->routingVersion;
   auto _directoryRevision = _o->directoryRevision;
   auto _acceptsCompressed = _o->acceptsCompressed;
+  auto _acceptsCompressedList = _o->acceptsCompressedList;
   return briarwharf::CreateDirectoryFetch(
       _fbb,
       _routingVersion,
       _directoryRevision,
-      _acceptsCompressed);
+      _acceptsCompressed,
+      _acceptsCompressedList);
 }
 
 inline DirectoryUpstreamT *DirectoryUpstream::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4929,7 +5077,8 @@
         from(o.from),
         revision(o.revision),
         compressedDocument(o.compressedDocument),
-        busy(o.busy) {
+        busy(o.busy),
+        compressedList(o.compressedList) {
   upstreams.reserve(o.upstreams.size());
   for (const auto &upstreams_ : o.upstreams) { upstreams.emplace_back((upstreams_) ? new briarwharf::DirectoryUpstreamT(*upstreams_) : nullptr); }
   removed.reserve(o.removed.size());
@@ -4945,6 +5094,7 @@
   std::swap(removed, o.removed);
   std::swap(compressedDocument, o.compressedDocument);
   std::swap(busy, o.busy);
+  std::swap(compressedList, o.compressedList);
   return *this;
 }
 
@@ -4965,6 +5115,7 @@
   { auto _e = removed(); if (_e) { _o->removed.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->removed[_i] = std::unique_ptr<briarwharf::DirectoryRemovalT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = compressedDocument(); if (_e) { _o->compressedDocument.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->compressedDocument.begin()); } }
   { auto _e = busy(); _o->busy = _e; }
+  { auto _e = compressedList(); if (_e) { _o->compressedList.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->compressedList.begin()); } }
 }
 
 inline flatbuffers::Offset<DirectoryPush> DirectoryPush::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryPushT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4983,6 +5134,7 @@
   auto _removed = _o->removed.size() ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::DirectoryRemoval>> (_o->removed.size(), [](size_t i, _VectorArgs *__va) { return CreateDirectoryRemoval(*__va->__fbb, __va->__o->removed[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _compressedDocument = _o->compressedDocument.size() ? _fbb.CreateVector(_o->compressedDocument) : 0;
   auto _busy = _o->busy;
+  auto _compressedList = _o->compressedList.size() ? _fbb.CreateVector(_o->compressedList) : 0;
   return briarwharf::CreateDirectoryPush(
       _fbb,
       _routingVersion,
@@ -4992,7 +5144,60 @@
       _upstreams,
       _removed,
       _compressedDocument,
-      _busy);
+      _busy,
+      _compressedList);
+}
+
+inline DirectoryListT::DirectoryListT(const DirectoryListT &o)
+      : from(o.from),
+        revision(o.revision) {
+  upstreams.reserve(o.upstreams.size());
+  for (const auto &upstreams_ : o.upstreams) { upstreams.emplace_back((upstreams_) ? new briarwharf::DirectoryUpstreamT(*upstreams_) : nullptr); }
+  removed.reserve(o.removed.size());
+  for (const auto &removed_ : o.removed) { removed.emplace_back((removed_) ? new briarwharf::DirectoryRemovalT(*removed_) : nullptr); }
+}
+
+inline DirectoryListT &DirectoryListT::operator=(DirectoryListT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(from, o.from);
+  std::swap(revision, o.revision);
+  std::swap(upstreams, o.upstreams);
+  std::swap(removed, o.removed);
+  return *this;
+}
+
+inline DirectoryListT *DirectoryList::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<DirectoryListT>(new DirectoryListT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void DirectoryList::UnPackTo(DirectoryListT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = from(); _o->from = _e; }
+  { auto _e = revision(); _o->revision = _e; }
+  { auto _e = upstreams(); if (_e) { _o->upstreams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->upstreams[_i] = std::unique_ptr<briarwharf::DirectoryUpstreamT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = removed(); if (_e) { _o->removed.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->removed[_i] = std::unique_ptr<briarwharf::DirectoryRemovalT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<DirectoryList> DirectoryList::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryListT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateDirectoryList(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<DirectoryList> CreateDirectoryList(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryListT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DirectoryListT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _from = _o->from;
+  auto _revision = _o->revision;
+  auto _upstreams = _o->upstreams.size() ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::DirectoryUpstream>> (_o->upstreams.size(), [](size_t i, _VectorArgs *__va) { return CreateDirectoryUpstream(*__va->__fbb, __va->__o->upstreams[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _removed = _o->removed.size() ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::DirectoryRemoval>> (_o->removed.size(), [](size_t i, _VectorArgs *__va) { return CreateDirectoryRemoval(*__va->__fbb, __va->__o->removed[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return briarwharf::CreateDirectoryList(
+      _fbb,
+      _from,
+      _revision,
+      _upstreams,
+      _removed);
 }
 
 inline PeerFrameT *PeerFrame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/coordination/testing/directoryrelay_test.cc
+++ b/coordination/testing/directoryrelay_test.cc
@@ -1,5 +1,6 @@
 #include "base/base.h"
 #include "coordination/coordination.h"
+#include "coordination/directorymessage.h"
 
 #include <algorithm>
 #include <array>
@@ -7,6 +8,7 @@
 #include <doctest/doctest.h>
 #include <map>
 #include <memory>
+#include <vector>
 
 using namespace briarwharf;
 
@@ -103,18 +105,28 @@
     static constexpr double bytesPerMillisecond = 1250; // 10 Mbit/s
     static constexpr Milliseconds tickInterval { 100 };
 
-    SlowDomain()
+    // All instances have the same configuration and list; none if not `loaded`.
+    explicit SlowDomain(bool loaded = true)
     {
         for (std::size_t i = 0; i < instances; ++i)
             m_nodes.push_back(std::make_unique<Node>(nameOf(i)));
-        for (auto& node : m_nodes)
-            node->load(1, 10, m_now);
+        for (auto& node : m_nodes) {
+            if (loaded)
+                node->load(1, 10, m_now);
+        }
     }
 
+    MonotonicTime now() const { return m_now; }
+
     Node& at(std::size_t index) { return *m_nodes[index]; }
 
     // Longest time so far between the sending of a frame and its arrival.
     Milliseconds longestQueue() const { return m_longestQueue; }
+    std::size_t withoutList() const
+    {
+        return static_cast<std::size_t>(std::count_if(m_nodes.begin(), m_nodes.end(),
+            [](const auto& node) { return !node->directory.loaded(); }));
+    }
     std::size_t behind(std::uint64_t version) const
     {
         return static_cast<std::size_t>(std::count_if(m_nodes.begin(), m_nodes.end(),
@@ -368,6 +380,63 @@
     }
 }
 
+// Guards against a storm after all instances restarted: each requested the whole list from the few peers that had
+// it and, since no answer came in time, from the next one, while the first answers still occupied the links.
+TEST_CASE("a list of thousands of upstreams reaches instances that start together within two seconds")
+{
+    DirectoryChanges list { 0, 5000, {}, {} };
+    for (int number = 0; number < 4840; ++number) {
+        UpstreamEntry entry;
+        entry.id = "i-" + toHex(std::to_string(number * 7919));
+        entry.pool = "models";
+        entry.endpoint = { "10.1." + std::to_string(number / 250) + "." + std::to_string(number % 250), 8000 };
+        entry.failureDomain = domain;
+        entry.slots = 64;
+        entry.revision = 1 + static_cast<std::uint64_t>(number);
+        list.entries.push_back(entry);
+    }
+    SlowDomain fleet(false);
+    Node& first = fleet.at(0);
+    first.relay.setRouting(1, "document 1");
+    first.directory.apply(list, fleet.now());
+    first.relay.setDirectoryRevision(list.revision);
+    fleet.run(Milliseconds(2000));
+    CHECK(fleet.withoutList() == 0);
+    CHECK(fleet.at(5).directory.upstreams() == first.directory.upstreams());
+    // Three lists and a margin of 60 ms for short frames.
+    double queued = 3 * static_cast<double>(compressChanges(list).size()) / SlowDomain::bytesPerMillisecond;
+    CHECK(fleet.longestQueue() <= Milliseconds(static_cast<int>(queued) + 60));
+}
+
+// Guards against bytes between failure domains that are not needed.
+TEST_CASE("a peer of the own failure domain is queried before others, unless it does not answer")
+{
+    MonotonicTime now { std::chrono::hours(1) };
+    Node asker;
+    asker.membership.seed(
+        { { "near", "10.0.0.2:1", domain }, { "far-1", "10.0.0.3:1", "b" }, { "far-2", "10.0.0.4:1", "c" } },
+        now);
+    HeartbeatT heartbeat;
+    heartbeat.routingVersion = 7;
+    heartbeat.directoryRevision = 70;
+    for (const std::string peer : { "far-1", "far-2", "near" }) {
+        asker.relay.linkUp(peer, now);
+        asker.relay.accept(LinkView { peer }, heartbeat, now);
+    }
+    std::vector<std::string> queried;
+    for (int second = 1; second <= 4; ++second) {
+        asker.relay.tick(now + std::chrono::seconds(second * 2));
+        for (const auto& message : asker.outbox.drain())
+            queried.push_back(message.peer);
+    }
+    REQUIRE(queried.size() == 4);
+    CHECK(queried[0] == "near");
+    CHECK(queried[1] != "near");
+    CHECK(queried[2] != "near");
+    CHECK(queried[2] != queried[1]);
+    CHECK(queried[3] == "near");
+}
+
 // Guards against never sending a usable document to an instance of a version that does not support
 // compression.
 TEST_CASE("a peer that does not report support for compression gets uncompressed documents")
