Keep sessions at home under a wider load bound unless their segment is hot

The bound of 1.6 times the mean and 2 keeps room for placements that other instances make unseen, which only a hot segment has in number. Change: 1.9 times the mean and 2.5 less the segment's part of the requests that news of 100 ms lets unseen, never below the old bound. The part is estimated from this instance's last requests (SegmentShares). The hot-session test now records placements, as the daemon does; its bound is unchanged (3 in 100).

--- a/request/costplacement.cc
+++ b/request/costplacement.cc
@@ -8,14 +8,27 @@
 
 namespace {
 
-    // The number of requests above which an upstream is used only if no candidate is within this limit.
-    double loadLimit(const std::vector<UpstreamCandidate>& candidates, const CostSettings& settings)
+    double totalRequests(const std::vector<UpstreamCandidate>& candidates)
     {
-        double total = 1;
+        double total = 1; // the request to be placed
         for (const auto& candidate : candidates)
             total += candidate.requests;
-        return settings.loadBound * total / static_cast<double>(candidates.size())
-            + settings.loadBoundExtraRequests;
+        return total;
+    }
+
+    // The number of requests above which an upstream is used only if no candidate is within this limit.
+    double minLoadLimit(double total, std::size_t candidates, const CostSettings& settings)
+    {
+        return settings.minLoadBound * total / static_cast<double>(candidates)
+            + settings.minLoadBoundExtraRequests;
+    }
+
+    // The same for a request whose segment has this share of the requests.
+    double loadLimit(double total, std::size_t candidates, double segmentShare, const CostSettings& settings)
+    {
+        double limit = settings.loadBound * total / static_cast<double>(candidates)
+            + settings.loadBoundExtraRequests - settings.unseenShare * segmentShare * total;
+        return std::max(limit, minLoadLimit(total, candidates, settings));
     }
 
     // Candidates in three classes: 0 is usable, 1 is over the load limit, 2 is to be avoided. A candidate of
@@ -45,12 +58,11 @@
 {
 }
 
-// The last segment that other requests share: the last but one, since the last belongs to this request alone.
-std::uint64_t CostPlacement::affinityKey(const WorkItem& item)
+std::uint64_t WorkItem::affinityKey() const
 {
-    if (item.segments.empty())
-        return item.hash;
-    return item.segments[item.segments.size() > 1 ? item.segments.size() - 2 : 0].id;
+    if (segments.empty())
+        return hash;
+    return segments[segments.size() > 1 ? segments.size() - 2 : 0].id;
 }
 
 std::int64_t CostPlacement::expectedCachedTokens(
@@ -87,7 +99,7 @@
 {
     if (candidates.empty())
         return std::nullopt;
-    std::uint64_t key = affinityKey(item);
+    std::uint64_t key = item.affinityKey();
     std::vector<std::pair<double, std::size_t>> order;
     order.reserve(candidates.size());
     for (std::size_t index = 0; index < candidates.size(); ++index)
@@ -98,7 +110,8 @@
         order.begin() + std::min(rankedCandidates, static_cast<std::ptrdiff_t>(order.size())), order.end(),
         [](const auto& left, const auto& right) { return left.first > right.first; });
 
-    double limit = loadLimit(candidates, m_settings);
+    double limit = loadLimit(
+        totalRequests(candidates), candidates.size(), m_segmentShares.repeatShare(key), m_settings);
     CostDecision best;
     int bestClass = std::numeric_limits<int>::max();
     double bestCost = 0;
@@ -133,7 +146,7 @@
 {
     if (candidates.empty())
         return std::nullopt;
-    double limit = loadLimit(candidates, m_settings);
+    double limit = minLoadLimit(totalRequests(candidates), candidates.size(), m_settings);
     CostDecision best;
     int bestClass = std::numeric_limits<int>::max();
     double bestCost = 0;
@@ -157,6 +170,7 @@
 
 void CostPlacement::recordPlacement(const WorkItem& item, std::uint32_t upstream, std::int64_t cacheTokens)
 {
+    m_segmentShares.record(item.affinityKey());
     auto found = m_cacheEstimates.find(upstream);
     if (found == m_cacheEstimates.end())
         found = m_cacheEstimates.emplace(upstream, PromptCacheEstimate(cacheTokens)).first;
--- a/request/costplacement.h
+++ b/request/costplacement.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 #include "request/partmemory.h"
+#include "request/segmentshare.h"
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -17,6 +18,10 @@
     std::int64_t outputTokens = 0; // expected
     Milliseconds targetLatency { 1000 }; // until the first byte
     std::uint64_t hash = 0; // of the request, for jitter
+
+    // The segment by which engines are ranked: the last one that other requests share, which is the last but
+    // one, since the last belongs to this request alone. Without segments: the request itself.
+    std::uint64_t affinityKey() const;
 };
 
 // What an instance knows about an upstream when it places a request.
@@ -46,10 +51,16 @@
     double safeTargetShare = 0.5;
     double slownessTolerance = 2; // slowness up to this value is within the scatter of single answers
     // An upstream is over the load bound if the request would raise its number of requests above loadBound
-    // times the mean of the pool plus loadBoundExtraRequests. It then gets the request only if no candidate
-    // is below the bound.
-    double loadBound = 1.6;
-    double loadBoundExtraRequests = 2;
+    // times the mean of the pool plus loadBoundExtraRequests, less the requests for the same segment that other
+    // instances are likely to have placed without this instance knowing: unseenShare of the segment's part of
+    // the requests in progress. It then gets the request only if no candidate is below the bound. The bound
+    // is never below minLoadBound times the mean plus minLoadBoundExtraRequests, which also applies to plain
+    // services.
+    double loadBound = 1.9;
+    double loadBoundExtraRequests = 2.5;
+    double minLoadBound = 1.6;
+    double minLoadBoundExtraRequests = 2;
+    double unseenShare = 0.25;
     // The first engine in the rendezvous order of a prompt is assumed to cache the prompt's shared segments,
     // since all instances send them there. The second engine gets them when the first is busy, and is assumed
     // to cache this share of them.
@@ -105,9 +116,9 @@
     std::int64_t expectedCachedTokens(const WorkItem&, std::uint32_t upstream, std::size_t rank) const;
     double cost(
         const WorkItem&, const UpstreamCandidate&, double expectedMs, std::int64_t tokensToRead) const;
-    static std::uint64_t affinityKey(const WorkItem&);
 
     CostSettings m_settings;
+    SegmentShares m_segmentShares;
     std::unordered_map<std::uint32_t, PromptCacheEstimate> m_cacheEstimates; // by upstream
 };
 
--- a/request/request.h
+++ b/request/request.h
@@ -56,4 +56,5 @@
 #include "request/placement.h"
 #include "request/residence.h"
 #include "request/retry.h"
+#include "request/segmentshare.h"
 #include "request/urgency.h"
--- a/request/testing/costplacement_test.cc
+++ b/request/testing/costplacement_test.cc
@@ -133,6 +133,7 @@
         bool hot = random.below(4) == 0;
         WorkItem item = chat(hot ? 0 : 1 + random.below(60), random.next());
         std::size_t chosen = placements[instance].chooseEngine(item, candidates)->index;
+        placements[instance].recordPlacement(item, candidates[chosen].hash, cacheTokens);
         double mean = static_cast<double>(inProgress.size() + 1) / static_cast<double>(candidates.size());
         ++count;
         overBound += requestsAt[chosen] + 1 > 2 * mean + 3 ? 1 : 0;
