Bound what an upstream that sends bytes without end can cost

Found by reading, each with a test that fails without the change: - An at-most-once call whose caller has left kept its answer's body in memory without bound; it is no longer kept. - A stream counted any byte as progress, so one that stalled in the middle of an event while a byte came now and then was never continued elsewhere. Now complete events count. - Each piece of an incomplete event was joined and searched from its start again: time grew with the square of its size, up to 1 MiB. - Interim answers, chunk extensions and line ends did not count towards any limit. A message now fails after twice the head's limit and 4 KiB without a byte of its body. New gauge briarwharf_buffered_answer_bytes. The log line of a request names the segment by which it was placed.

--- a/connection/httpmessage.cc
+++ b/connection/httpmessage.cc
@@ -21,6 +21,15 @@
     // 1xx answers, such as 100 Continue, precede the final answer to the request.
     bool isInterim(int status) { return status >= 100 && status < 200; }
 
+    // Maximum number of bytes without a byte of the body in between. Only names and values of fields count
+    // towards the limit of a head, so interim answers, chunk extensions and line ends could follow each other
+    // without end.
+    std::size_t maxBytesWithoutBody(std::size_t maxHeadBytes)
+    {
+        constexpr std::size_t allowance = 4096; // for line ends and interim answers
+        return 2 * maxHeadBytes + allowance;
+    }
+
 } // namespace
 
 bool equalHeaderNames(std::string_view left, std::string_view right)
@@ -109,6 +118,7 @@
     m_parser.data = this;
     m_head = HttpHead {};
     m_headBytes = 0;
+    m_bytesWithoutBody = 0;
     m_valueSeen = true;
     m_complete = false;
     m_started = false;
@@ -121,11 +131,14 @@
         return 0;
     m_started = true;
     m_sink = &sink;
+    m_bodyReceived = false;
     std::size_t used = http_parser_execute(&m_parser, &callbacks(), bytes.data(), bytes.size());
     auto error = HTTP_PARSER_ERRNO(&m_parser);
     if (error == HPE_PAUSED || m_complete)
         return used;
-    m_failed = error != HPE_OK || m_parser.upgrade != 0;
+    m_bytesWithoutBody = m_bodyReceived ? 0 : m_bytesWithoutBody + used;
+    bool endless = m_bytesWithoutBody > maxBytesWithoutBody(m_maxHeadBytes);
+    m_failed = error != HPE_OK || m_parser.upgrade != 0 || endless;
     return used;
 }
 
@@ -240,6 +253,7 @@
 
 int HttpParser::onBody(http_parser* parser, const char* bytes, std::size_t length)
 {
+    parserOf(parser)->m_bodyReceived = true;
     parserOf(parser)->m_sink->messageBody(std::string_view(bytes, length));
     return 0;
 }
--- a/connection/httpmessage.h
+++ b/connection/httpmessage.h
@@ -140,6 +140,7 @@
     Kind m_kind;
     std::size_t m_maxHeadBytes;
     std::size_t m_headBytes = 0;
+    std::size_t m_bytesWithoutBody = 0; // since the message began or the last byte of its body
     HttpHead m_head;
     HttpMessageSink* m_sink = nullptr;
     bool m_valueSeen = true; // the next name starts a new header line
@@ -148,6 +149,7 @@
     bool m_complete = false;
     bool m_started = false;
     bool m_headDone = false;
+    bool m_bodyReceived = false; // in the current call of feed()
 };
 
 } // namespace briarwharf
--- a/connection/testing/httpmessage_test.cc
+++ b/connection/testing/httpmessage_test.cc
@@ -130,3 +130,54 @@
     CHECK(parser.failed());
     CHECK(parser.headTooLarge());
 }
+
+// Guards against a faulty upstream that keeps a connection and the loop busy without ever sending an answer.
+TEST_CASE("bytes without end that are no answer are rejected, wherever they come")
+{
+    struct Endless {
+        const char* where;
+        std::string start;
+        std::string repeated;
+    };
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<Endless> rows {
+        { "status line", "HTTP/1.1 200 ", "x" },
+        { "name of a field", "HTTP/1.1 200 OK\r\n", "x" },
+        { "value of a field", "HTTP/1.1 200 OK\r\nX-Long: ", "x" },
+        { "fields", "HTTP/1.1 200 OK\r\n", "a: b\r\n" },
+        { "interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+        { "extension of a chunk", chunked + "5;", "x" },
+        { "trailer", chunked + "0\r\nX-Trailer: ", "x" },
+        { "trailers", chunked + "0\r\n", "a: b\r\n" },
+    };
+    constexpr std::size_t bound = 128 * 1024; // a few times the limit of a head
+    for (const Endless& row : rows) {
+        CAPTURE(row.where);
+        HttpParser parser(HttpParser::Kind::Answer, maxHead);
+        CollectedMessage collected;
+        parser.feed(row.start, collected);
+        std::string piece;
+        while (piece.size() < 1000)
+            piece += row.repeated;
+        std::size_t sent = 0;
+        for (; sent < bound && !parser.failed(); sent += piece.size())
+            parser.feed(piece, collected);
+        CHECK(parser.failed());
+        CHECK(collected.ends == 0);
+    }
+}
+
+// Guards against taking the framing of many short chunks for bytes without end.
+TEST_CASE("a long body in short chunks is no endless head")
+{
+    HttpParser parser(HttpParser::Kind::Answer, maxHead);
+    CollectedMessage collected;
+    parser.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", collected);
+    for (std::size_t count = 0; count < 10 * maxHead; ++count) {
+        for (std::string_view piece : { "1", "\r\n", "x", "\r\n" })
+            parser.feed(piece, collected);
+    }
+    parser.feed(lastChunk, collected);
+    CHECK(parser.complete());
+    CHECK(collected.body.size() == 10 * maxHead);
+}
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -374,6 +374,8 @@
         static_cast<double>(m_directory.revision()));
     m_metrics.set("briarwharf_requests_in_progress", "Requests that wait for their answer's end.",
         static_cast<double>(m_forwarder.requestsInProgress()));
+    m_metrics.set("briarwharf_buffered_answer_bytes", "Bytes of incomplete answers in memory.",
+        static_cast<double>(m_forwarder.bufferedBytes()));
     m_metrics.set(
         "briarwharf_linked_peers", "Links to other instances.", static_cast<double>(m_mesh.linkCount()));
     return m_metrics.serialize();
--- a/process/forwardedanswer.cc
+++ b/process/forwardedanswer.cc
@@ -31,7 +31,7 @@
 
 void ForwardedRequest::recordFirstByte(MonotonicTime now)
 {
-    m_lastByteAt = m_upstream->lastByteAt = now;
+    m_lastProgressAt = m_upstream->lastByteAt = now;
     m_headReceived = true;
     m_forwarder.m_inProgress.answerStarted(m_upstream->hash, m_decision.tokensToRead);
     if (m_firstByteAt == MonotonicTime {})
@@ -47,23 +47,30 @@
 {
     if (m_done || !m_exchange)
         return;
-    m_lastByteAt = m_upstream->lastByteAt = clockNow();
+    MonotonicTime now = clockNow();
+    m_upstream->lastByteAt = now;
     if (m_mode == AnswerMode::Events)
-        return forwardEvents(bytes);
+        return forwardEvents(bytes, now);
+    m_lastProgressAt = now;
     if (m_mode == AnswerMode::Forwarding)
         return forwardBytes(bytes);
+    if (!m_caller)
+        return; // nobody receives the body, which may have no end
     m_buffered += bytes;
-    if (m_buffered.size() <= m_forwarder.m_settings.maxBufferedAnswerBytes || !m_caller)
+    if (m_buffered.size() <= m_forwarder.m_settings.maxBufferedAnswerBytes)
         return;
     m_mode = AnswerMode::Forwarding;
     std::string buffered = std::exchange(m_buffered, {});
     beginAnswer(buffered);
 }
 
-void ForwardedRequest::forwardEvents(std::string_view bytes)
+// Only complete events count as progress: an upstream that sends a byte of an event now and then has stalled.
+void ForwardedRequest::forwardEvents(std::string_view bytes, MonotonicTime now)
 {
     std::string out;
     Status passed = m_relay.feed(bytes, out);
+    if (!out.empty())
+        m_lastProgressAt = now;
     if (!out.empty() && m_caller) {
         if (m_answerBegun)
             forwardBytes(out);
@@ -202,6 +209,7 @@
         .field("to_read", m_decision.tokensToRead)
         .field("prompt", m_item.promptTokens)
         .field("placed", costReasonName(m_decision.reason))
+        .field("segment", m_item.affinityKey())
         .field("there", m_chosenCandidate.requests)
         .field("there_prompt", m_chosenCandidate.pendingPromptTokens)
         .field("slowness", m_chosenCandidate.slowness)
--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -215,7 +215,7 @@
     m_exchange = std::move(exchange.value());
     m_upstream = std::move(upstream);
     m_decision = decision;
-    m_sentAt = m_lastByteAt = now;
+    m_sentAt = m_lastProgressAt = now;
     m_headReceived = false;
     m_mode = AnswerMode::None;
     m_buffered.clear();
@@ -356,7 +356,7 @@
 {
     if (!m_exchange || !m_caller || !mayRepeat())
         return false;
-    auto waited = now - m_lastByteAt;
+    auto waited = now - m_lastProgressAt;
     bool upstreamSilent = now - std::max(m_upstream->lastByteAt, m_sentAt) > upstreamSilenceTimeout;
     if (m_headReceived && m_mode == AnswerMode::Events) {
         Milliseconds longest = std::max(m_route->pauseLimit * pausesBeforeResume, 2 * minEventWait);
--- a/process/forwardedrequest.h
+++ b/process/forwardedrequest.h
@@ -67,7 +67,7 @@
     bool refuseUnreachableDeadline(const CostDecision&, MonotonicTime now);
     void send(std::shared_ptr<Forwarder::Upstream>, const CostDecision&);
     void beginAnswer(std::string_view firstBytes);
-    void forwardEvents(std::string_view bytes);
+    void forwardEvents(std::string_view bytes, MonotonicTime now);
     void forwardBytes(std::string_view bytes);
     void finishBuffered();
     void deliverBuffered();
@@ -108,7 +108,7 @@
     std::shared_ptr<Forwarder::Upstream> m_upstream; // of the current attempt; null between attempts
     std::unique_ptr<OutgoingExchange> m_exchange;
     MonotonicTime m_sentAt;
-    MonotonicTime m_lastByteAt;
+    MonotonicTime m_lastProgressAt; // when the head, a part of the body or a complete event last arrived
     MonotonicTime m_firstByteAt; // of the first answer, whichever attempt received it
     CostDecision m_decision;
     double m_likelyMs = 0; // expected time to the first byte, corrected by recent answers
--- a/process/forwarder.h
+++ b/process/forwarder.h
@@ -71,6 +71,8 @@
     void handle(IngressRequest, CallerExchange&);
 
     std::size_t requestsInProgress() const { return m_requests.size(); }
+    // Bytes of incomplete answers that are kept in memory until they are complete.
+    std::size_t bufferedBytes() const;
     const ForwarderCounters& counters() const { return m_counters; }
     const HttpPoolCounters& connectionCounters() const { return m_connections.counters(); }
     const RoutingTable* routing() const { return m_routing.get(); }
--- a/process/testing/forward_test.cc
+++ b/process/testing/forward_test.cc
@@ -2,6 +2,7 @@
 
 #include "base/base.h"
 #include "base/testing/capturedoutput.h"
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <sstream>
 
@@ -235,6 +236,52 @@
     CHECK(second.requests().size() == 1);
 }
 
+// Guards against a stalled stream that is kept because a byte of an event still arrives now and then.
+TEST_CASE("a stream that makes no progress is continued elsewhere, although bytes still arrive")
+{
+    ForwardFixture fixture;
+    for (Route& route : fixture.directory.routing.routes)
+        route.pauseLimit = Milliseconds(100);
+    auto handler = [](const ScriptedRequest& request) {
+        if (!field(request, "Last-Event-Id").empty())
+            return Script { ScriptStep::send(streamHead(request) + streamEvents(3, 4) + streamEnd()) };
+        Script script { ScriptStep::send(streamHead(request) + streamEvents(1, 2)) };
+        for (int count = 0; count < 300; ++count) {
+            script.push_back(ScriptStep::send("1\r\nx\r\n"));
+            script.push_back(ScriptStep::wait(Milliseconds(50)));
+        }
+        return script;
+    };
+    fixture.addUpstream("engine-1", handler);
+    fixture.addUpstream("engine-2", handler);
+    ForwardDaemon& daemon = fixture.startDaemon();
+    auto answer = fixture.call(daemon, "/chat/x", "prompt");
+    CHECK(answer->complete);
+    CHECK(answer->body == plainEvents(1, 4));
+}
+
+// Guards against cutting a stream that is slow but sound.
+TEST_CASE("a slow stream that makes progress is not broken off")
+{
+    ForwardFixture fixture;
+    for (Route& route : fixture.directory.routing.routes)
+        route.pauseLimit = Milliseconds(100);
+    ScriptedServer& upstream = fixture.addUpstream("engine-1", [](const ScriptedRequest& request) {
+        Script script { ScriptStep::send(streamHead(request)) };
+        for (int number = 1; number <= 5; ++number) {
+            script.push_back(ScriptStep::wait(Milliseconds(700)));
+            script.push_back(ScriptStep::send(streamEvents(number, number)));
+        }
+        script.push_back(ScriptStep::send(streamEnd()));
+        return script;
+    });
+    ForwardDaemon& daemon = fixture.startDaemon();
+    auto answer = fixture.call(daemon, "/chat/x", "prompt");
+    CHECK(answer->complete);
+    CHECK(answer->body == plainEvents(1, 5));
+    CHECK(upstream.requests().size() == 1);
+}
+
 // Guards against a truncated stream that appears complete to the caller.
 TEST_CASE("a stream that cannot be continued is closed without its last chunk")
 {
@@ -274,6 +321,38 @@
     CHECK(daemon.forwarder().counters().callersLeft == 2);
 }
 
+// Guards against memory that an upstream fills with a body without end for a caller that has left: an at-most-once
+// call goes on without its caller.
+TEST_CASE("a body without end is not kept for a caller that has left")
+{
+    ForwardFixture fixture;
+    constexpr std::size_t pieceBytes = 256 * 1024;
+    ScriptedServer& upstream = fixture.addUpstream("desk-1", [](const ScriptedRequest& request) {
+        std::string head = "HTTP/1.1 200 OK\r\n";
+        appendField(head, "X-Briarwharf-Request-Id", request.head.fields.find("X-Briarwharf-Request-Id"));
+        appendField(head, "X-Briarwharf-Signature", "signed");
+        Script script { ScriptStep::wait(Milliseconds(100)), ScriptStep::send(head + "\r\n") };
+        for (int count = 0; count < 40; ++count) {
+            script.push_back(ScriptStep::send(std::string(pieceBytes, 'x')));
+            script.push_back(ScriptStep::wait(Milliseconds(5)));
+        }
+        script.push_back(ScriptStep::close());
+        return script;
+    });
+    ForwardDaemon& daemon = fixture.startDaemon();
+    auto booking = fixture.send(daemon, "/book/x", "deposit");
+    fixture.runUntil([&] { return upstream.requests().size() == 1; });
+    booking->exchange.reset();
+    std::size_t most = 0;
+    fixture.runUntil([&] {
+        most = std::max(most, daemon.forwarder().bufferedBytes());
+        return daemon.forwarder().requestsInProgress() == 0;
+    });
+    CHECK(daemon.forwarder().counters().callersLeft == 1);
+    CHECK(daemon.forwarder().counters().answered == 1);
+    CHECK(most <= ForwarderSettings {}.maxBufferedAnswerBytes);
+}
+
 TEST_CASE("a request that was sent but not answered before its deadline gets 504, not 503")
 {
     ForwardFixture fixture;
--- a/request/eventrelay.cc
+++ b/request/eventrelay.cc
@@ -1,6 +1,7 @@
 #include "request/eventrelay.h"
 
 #include "base/number.h"
+#include <algorithm>
 
 namespace briarwharf {
 
@@ -8,10 +9,14 @@
 
     constexpr std::size_t maxEventBytes = 1024 * 1024;
 
-    // Length of the first event, including the empty line that ends it; 0 if the event is incomplete.
-    std::size_t eventLength(std::string_view bytes)
+    // Length of the longest end of an event that may be split between two pieces: a line end and "\r".
+    constexpr std::size_t maxSplitEnd = 2;
+
+    // Length of the first event, including the empty line that ends it; 0 if the event is incomplete. The event
+    // is known not to end with a line that begins before `searched`.
+    std::size_t eventLength(std::string_view bytes, std::size_t searched)
     {
-        for (std::size_t end = bytes.find('\n'); end != std::string_view::npos;
+        for (std::size_t end = bytes.find('\n', searched); end != std::string_view::npos;
              end = bytes.find('\n', end + 1)) {
             if (end + 1 < bytes.size() && bytes[end + 1] == '\n')
                 return end + 2;
@@ -49,25 +54,29 @@
 
 Status EventRelay::feed(std::string_view bytes, std::string& out)
 {
-    std::string joined;
-    if (!m_incompleteEvent.empty()) {
-        joined = std::move(m_incompleteEvent);
-        joined += bytes;
-        bytes = joined;
-        m_incompleteEvent.clear();
-    }
-    for (std::size_t length = eventLength(bytes); length > 0; length = eventLength(bytes)) {
-        Status forwarded = forwardEvent(bytes.substr(0, length), out);
+    m_incompleteEvent += bytes;
+    std::string_view rest = m_incompleteEvent;
+    std::size_t length = eventLength(rest, m_searched);
+    while (length > 0) {
+        Status forwarded = forwardEvent(rest.substr(0, length), out);
         if (!forwarded)
             return forwarded;
-        bytes.remove_prefix(length);
+        rest.remove_prefix(length);
+        length = eventLength(rest, 0);
     }
-    if (bytes.size() > maxEventBytes)
+    if (rest.size() > maxEventBytes)
         return Error { ErrorKind::TooLarge, "an event of the stream exceeds 1 MiB: the upstream is faulty" };
-    m_incompleteEvent.assign(bytes);
+    m_searched = rest.size() - std::min(rest.size(), maxSplitEnd);
+    m_incompleteEvent.erase(0, m_incompleteEvent.size() - rest.size());
     return ok();
 }
 
+void EventRelay::restart()
+{
+    m_incompleteEvent.clear();
+    m_searched = 0;
+}
+
 Status EventRelay::forwardEvent(std::string_view event, std::string& out)
 {
     auto number = parseNumber<std::uint64_t>(eventId(event));
--- a/request/eventrelay.h
+++ b/request/eventrelay.h
@@ -27,7 +27,7 @@
     Status feed(std::string_view bytes, std::string& out);
 
     // Drops an incomplete event. The bytes that follow must continue after the last complete event.
-    void restart() { m_incompleteEvent.clear(); }
+    void restart();
 
     bool isAtBoundary() const { return m_incompleteEvent.empty(); }
 
@@ -41,6 +41,7 @@
     std::optional<std::uint64_t> m_lastNumber;
     std::uint64_t m_eventCount = 0;
     std::string m_incompleteEvent;
+    std::size_t m_searched = 0; // bytes of m_incompleteEvent in which no end of the event begins
 };
 
 } // namespace briarwharf
--- a/request/testing/eventrelay_test.cc
+++ b/request/testing/eventrelay_test.cc
@@ -102,3 +102,31 @@
         RC_ASSERT(events(1, last).substr(0, out.size()) == out);
     });
 }
+
+TEST_CASE("an event is the same wherever its bytes are split, its end included")
+{
+    for (const std::string& event : { std::string("id: 1\ndata: a\n\n"), std::string("id: 1\r\ndata: a\r\n\r\n") }) {
+        for (std::size_t cut = 0; cut <= event.size(); ++cut) {
+            EventRelay relay;
+            std::string out;
+            CHECK(relay.feed(event.substr(0, cut), out));
+            CHECK(relay.feed(event.substr(cut), out));
+            CHECK(out == event);
+            CHECK(relay.isAtBoundary());
+        }
+    }
+}
+
+// Guards against time that grows with the square of an event's size: the start of an event was searched again with
+// each piece, so that an upstream that sends bytes without end could occupy the process.
+TEST_CASE("an event without end that comes byte by byte is rejected at its limit")
+{
+    EventRelay relay;
+    std::string out;
+    constexpr std::size_t limit = 1024 * 1024;
+    std::size_t accepted = 0;
+    while (accepted <= 2 * limit && relay.feed("x", out))
+        ++accepted;
+    CHECK(accepted == limit);
+    CHECK(out.empty());
+}
