Make the cost of a received entry independent of the number of links

While instances start, each seed has a link to every instance; at 300, 50 of them as children of the tree, that is some seven million markings a second.

--- a/coordination/inprogress.cc
+++ b/coordination/inprogress.cc
@@ -63,13 +63,13 @@
     UpstreamWorkload& work = m_own[upstream];
     ++work.requests;
     work.promptTokens += promptTokens;
-    ownChanged(upstream);
+    ++m_changeCount;
 }
 
 void InProgressTable::answerStarted(std::uint32_t upstream, std::int64_t promptTokens)
 {
     m_own[upstream].promptTokens -= promptTokens;
-    ownChanged(upstream);
+    ++m_changeCount;
 }
 
 void InProgressTable::ended(std::uint32_t upstream)
@@ -77,9 +77,9 @@
     auto found = m_own.find(upstream);
     if (found == m_own.end())
         return;
+    ++m_changeCount;
     if (--found->second.requests <= 0)
         m_own.erase(found);
-    ownChanged(upstream);
 }
 
 UpstreamWorkload InProgressTable::own(std::uint32_t upstream) const { return workloadOf(m_own, upstream); }
@@ -94,28 +94,16 @@
     return m_membership.usable().size() <= MembershipOptions {}.fullMeshLimit;
 }
 
-void InProgressTable::ownChanged(std::uint32_t upstream)
+void InProgressTable::receive(Link& link, std::uint32_t upstream, const UpstreamWorkload& work)
 {
-    for (auto& [peer, link] : m_links) {
-        if (link.sends)
-            link.unsent.insert(upstream);
-    }
-}
-
-void InProgressTable::receivedChanged(
-    Link& source, std::uint32_t upstream, UpstreamWorkload before, UpstreamWorkload after)
-{
-    set(source.received, upstream, after);
-    if (source.contribution == Contribution::None)
-        return;
-    set(m_others, upstream, workloadOf(m_others, upstream) - before + after);
-    if (source.contribution != Contribution::Tree)
+    UpstreamWorkload change = work - workloadOf(link.received, upstream);
+    set(link.received, upstream, work);
+    if (link.contribution != Contribution::None)
+        set(m_others, upstream, workloadOf(m_others, upstream) + change);
+    if (link.contribution != Contribution::Tree)
         return;
-    set(m_tree, upstream, workloadOf(m_tree, upstream) - before + after);
-    for (auto& [peer, link] : m_links) {
-        if (link.sends && &link != &source)
-            link.unsent.insert(upstream);
-    }
+    set(m_tree, upstream, workloadOf(m_tree, upstream) + change);
+    ++m_changeCount; // to be sent on the other links of the tree
 }
 
 InProgressTable::Contribution InProgressTable::contributionOf(
@@ -155,17 +143,7 @@
                 m_tree[upstream] = m_tree[upstream] + work;
         }
     }
-    for (auto& [peer, link] : m_links)
-        markAllUnsent(link);
-}
-
-void InProgressTable::markAllUnsent(Link& link) const
-{
-    for (const Workloads* workloads :
-        std::initializer_list<const Workloads*> { &m_own, &m_tree, &link.sent }) {
-        for (const auto& [upstream, work] : *workloads)
-            link.unsent.insert(upstream);
-    }
+    ++m_changeCount;
 }
 
 // The workload to report to the peer: that of this instance and, in a partial mesh, the sum of those received
@@ -186,28 +164,26 @@
         / static_cast<std::size_t>(m_options.minTreeInterval.count());
 }
 
-// The changes to send to the peer next. Of equally large ones a different selection is made each time, so
-// that none waits for long.
-std::vector<InProgressTable::Change> InProgressTable::largestChanges(Link& link, std::size_t maxChanges)
+void InProgressTable::addChange(const Link& link, std::uint32_t upstream, std::vector<Change>& changes) const
+{
+    UpstreamWorkload work = workloadFor(link, upstream);
+    UpstreamWorkload difference = work - workloadOf(link.sent, upstream);
+    if (difference != UpstreamWorkload {})
+        changes.push_back({ upstream, work, sizeOf(difference), combineHashes(m_changeCount, upstream) });
+}
+
+std::vector<InProgressTable::Change> InProgressTable::changesFor(const Link& link) const
 {
-    ++m_fillCount;
     std::vector<Change> changes;
-    for (auto upstream = link.unsent.begin(); upstream != link.unsent.end();) {
-        UpstreamWorkload work = workloadFor(link, *upstream);
-        UpstreamWorkload difference = work - workloadOf(link.sent, *upstream);
-        if (difference == UpstreamWorkload {}) {
-            upstream = link.unsent.erase(upstream);
-            continue;
-        }
-        changes.push_back({ *upstream, work, sizeOf(difference), combineHashes(m_fillCount, *upstream) });
-        ++upstream;
+    for (const auto& [upstream, work] : m_own)
+        addChange(link, upstream, changes);
+    for (const auto& [upstream, work] : m_tree) {
+        if (m_own.count(upstream) == 0)
+            addChange(link, upstream, changes);
     }
-    if (changes.size() > maxChanges) {
-        auto end = changes.begin() + static_cast<std::ptrdiff_t>(maxChanges);
-        std::nth_element(changes.begin(), end, changes.end(), [](const Change& left, const Change& right) {
-            return std::tie(left.size, left.tieBreaker) > std::tie(right.size, right.tieBreaker);
-        });
-        changes.erase(end, changes.end());
+    for (const auto& [upstream, work] : link.sent) {
+        if (m_own.count(upstream) == 0 && m_tree.count(upstream) == 0)
+            addChange(link, upstream, changes);
     }
     return changes;
 }
@@ -218,13 +194,23 @@
     refresh(now); // the sum of a link that has just left the tree must not be passed on
     if (!link.sends)
         return;
-    std::vector<Change> changes = largestChanges(link, maxChanges(link, now));
+    std::vector<Change> changes = changesFor(link);
+    std::size_t limit = maxChanges(link, now);
+    link.changesLeft = changes.size() > limit;
+    if (link.changesLeft) {
+        // Of equally large changes a different selection is sent each time, so that none waits for long.
+        auto end = changes.begin() + static_cast<std::ptrdiff_t>(limit);
+        std::nth_element(changes.begin(), end, changes.end(), [](const Change& left, const Change& right) {
+            return std::tie(left.size, left.tieBreaker) > std::tie(right.size, right.tieBreaker);
+        });
+        changes.erase(end, changes.end());
+    }
     link.sentAt = now;
+    link.sentChangeCount = m_changeCount;
     for (const Change& change : changes) {
         heartbeat.work.emplace_back(change.upstream, saturate(change.work.requests),
             saturate((change.work.promptTokens + promptTokensUnit / 2) / promptTokensUnit));
         set(link.sent, change.upstream, change.work);
-        link.unsent.erase(change.upstream);
     }
 }
 
@@ -235,7 +221,7 @@
     refresh(now);
     for (const auto& entry : heartbeat.work) {
         UpstreamWorkload work { entry.requests(), entry.promptTokens() * promptTokensUnit };
-        receivedChanged(link, entry.upstream(), workloadOf(link.received, entry.upstream()), work);
+        receive(link, entry.upstream(), work);
     }
 }
 
@@ -248,7 +234,7 @@
     if (link == m_links.end())
         return true;
     bool due = full || now - link->second.sentAt >= m_options.minTreeInterval;
-    return due && !link->second.unsent.empty();
+    return due && (link->second.changesLeft || link->second.sentChangeCount != m_changeCount);
 }
 
 void InProgressTable::linkDown(const std::string& peer, MonotonicTime)
--- a/coordination/inprogress.h
+++ b/coordination/inprogress.h
@@ -5,7 +5,6 @@
 #include <map>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 namespace briarwharf {
@@ -70,7 +69,8 @@
         bool sends = false; // this instance sends its workloads to the peer
         Workloads received;
         Workloads sent; // what the peer has received, which it ignores while the link is not used
-        std::unordered_set<std::uint32_t> unsent; // upstreams whose workload may differ from `sent`
+        std::uint64_t sentChangeCount = 0; // value of m_changeCount at the latest heartbeat to the peer
+        bool changesLeft = false; // that heartbeat did not carry all changes
         MonotonicTime sentAt;
     };
 
@@ -84,13 +84,11 @@
     bool fullMesh() const;
     Contribution contributionOf(const std::string& peer, const Link&, MonotonicTime now) const;
     UpstreamWorkload workloadFor(const Link&, std::uint32_t upstream) const;
-    std::vector<Change> largestChanges(Link&, std::size_t maxChanges);
+    std::vector<Change> changesFor(const Link&) const;
+    void addChange(const Link&, std::uint32_t upstream, std::vector<Change>&) const;
     std::size_t maxChanges(const Link&, MonotonicTime now) const;
-    void ownChanged(std::uint32_t upstream);
-    void receivedChanged(
-        Link& source, std::uint32_t upstream, UpstreamWorkload before, UpstreamWorkload after);
+    void receive(Link&, std::uint32_t upstream, const UpstreamWorkload&);
     void updateSums();
-    void markAllUnsent(Link&) const;
 
     const Membership& m_membership;
     InProgressOptions m_options;
@@ -98,7 +96,7 @@
     Workloads m_others; // received on all links that contribute
     Workloads m_tree; // the part of it that is passed on along the tree
     std::map<std::string, Link, std::less<>> m_links;
-    std::uint64_t m_fillCount = 0;
+    std::uint64_t m_changeCount = 0;
 };
 
 } // namespace briarwharf
