Do not copy the list of upstreams for peers that have to wait

Change: the permit comes first for a whole list, its compressed form is kept for a revision, and a busy peer is asked again after 200 ms. Test: nine ticks in which the peer is busy make two to five questions (nine before), and the list arrives when a transfer has ended.

--- a/coordination/directoryrelay.cc
+++ b/coordination/directoryrelay.cc
@@ -74,9 +74,11 @@
 
 void DirectoryRelay::fetchFromPeer(MonotonicTime now)
 {
-    if (m_fetchSentAt && now - *m_fetchSentAt < m_options.answerTimeout)
+    Milliseconds wait = m_peerWasBusy ? m_options.busyRetryDelay : m_options.answerTimeout;
+    if (m_fetchSentAt && now - *m_fetchSentAt < wait)
         return;
     m_fetchSentAt.reset();
+    m_peerWasBusy = false;
     bool loaded = m_routingVersion > 0 && m_directoryRevision > 0;
     Milliseconds fetchDelay = loaded && m_duty != WatchDuty::None ? m_options.fetchDelay : Milliseconds(0);
     Peer* chosen = nullptr;
@@ -125,33 +127,39 @@
     m_outbox.send(peer, std::move(push));
 }
 
+bool DirectoryRelay::isLong(std::size_t entries) const
+{
+    return entries * entryBytes > m_options.longDocumentBytes;
+}
+
 void DirectoryRelay::addList(const std::string& peer, const DirectoryFetchT& fetch,
     const UpstreamDirectory& directory, DirectoryPushT& push, MonotonicTime now)
 {
-    DirectoryChanges changes = directory.changesSince(fetch.directoryRevision);
-    bool isLong
-        = (changes.entries.size() + changes.removed.size()) * entryBytes > m_options.longDocumentBytes;
-    if (!isLong)
+    // Many instances that start at the same time request the whole list. It is neither copied nor compressed
+    // for each of them, nor for those that have to wait.
+    bool needsAll = fetch.directoryRevision == 0 && isLong(directory.upstreams().size());
+    DirectoryChanges changes;
+    if (!needsAll)
+        changes = directory.changesSince(fetch.directoryRevision);
+    if (!needsAll && !isLong(changes.entries.size() + changes.removed.size()))
         return addChanges(changes, push);
     LongPush* permit = acquirePushPermit(peer, now);
     if (!permit) {
         push.busy = true;
         return;
     }
-    permit->versions.directory = changes.revision;
+    permit->versions.directory = directory.revision();
     if (!fetch.acceptsCompressedList)
-        return addChanges(changes, push);
-    const std::string& list = compressedList(changes);
+        return addChanges(needsAll ? directory.changesSince(0) : changes, push);
+    std::string list = needsAll ? compressedList(directory) : compressChanges(changes);
     push.compressedList.assign(list.begin(), list.end());
 }
 
-// Complete lists are kept, since many peers that start at the same time request the same one.
-const std::string& DirectoryRelay::compressedList(const DirectoryChanges& changes)
+const std::string& DirectoryRelay::compressedList(const UpstreamDirectory& directory)
 {
-    bool isKept = changes.from == 0 && m_compressedListRevision == changes.revision;
-    if (!isKept)
-        m_compressedList = compressChanges(changes);
-    m_compressedListRevision = changes.from == 0 ? changes.revision : 0;
+    if (m_compressedListRevision != directory.revision())
+        m_compressedList = compressChanges(directory.changesSince(0));
+    m_compressedListRevision = directory.revision();
     return m_compressedList;
 }
 
@@ -194,10 +202,12 @@
     return &push;
 }
 
-// A busy peer answers without a document or list. The next tick then queries another peer.
+// A busy peer answers without a document or list. Another peer is queried after busyRetryDelay.
 Result<DirectoryUpdate> DirectoryRelay::receive(const std::string& peer, const DirectoryPushT& push)
 {
-    m_fetchSentAt.reset();
+    m_peerWasBusy = push.busy;
+    if (!push.busy)
+        m_fetchSentAt.reset();
     auto sender = m_peers.find(peer);
     if (sender != m_peers.end() && !push.busy)
         sender->second.unanswered = false;
--- a/coordination/directoryrelay.h
+++ b/coordination/directoryrelay.h
@@ -17,6 +17,7 @@
     // source is faster, so that no transfer is needed.
     Milliseconds fetchDelay { 250 };
     Milliseconds answerTimeout { 1000 }; // without an answer for this long, another peer is queried
+    Milliseconds busyRetryDelay { 200 }; // after the answer that a peer is busy, another one is queried
     // In fleets of up to this many instances, each watches the source itself: this costs little, and no
     // instance depends on another. In larger fleets, watchersPerDomain instances of each failure domain watch
     // for all.
@@ -129,7 +130,8 @@
     FetchOrder fetchOrder(const std::string& id, const Peer&) const;
     LongPush* acquirePushPermit(const std::string& peer, MonotonicTime now);
     const std::string& compressedDocument();
-    const std::string& compressedList(const DirectoryChanges&);
+    bool isLong(std::size_t entries) const;
+    const std::string& compressedList(const UpstreamDirectory&);
 
     DirectoryRelayOptions m_options;
     const Membership& m_membership;
@@ -150,7 +152,8 @@
     std::string m_compressedList;
     std::uint64_t m_compressedListRevision = 0; // of the complete list in m_compressedList; 0: none
     std::map<std::string, LongPush, std::less<>> m_longPushes; // by peer
-    std::optional<MonotonicTime> m_fetchSentAt; // set while an answer is awaited
+    std::optional<MonotonicTime> m_fetchSentAt; // set until the next query is due
+    bool m_peerWasBusy = false; // the peer that was queried last
 };
 
 } // namespace briarwharf
--- a/coordination/testing/directoryrelay_test.cc
+++ b/coordination/testing/directoryrelay_test.cc
@@ -410,6 +410,48 @@
     CHECK(fleet.longestQueue() <= Milliseconds(static_cast<int>(queued) + 60));
 }
 
+// Guards against instances without a list that query busy peers with each tick: hundreds that started
+// together kept the few that had the list from doing anything else.
+TEST_CASE("a busy peer is queried again after a delay, and sends the list when it can")
+{
+    FakeNetwork net;
+    Node& source = net.at("source");
+    source.load(7, 70, net.now);
+    DirectoryChanges list { 0, 80, {}, {} };
+    for (int number = 0; number < 1000; ++number) {
+        UpstreamEntry entry { "i-" + std::to_string(number), "models", { "10.0.0.9", 8000 }, domain };
+        entry.revision = 80;
+        list.entries.push_back(entry);
+    }
+    source.directory.apply(list, net.now);
+    source.relay.setDirectoryRevision(list.revision);
+    DirectoryFetchT fetch;
+    fetch.acceptsCompressedList = true;
+    for (const std::string peer : { "one", "two", "three" })
+        source.relay.receive(peer, fetch, source.directory, net.now);
+    source.outbox.drain();
+
+    net.at("asker");
+    net.heartbeat("source", "asker");
+    int queries = 0;
+    for (int tick = 0; tick < 9; ++tick) {
+        net.now += Milliseconds(100);
+        net.at("asker").relay.tick(net.now);
+        for (const auto& message : net.at("asker").outbox.drain()) {
+            ++queries;
+            source.relay.receive("asker", *message.body.AsDirectoryFetch(), source.directory, net.now);
+        }
+        for (const auto& message : source.outbox.drain()) {
+            CHECK(message.body.AsDirectoryPush()->busy);
+            CHECK(net.at("asker").relay.receive("source", *message.body.AsDirectoryPush()));
+        }
+    }
+    CHECK(queries >= 2);
+    CHECK(queries <= 5); // one in 200 ms
+    net.step(Milliseconds(300)); // the other transfers have ended
+    CHECK(net.at("asker").directory.upstreams().size() == 1000);
+}
+
 // Guards against bytes between failure domains that are not needed.
 TEST_CASE("a peer of the own failure domain is queried before others, unless it does not answer")
 {
