Let the stalled stream of a test outlast its timeout

With 30 s of single bytes it fails without the change (the stream is cut at the timeout) and passes with it.

--- a/process/testing/forward_test.cc
+++ b/process/testing/forward_test.cc
@@ -246,7 +246,7 @@
         if (!field(request, "Last-Event-Id").empty())
             return Script { ScriptStep::send(streamHead(request) + streamEvents(3, 4) + streamEnd()) };
         Script script { ScriptStep::send(streamHead(request) + streamEvents(1, 2)) };
-        for (int count = 0; count < 300; ++count) {
+        for (int count = 0; count < 600; ++count) { // longer than the route's timeout
             script.push_back(ScriptStep::send("1\r\nx\r\n"));
             script.push_back(ScriptStep::wait(Milliseconds(50)));
         }
