--- a/coordination/testing/inprogress_test.cc
+++ b/coordination/testing/inprogress_test.cc
@@ -136,8 +136,7 @@
 }
 
 // Guards against sums that grow without bound while instances with different views of the fleet choose their
-// places in the tree: after half of 60 instances had been killed at once, engines with a few requests were
-// taken for holding thousands, and work went elsewhere.
+// places in the tree. Engines with a few requests are then taken for overloaded, and work goes elsewhere.
 TEST_CASE("sums stay near the truth while half of the instances restart at once")
 {
     ProgressFleet fleet(60, 3);
@@ -170,8 +169,7 @@
     }
 }
 
-// Guards against control traffic that grows with the number of upstreams: at 300 instances and 3,000
-// upstreams a node of the tree spent more than its budget, and most of it crossed between failure domains.
+// Guards against control traffic that grows with the number of upstreams.
 TEST_CASE("at the target's size no instance sends more control traffic than its budget")
 {
     constexpr int instances = 480;
--- a/coordination/testing/sections_test.cc
+++ b/coordination/testing/sections_test.cc
@@ -106,8 +106,7 @@
     CHECK(passedOn == "y");
 }
 
-// Guards against seeds that keep a link to every instance of the fleet: at 300 instances and 3,000 upstreams,
-// a seed sent and received 1.6 MB a second, and the fleet did not serve again after all had been killed.
+// Guards against seeds that keep a link to every instance of the fleet and send every change on all of them.
 TEST_CASE("in a large fleet most instances do not need their links to the seeds once they know the others")
 {
     constexpr std::size_t instances = 300;
--- a/request/testing/costplacement_test.cc
+++ b/request/testing/costplacement_test.cc
@@ -95,8 +95,7 @@
 }
 
 // Guards against exceeding the bound because each instance is notified late of the placements by the others.
-// With a load bound of 1.9 times the mean plus 2.5 requests, 3.5 in 100 requests reached an engine above the
-// bound that the users require.
+// The wider load bound for ordinary sessions would exceed it.
 TEST_CASE("one hot session of a quarter of the load, placed by nine instances, stays within the bound")
 {
     constexpr std::size_t instances = 9;
@@ -141,7 +140,7 @@
     }
     CAPTURE(overBound);
     CHECK(count > 4000);
-    CHECK(overBound * 100 < count * 3); // the users allow 3 in 100; measured: 62 of 4,963
+    CHECK(overBound * 100 < count * 3); // the users allow 3 in 100
 }
 
 TEST_CASE("an engine to be avoided is used only if all are")
