Log the shared segments and the progress of failed attempts

The logs showed only the deepest shared segment of a failed request, and not whether its attempt had received anything, so that they could not tell which part of the prompt the ended engines had in common. No logic is changed.

Test: the log shows how far a broken attempt had come, and all shared segments of its prompt.

--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -217,6 +217,7 @@
     m_decision = decision;
     m_sentAt = m_lastProgressAt = now;
     m_headReceived = false;
+    m_eventsBefore = m_relay.eventCount();
     m_mode = AnswerMode::None;
     m_buffered.clear();
     m_forwarder.m_inProgress.started(m_upstream->hash, m_decision.tokensToRead);
@@ -293,6 +294,9 @@
         .field("reason", reason)
         .field("attempts", m_attempts)
         .field("written", written)
+        .field("head", m_headReceived)
+        .field("events", m_relay.eventCount() - m_eventsBefore)
+        .field("segments", printSegments(m_item.sharedSegments()))
         .field("left_ms", toMilliseconds(m_deadline - now).count())
         .field("verdict", attemptVerdictName(verdict));
     closeAttempt();
--- a/process/forwardedrequest.h
+++ b/process/forwardedrequest.h
@@ -119,6 +119,7 @@
     HttpHead m_head; // of the latest attempt's answer
     std::string m_buffered;
     EventRelay m_relay;
+    std::uint64_t m_eventsBefore = 0; // events of earlier attempts
     bool m_answerBegun = false; // a part of the answer was sent to the caller
     bool m_done = false;
 };
--- a/process/forwardheaders.cc
+++ b/process/forwardheaders.cc
@@ -3,6 +3,7 @@
 #include "base/number.h"
 #include <algorithm>
 #include <array>
+#include <sstream>
 
 namespace briarwharf {
 
@@ -88,6 +89,15 @@
     return result;
 }
 
+std::string printSegments(std::span<const PromptSegment> segments)
+{
+    std::ostringstream out;
+    out << std::hex;
+    for (std::size_t index = 0; index < segments.size(); ++index)
+        out << (index > 0 ? "," : "") << segments[index].id;
+    return out.str();
+}
+
 std::string upstreamHead(const HttpHead& caller, const ForwardingHeaders& headers,
     const UpstreamFields& fields, std::size_t bodyBytes)
 {
--- a/process/forwardheaders.h
+++ b/process/forwardheaders.h
@@ -5,6 +5,7 @@
 #include "request/partmemory.h"
 #include "request/request.h"
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -45,6 +46,9 @@
 // Views in the result point into `fields`. Values that cannot be parsed count as absent.
 CallerFields readCallerFields(const HttpFields& fields, const ForwardingHeaders&);
 
+// The segments' identifiers as callers write them, separated by commas.
+std::string printSegments(std::span<const PromptSegment>);
+
 // Values of the header fields that the forwarder sets on a request to an upstream.
 struct UpstreamFields {
     std::string_view upstream; // its id
--- a/process/testing/forward_test.cc
+++ b/process/testing/forward_test.cc
@@ -546,6 +546,28 @@
     CHECK(lines[1]["events"] == 3);
 }
 
+// Guards against a request that ends its upstream and cannot be told, in the logs, from the others that broke
+// with it.
+TEST_CASE("the log shows how far a broken attempt had come, and all shared segments of its prompt")
+{
+    ForwardFixture fixture;
+    fixture.addUpstream("engine-1", [](const ScriptedRequest& request) {
+        return Script { ScriptStep::send(streamHead(request)), ScriptStep::wait(Milliseconds(20)),
+            ScriptStep::reset() };
+    });
+    std::string log = captureLog([&] {
+        ForwardDaemon& daemon = fixture.startDaemon();
+        fixture.call(
+            daemon, "/ask/x", "prompt", "X-Briarwharf-Prompt-Parts: 5c1e07a2:800,91bd:410,e4:250\r\n");
+    });
+    auto lines = traceLines(log, "request-1");
+    REQUIRE(lines.size() == 2);
+    CHECK(lines[0]["end"] == "broken");
+    CHECK(lines[0]["head"] == true);
+    CHECK(lines[0]["events"] == 0);
+    CHECK(lines[0]["segments"] == "5c1e07a2,91bd");
+}
+
 TEST_CASE("the log shows the cause of an unknown outcome by its id")
 {
     ForwardFixture fixture;
--- a/request/costplacement.cc
+++ b/request/costplacement.cc
@@ -65,6 +65,12 @@
     return segments[segments.size() > 1 ? segments.size() - 2 : 0].id;
 }
 
+std::span<const PromptSegment> WorkItem::sharedSegments() const
+{
+    std::span<const PromptSegment> all = segments;
+    return all.empty() ? all : all.first(all.size() - 1);
+}
+
 std::int64_t CostPlacement::expectedCachedTokens(
     const WorkItem& item, std::uint32_t upstream, std::size_t rank) const
 {
--- a/request/costplacement.h
+++ b/request/costplacement.h
@@ -5,6 +5,7 @@
 #include "request/segmentshare.h"
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -22,6 +23,9 @@
     // The segment by which engines are ranked: the last one that other requests share, which is the last but
     // one, since the last belongs to this request alone. Without segments: the request itself.
     std::uint64_t affinityKey() const;
+
+    // The segments that other requests may share: all but the last.
+    std::span<const PromptSegment> sharedSegments() const;
 };
 
 // What an instance knows about an upstream when it places a request.
