--- a/cmake/library.cmake
+++ b/cmake/library.cmake
@@ -15,6 +15,7 @@
   if(test_sources AND NOT BRIARWHARF_DAEMON_ONLY)
     add_executable(${name}_test ${test_sources} ${CMAKE_SOURCE_DIR}/base/testing/main.cc)
     target_link_libraries(${name}_test PRIVATE ${name} rapidcheck)
+    target_compile_definitions(${name}_test PRIVATE BRIARWHARF_KNOWN_RED="${CMAKE_SOURCE_DIR}/KNOWN-RED.txt")
     add_test(NAME ${name}_test COMMAND ${name}_test)
     # Sanitizers slow the tests down several times.
     set(limit_seconds 120)
--- /dev/null
+++ b/process/testing/quarantine_test.cc
@@ -0,0 +1,117 @@
+// Prompt segments that crash the upstream which begins to answer them.
+
+#include "process/testing/forwardfixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace briarwharf;
+
+namespace {
+
+constexpr int upstreamCount = 14;
+// Time in which instances that reach each other have to act on what one of them observed.
+constexpr Milliseconds contactTime { 3000 };
+constexpr std::size_t maxRequestsAfterContactTime = 3;
+constexpr std::size_t toleratedCrashes = 5;
+
+// A fleet of three instances before engines that crash when they begin to answer a request with the segment
+// "bad".
+class CrashFixture : public ForwardFixture {
+public:
+    CrashFixture()
+    {
+        directory.routing.pools[0].engine.emplace();
+        for (int number = 1; number <= upstreamCount; ++number)
+            m_engines.push_back(&addUpstream("engine-" + std::to_string(number), answerOrCrash));
+        for (int number = 0; number < 3; ++number)
+            m_daemons.push_back(&startDaemon(true));
+        for (ForwardDaemon* daemon : m_daemons)
+            runUntil([&] { return daemon->isReady() && daemon->mesh().linkCount() == m_daemons.size() - 1; });
+    }
+
+    std::size_t crashes() const
+    {
+        return countOf([](const auto& engine) { return engine.hasCrashed(); });
+    }
+
+    // Requests with the segment that reached an engine.
+    std::size_t reached() const
+    {
+        return countOf([](const auto& engine) {
+            const auto& requests = engine.requests();
+            return std::any_of(requests.begin(), requests.end(), isBad);
+        });
+    }
+
+    // Each goes to another instance, has a last segment of its own, and shares key and first segment with
+    // all.
+    std::shared_ptr<CallerAnswer> callBad(const std::string& target) { return callWith(target, "bad:300"); }
+    std::shared_ptr<CallerAnswer> callSound(const std::string& target)
+    {
+        return callWith(target, std::to_string(++m_sessions) + "c:300");
+    }
+
+    void pause(Milliseconds duration)
+    {
+        bool over = false;
+        Timer timer(base(), [&over] { over = true; });
+        timer.start(duration);
+        runUntil([&over] { return over; });
+    }
+
+private:
+    static bool isBad(const ScriptedRequest& request)
+    {
+        return request.head.fields.find("X-Briarwharf-Prompt-Parts").find("bad:") != std::string_view::npos;
+    }
+
+    static Script answerOrCrash(const ScriptedRequest& request)
+    {
+        if (isBad(request))
+            return { ScriptStep::send(streamHead(request)), ScriptStep::wait(Milliseconds(10)),
+                ScriptStep::crash() };
+        return { ScriptStep::send(streamHead(request) + streamEvents(1, 3) + streamEnd()) };
+    }
+
+    template <typename Predicate> std::size_t countOf(Predicate predicate) const
+    {
+        return static_cast<std::size_t>(std::count_if(m_engines.begin(), m_engines.end(),
+            [&](const ScriptedServer* engine) { return predicate(*engine); }));
+    }
+
+    std::shared_ptr<CallerAnswer> callWith(const std::string& target, const std::string& segment)
+    {
+        ForwardDaemon& daemon = *m_daemons[++m_calls % m_daemons.size()];
+        return call(daemon, target, "prompt",
+            "X-Briarwharf-Tokens: 900,20\r\nX-Briarwharf-Prompt-Parts: f1:500," + segment + ","
+                + std::to_string(m_calls) + "e:100\r\n");
+    }
+
+    std::vector<ScriptedServer*> m_engines;
+    std::vector<ForwardDaemon*> m_daemons;
+    std::size_t m_calls = 0;
+    std::size_t m_sessions = 0;
+};
+
+} // namespace
+
+// Guards against requests of one kind that end one upstream after the other, with all that runs there
+// (incident inc1).
+TEST_CASE_FIXTURE(CrashFixture,
+    "requests with a segment that crashed five upstreams are refused by every instance, sound ones are "
+    "served")
+{
+    for (int round = 0; crashes() < toleratedCrashes && round < 10; ++round) {
+        callBad(round % 2 == 0 ? "/ask/x" : "/chat/x");
+        CHECK(callSound("/ask/x")->complete);
+    }
+    pause(contactTime);
+    std::size_t before = reached();
+    for (int round = 0; round < 6; ++round) {
+        auto refused = callBad(round % 2 == 0 ? "/ask/x" : "/chat/x");
+        CHECK(refused->head.status == 503);
+        CHECK(refused->head.fields.has("Retry-After"));
+        CHECK(callSound("/ask/x")->complete);
+    }
+    CHECK(reached() - before <= maxRequestsAfterContactTime);
+}
--- a/standins/scriptedserver.cc
+++ b/standins/scriptedserver.cc
@@ -28,6 +28,14 @@
             m_stream->write(bytes);
     }
 
+    void reset()
+    {
+        m_timer.stop();
+        if (m_stream)
+            m_stream->resetOnClose();
+        m_stream.reset();
+    }
+
     void streamReceived(std::string_view bytes) override
     {
         m_input += bytes;
@@ -72,6 +80,8 @@
                 return m_timer.start(step.delay);
             case ScriptStep::Kind::Silence:
                 return;
+            case ScriptStep::Kind::Crash:
+                return m_server.m_crashTimer.start(Milliseconds(0));
             case ScriptStep::Kind::Reset:
                 m_stream->resetOnClose();
                 [[fallthrough]];
@@ -99,15 +109,25 @@
 ScriptedServer::ScriptedServer(event_base* base, Handler handler)
     : m_base(base)
     , m_handler(std::move(handler))
+    , m_crashTimer(base, [this] { crash(); })
 {
     auto listener = TcpListener::listen(base, "127.0.0.1", 0, [this](int socket) {
         m_connections.push_back(std::make_unique<Connection>(*this, socket, ++m_accepted));
     });
     m_listener = std::move(listener.value());
+    m_endpoint = { "127.0.0.1", m_listener->port() };
 }
 
 ScriptedServer::~ScriptedServer() = default;
 
+void ScriptedServer::crash()
+{
+    m_crashed = true;
+    m_listener.reset();
+    for (auto& connection : m_connections)
+        connection->reset();
+}
+
 int ScriptedServer::openConnections() const
 {
     return static_cast<int>(std::count_if(m_connections.begin(), m_connections.end(),
