Quarantine prompt segments that crash the upstreams which answer them

Cause: requests were judged one by one. The attempt machine bounds how often one request is sent; nothing bounded how many upstreams requests with a common cause end together, and health blames the upstream.

Change: crashes accuse the shared segments of the prompts that waited at the upstream, answers clear theirs; a segment with three crashes and no answer is refused by all instances, with the time left as Retry-After. All instances share the evidence. A broken connection counts only if the upstream then refuses connections. A stream without a length that ends before its first event is broken, not whole.

Why it works: a segment that crashes its upstreams is never answered, while every sound segment that waits beside it soon is, whatever their order.

--- a/base/number.h
+++ b/base/number.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <array>
 #include <charconv>
+#include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <system_error>
 
@@ -20,4 +23,12 @@
     return number;
 }
 
+// Lower-case hexadecimal digits without leading zeros.
+inline std::string printHex(std::uint64_t number)
+{
+    std::array<char, 16> digits {};
+    auto result = std::to_chars(digits.data(), digits.data() + digits.size(), number, 16);
+    return std::string(digits.data(), result.ptr);
+}
+
 } // namespace briarwharf
--- a/connection/tcpstream.cc
+++ b/connection/tcpstream.cc
@@ -72,12 +72,18 @@
     setOptions(socket, options);
     const sockaddr_in& name = target.value();
     int result = ::connect(socket, reinterpret_cast<const sockaddr*>(&name), sizeof name);
-    if (result < 0 && errno != EINPROGRESS) {
+    bool refused = result < 0 && errno == ECONNREFUSED; // known at once only on loopback
+    if (result < 0 && errno != EINPROGRESS && !refused) {
         Error error = systemError("cannot connect to " + address + ":" + std::to_string(port));
         ::close(socket);
         return error;
     }
-    return std::unique_ptr<TcpStream>(new TcpStream(base, socket, true, options.connectTimeout, events));
+    std::unique_ptr<TcpStream> stream(new TcpStream(base, socket, true, options.connectTimeout, events));
+    if (refused) {
+        event_del(stream->m_writeEvent.get());
+        stream->failLater(ECONNREFUSED);
+    }
+    return stream;
 }
 
 std::unique_ptr<TcpStream> TcpStream::adopt(
@@ -220,6 +226,7 @@
 
 void TcpStream::fail(int error)
 {
+    m_refused = error == ECONNREFUSED;
     event_del(m_readEvent.get());
     event_del(m_writeEvent.get());
     event_del(m_deferredEvent.get());
--- a/connection/tcpstream.h
+++ b/connection/tcpstream.h
@@ -63,6 +63,8 @@
     // Output bytes buffered in memory because the socket has not accepted them yet.
     std::size_t pendingBytes() const { return m_output.size() - m_outputSent; }
     bool isConnected() const { return !m_connecting; }
+    // In streamFailed(): whether nothing listens at the address.
+    bool wasRefused() const { return m_refused; }
 
     // Stops reading from the socket. Once the system's receive buffer is full, TCP flow control makes the
     // other side stop sending.
@@ -89,6 +91,7 @@
     bool m_connecting;
     bool m_reading = false;
     bool m_ended = false;
+    bool m_refused = false;
     int m_deferredError = 0;
     TcpStreamEvents& m_events;
     std::string m_output;
--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -3,6 +3,7 @@
 // The public header of the coordination library.
 
 #include "coordination/claim.h"
+#include "coordination/crashevidence.h"
 #include "coordination/directory.h"
 #include "coordination/directoryrelay.h"
 #include "coordination/inprogress.h"
@@ -13,6 +14,7 @@
 #include "coordination/order.h"
 #include "coordination/outbox.h"
 #include "coordination/peerframe.h"
+#include "coordination/quarantine.h"
 #include "coordination/rateshare.h"
 #include "coordination/relay.h"
 #include "coordination/store.h"
--- a/coordination/peer_generated.h
+++ b/coordination/peer_generated.h
@@ -39,6 +39,10 @@
 
 struct UpstreamWork;
 
+struct PeerSegmentCrash;
+
+struct PeerSegmentAnswer;
+
 struct Heartbeat;
 struct HeartbeatBuilder;
 struct HeartbeatT;
@@ -794,6 +798,69 @@
 };
 FLATBUFFERS_STRUCT_END(UpstreamWork, 8);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PeerSegmentCrash FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t segment_;
+  uint32_t upstream_;
+  uint32_t ageMs_;
+
+ public:
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.PeerSegmentCrash";
+  }
+  PeerSegmentCrash()
+      : segment_(0),
+        upstream_(0),
+        ageMs_(0) {
+  }
+  PeerSegmentCrash(uint64_t _segment, uint32_t _upstream, uint32_t _ageMs)
+      : segment_(flatbuffers::EndianScalar(_segment)),
+        upstream_(flatbuffers::EndianScalar(_upstream)),
+        ageMs_(flatbuffers::EndianScalar(_ageMs)) {
+  }
+  uint64_t segment() const {
+    return flatbuffers::EndianScalar(segment_);
+  }
+  uint32_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint32_t ageMs() const {
+    return flatbuffers::EndianScalar(ageMs_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PeerSegmentCrash, 16);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PeerSegmentAnswer FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t segment_;
+  uint32_t ageMs_;
+  int32_t padding0__;
+
+ public:
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.PeerSegmentAnswer";
+  }
+  PeerSegmentAnswer()
+      : segment_(0),
+        ageMs_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  PeerSegmentAnswer(uint64_t _segment, uint32_t _ageMs)
+      : segment_(flatbuffers::EndianScalar(_segment)),
+        ageMs_(flatbuffers::EndianScalar(_ageMs)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t segment() const {
+    return flatbuffers::EndianScalar(segment_);
+  }
+  uint32_t ageMs() const {
+    return flatbuffers::EndianScalar(ageMs_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PeerSegmentAnswer, 16);
+
 struct MemberT : public flatbuffers::NativeTable {
   typedef Member TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
@@ -1189,6 +1256,8 @@
   uint64_t routingVersion = 0;
   uint64_t directoryRevision = 0;
   std::vector<briarwharf::UpstreamWork> work{};
+  std::vector<briarwharf::PeerSegmentCrash> segmentCrashes{};
+  std::vector<briarwharf::PeerSegmentAnswer> segmentAnswers{};
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1222,7 +1291,9 @@
     VT_COVEREDREVISION = 44,
     VT_ROUTINGVERSION = 46,
     VT_DIRECTORYREVISION = 48,
-    VT_WORK = 50
+    VT_WORK = 50,
+    VT_SEGMENTCRASHES = 52,
+    VT_SEGMENTANSWERS = 54
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1287,6 +1358,12 @@
   const flatbuffers::Vector<const briarwharf::UpstreamWork *> *work() const {
     return GetPointer<const flatbuffers::Vector<const briarwharf::UpstreamWork *> *>(VT_WORK);
   }
+  const flatbuffers::Vector<const briarwharf::PeerSegmentCrash *> *segmentCrashes() const {
+    return GetPointer<const flatbuffers::Vector<const briarwharf::PeerSegmentCrash *> *>(VT_SEGMENTCRASHES);
+  }
+  const flatbuffers::Vector<const briarwharf::PeerSegmentAnswer *> *segmentAnswers() const {
+    return GetPointer<const flatbuffers::Vector<const briarwharf::PeerSegmentAnswer *> *>(VT_SEGMENTANSWERS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1316,6 +1393,10 @@
            VerifyField<uint64_t>(verifier, VT_DIRECTORYREVISION, 8) &&
            VerifyOffset(verifier, VT_WORK) &&
            verifier.VerifyVector(work()) &&
+           VerifyOffset(verifier, VT_SEGMENTCRASHES) &&
+           verifier.VerifyVector(segmentCrashes()) &&
+           VerifyOffset(verifier, VT_SEGMENTANSWERS) &&
+           verifier.VerifyVector(segmentAnswers()) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1390,6 +1471,12 @@
   void add_work(flatbuffers::Offset<flatbuffers::Vector<const briarwharf::UpstreamWork *>> work) {
     fbb_.AddOffset(Heartbeat::VT_WORK, work);
   }
+  void add_segmentCrashes(flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerSegmentCrash *>> segmentCrashes) {
+    fbb_.AddOffset(Heartbeat::VT_SEGMENTCRASHES, segmentCrashes);
+  }
+  void add_segmentAnswers(flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerSegmentAnswer *>> segmentAnswers) {
+    fbb_.AddOffset(Heartbeat::VT_SEGMENTANSWERS, segmentAnswers);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1423,7 +1510,9 @@
     uint64_t coveredRevision = 0,
     uint64_t routingVersion = 0,
     uint64_t directoryRevision = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const briarwharf::UpstreamWork *>> work = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const briarwharf::UpstreamWork *>> work = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerSegmentCrash *>> segmentCrashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerSegmentAnswer *>> segmentAnswers = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_directoryRevision(directoryRevision);
   builder_.add_routingVersion(routingVersion);
@@ -1432,6 +1521,8 @@
   builder_.add_revision(revision);
   builder_.add_acknowledged(acknowledged);
   builder_.add_sequence(sequence);
+  builder_.add_segmentAnswers(segmentAnswers);
+  builder_.add_segmentCrashes(segmentCrashes);
   builder_.add_work(work);
   builder_.add_coveredOldestMs(coveredOldestMs);
   builder_.add_covered(covered);
@@ -1471,12 +1562,16 @@
     uint64_t coveredRevision = 0,
     uint64_t routingVersion = 0,
     uint64_t directoryRevision = 0,
-    const std::vector<briarwharf::UpstreamWork> *work = nullptr) {
+    const std::vector<briarwharf::UpstreamWork> *work = nullptr,
+    const std::vector<briarwharf::PeerSegmentCrash> *segmentCrashes = nullptr,
+    const std::vector<briarwharf::PeerSegmentAnswer> *segmentAnswers = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::Member>>(*members) : 0;
   auto loadReports__ = loadReports ? _fbb.CreateVectorOfStructs<briarwharf::LoadReport>(*loadReports) : 0;
   auto usageSums__ = usageSums ? _fbb.CreateVectorOfStructs<briarwharf::UsageSum>(*usageSums) : 0;
   auto evidence__ = evidence ? _fbb.CreateVectorOfStructs<briarwharf::UpstreamEvidence>(*evidence) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<briarwharf::UpstreamWork>(*work) : 0;
+  auto segmentCrashes__ = segmentCrashes ? _fbb.CreateVectorOfStructs<briarwharf::PeerSegmentCrash>(*segmentCrashes) : 0;
+  auto segmentAnswers__ = segmentAnswers ? _fbb.CreateVectorOfStructs<briarwharf::PeerSegmentAnswer>(*segmentAnswers) : 0;
   return briarwharf::CreateHeartbeat(
       _fbb,
       sequence,
@@ -1499,7 +1594,9 @@
       coveredRevision,
       routingVersion,
       directoryRevision,
-      work__);
+      work__,
+      segmentCrashes__,
+      segmentAnswers__);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4230,7 +4327,9 @@
         coveredRevision(o.coveredRevision),
         routingVersion(o.routingVersion),
         directoryRevision(o.directoryRevision),
-        work(o.work) {
+        work(o.work),
+        segmentCrashes(o.segmentCrashes),
+        segmentAnswers(o.segmentAnswers) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new briarwharf::MemberT(*members_) : nullptr); }
 }
@@ -4257,6 +4356,8 @@
   std::swap(routingVersion, o.routingVersion);
   std::swap(directoryRevision, o.directoryRevision);
   std::swap(work, o.work);
+  std::swap(segmentCrashes, o.segmentCrashes);
+  std::swap(segmentAnswers, o.segmentAnswers);
   return *this;
 }
 
@@ -4290,6 +4391,8 @@
   { auto _e = routingVersion(); _o->routingVersion = _e; }
   { auto _e = directoryRevision(); _o->directoryRevision = _e; }
   { auto _e = work(); if (_e) { _o->work.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->work[_i] = *_e->Get(_i); } } }
+  { auto _e = segmentCrashes(); if (_e) { _o->segmentCrashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->segmentCrashes[_i] = *_e->Get(_i); } } }
+  { auto _e = segmentAnswers(); if (_e) { _o->segmentAnswers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->segmentAnswers[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4321,6 +4424,8 @@
   auto _routingVersion = _o->routingVersion;
   auto _directoryRevision = _o->directoryRevision;
   auto _work = _o->work.size() ? _fbb.CreateVectorOfStructs(_o->work) : 0;
+  auto _segmentCrashes = _o->segmentCrashes.size() ? _fbb.CreateVectorOfStructs(_o->segmentCrashes) : 0;
+  auto _segmentAnswers = _o->segmentAnswers.size() ? _fbb.CreateVectorOfStructs(_o->segmentAnswers) : 0;
   return briarwharf::CreateHeartbeat(
       _fbb,
       _sequence,
@@ -4343,7 +4448,9 @@
       _coveredRevision,
       _routingVersion,
       _directoryRevision,
-      _work);
+      _work,
+      _segmentCrashes,
+      _segmentAnswers);
 }
 
 inline PingRequestT *PingRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- /dev/null
+++ b/coordination/quarantine.cc
@@ -0,0 +1,179 @@
+#include "coordination/quarantine.h"
+
+#include "base/log.h"
+#include "base/number.h"
+#include <algorithm>
+#include <limits>
+
+namespace briarwharf {
+
+namespace {
+
+    constexpr Milliseconds cleanupInterval { 1000 };
+
+    std::uint32_t ageMilliseconds(MonotonicTime at, MonotonicTime now)
+    {
+        std::int64_t age = std::max<std::int64_t>(0, toMilliseconds(now - at).count());
+        return static_cast<std::uint32_t>(
+            std::min<std::int64_t>(age, std::numeric_limits<std::uint32_t>::max()));
+    }
+
+    bool containsAll(std::span<const std::uint64_t> segments, const std::vector<std::uint64_t>& wanted)
+    {
+        return std::all_of(wanted.begin(), wanted.end(), [&](std::uint64_t segment) {
+            return std::find(segments.begin(), segments.end(), segment) != segments.end();
+        });
+    }
+
+    std::string printIdentifiers(const std::vector<std::uint64_t>& segments)
+    {
+        std::string out;
+        for (std::uint64_t segment : segments)
+            out += (out.empty() ? "" : ",") + printHex(segment);
+        return out;
+    }
+
+    void logChange(std::string_view event, const SuspectGroup& group)
+    {
+        LogLine(LogLevel::Warning, "quarantine", event)
+            .field("segments", printIdentifiers(group.segments))
+            .field("crashes", group.crashes);
+    }
+
+    bool hasGroupOf(const std::vector<SuspectGroup>& groups, const SuspectGroup& wanted)
+    {
+        return std::any_of(groups.begin(), groups.end(),
+            [&](const SuspectGroup& group) { return group.segments == wanted.segments; });
+    }
+
+} // namespace
+
+SegmentQuarantine::SegmentQuarantine(const Membership& membership, QuarantineOptions options)
+    : m_membership(membership)
+    , m_options(options)
+    , m_evidence(options.evidence)
+{
+}
+
+template <typename Evidence> void SegmentQuarantine::add(const Evidence& evidence)
+{
+    if (!m_evidence.add(evidence))
+        return;
+    m_records.emplace(m_nextSequence++, evidence);
+    m_changed = true;
+}
+
+void SegmentQuarantine::recordCrash(
+    std::span<const std::uint64_t> segments, std::uint32_t upstream, MonotonicTime at, MonotonicTime now)
+{
+    for (std::uint64_t segment : segments.first(std::min(segments.size(), m_options.maxSegmentsPerCrash)))
+        add(SegmentCrash { segment, upstream, at });
+    updateGroups(now);
+}
+
+void SegmentQuarantine::recordAnswer(
+    std::span<const std::uint64_t> segments, MonotonicTime began, MonotonicTime now)
+{
+    for (std::uint64_t segment : segments)
+        add(SegmentAnswer { segment, began });
+    updateGroups(now);
+}
+
+std::optional<Milliseconds> SegmentQuarantine::refuse(
+    std::span<const std::uint64_t> segments, MonotonicTime now)
+{
+    for (const SuspectGroup& group : m_groups) {
+        if (!containsAll(segments, group.segments))
+            continue;
+        if (now < group.termEnd)
+            return toMilliseconds(group.termEnd - now);
+        auto trial = m_trials.find(group.segments);
+        bool isTried = trial != m_trials.end() && now - trial->second < m_options.trialRetryDelay;
+        if (isTried || !m_membership.owns(group.segments.front()))
+            return m_options.trialRetryDelay;
+        m_trials[group.segments] = now;
+        logChange("trial", group);
+    }
+    return std::nullopt;
+}
+
+void SegmentQuarantine::tick(MonotonicTime now)
+{
+    if (m_evidence.empty())
+        return;
+    m_evidence.expire(now);
+    m_changed = true; // the passing of time matters as well
+    updateGroups(now);
+    if (now - m_lastCleanup < cleanupInterval)
+        return;
+    m_lastCleanup = now;
+    dropOutdatedRecords(now);
+}
+
+void SegmentQuarantine::updateGroups(MonotonicTime now)
+{
+    if (!std::exchange(m_changed, false))
+        return;
+    std::vector<SuspectGroup> groups = m_evidence.suspects(now);
+    for (const SuspectGroup& group : groups) {
+        if (!hasGroupOf(m_groups, group))
+            logChange("started", group);
+    }
+    for (const SuspectGroup& group : m_groups) {
+        if (!hasGroupOf(groups, group))
+            logChange("ended", group);
+    }
+    m_groups = std::move(groups);
+    std::erase_if(m_trials, [&](const auto& trial) {
+        return std::none_of(m_groups.begin(), m_groups.end(),
+            [&](const SuspectGroup& group) { return group.segments == trial.first && now >= group.termEnd; });
+    });
+}
+
+// Peers with a new link need only what still counts.
+void SegmentQuarantine::dropOutdatedRecords(MonotonicTime now)
+{
+    std::erase_if(m_records, [&](const auto& entry) {
+        if (const auto* crash = std::get_if<SegmentCrash>(&entry.second))
+            return !m_evidence.contains(*crash);
+        return now - std::get<SegmentAnswer>(entry.second).at > m_options.evidence.answerRetention;
+    });
+}
+
+void SegmentQuarantine::fill(const LinkView& link, HeartbeatT& heartbeat, MonotonicTime now)
+{
+    std::uint64_t& sentUpTo = m_sentUpTo[link.peer];
+    std::size_t count = 0;
+    for (auto record = m_records.upper_bound(sentUpTo);
+         record != m_records.end() && count < m_options.maxRecordsPerHeartbeat; ++record, ++count) {
+        if (const auto* crash = std::get_if<SegmentCrash>(&record->second)) {
+            heartbeat.segmentCrashes.emplace_back(
+                crash->segment, crash->upstream, ageMilliseconds(crash->at, now));
+        } else {
+            const auto& answer = std::get<SegmentAnswer>(record->second);
+            heartbeat.segmentAnswers.emplace_back(answer.segment, ageMilliseconds(answer.at, now));
+        }
+        sentUpTo = record->first;
+    }
+}
+
+void SegmentQuarantine::accept(const LinkView&, const HeartbeatT& heartbeat, MonotonicTime now)
+{
+    for (const PeerSegmentCrash& crash : heartbeat.segmentCrashes)
+        add(SegmentCrash { crash.segment(), crash.upstream(), now - Milliseconds(crash.ageMs()) });
+    for (const PeerSegmentAnswer& answer : heartbeat.segmentAnswers)
+        add(SegmentAnswer { answer.segment(), now - Milliseconds(answer.ageMs()) });
+    updateGroups(now);
+}
+
+bool SegmentQuarantine::urgent(const LinkView& link, MonotonicTime) const
+{
+    if (m_records.empty())
+        return false;
+    auto sent = m_sentUpTo.find(link.peer);
+    return sent == m_sentUpTo.end() || m_records.rbegin()->first > sent->second;
+}
+
+void SegmentQuarantine::linkDown(const std::string& peer, MonotonicTime) { m_sentUpTo.erase(peer); }
+
+} // namespace briarwharf
--- /dev/null
+++ b/coordination/quarantine.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "coordination/crashevidence.h"
+#include "coordination/member.h"
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace briarwharf {
+
+struct QuarantineOptions {
+    CrashEvidenceOptions evidence;
+    // Maximum number of segments that one instance accuses of one crash.
+    std::size_t maxSegmentsPerCrash = 32;
+    // Records of 16 bytes in one heartbeat; the others wait for the following heartbeats.
+    std::size_t maxRecordsPerHeartbeat = 64;
+    // Time after which a trial that ended neither in a crash nor in an answer is repeated.
+    Milliseconds trialRetryDelay { 30000 };
+};
+
+// Keeps requests that crash the upstreams which answer them away from the upstreams. All instances share
+// their evidence: each passes new records on to every linked peer, so that a record crosses the fleet on
+// whatever links there are, and each link carries it once in each direction.
+//
+//   quarantine.recordCrash(segments, upstream, crashedAt, now);   // of a request that waited there
+//   quarantine.recordAnswer(segments, answerBegan, now);          // the upstream went on after its first
+//   event if (auto retryAfter = quarantine.refuse(segments, now)) ... the request must not be sent
+class SegmentQuarantine : public HeartbeatSection {
+public:
+    explicit SegmentQuarantine(const Membership&, QuarantineOptions options = {});
+
+    void recordCrash(
+        std::span<const std::uint64_t> segments, std::uint32_t upstream, MonotonicTime at, MonotonicTime now);
+    void recordAnswer(std::span<const std::uint64_t> segments, MonotonicTime began, MonotonicTime now);
+
+    // For a request with these segments: the time after which it may be admitted, or an empty value if it is
+    // admitted now. When the term of a quarantine has ended, the instance that owns it admits one request as
+    // a trial; a crash then starts a longer term, and an answer ends the quarantine everywhere.
+    std::optional<Milliseconds> refuse(std::span<const std::uint64_t> segments, MonotonicTime now);
+
+    // Call it about every 100 ms.
+    void tick(MonotonicTime now);
+
+    // Whether any crash is remembered; if not, answers need not be recorded.
+    bool hasEvidence() const { return !m_evidence.empty(); }
+    const std::vector<SuspectGroup>& groups() const { return m_groups; }
+
+    void fill(const LinkView&, HeartbeatT&, MonotonicTime now) override;
+    void accept(const LinkView&, const HeartbeatT&, MonotonicTime now) override;
+    bool urgent(const LinkView&, MonotonicTime now) const override;
+    void linkDown(const std::string& peer, MonotonicTime now) override;
+
+private:
+    using Record = std::variant<SegmentCrash, SegmentAnswer>;
+
+    template <typename Evidence> void add(const Evidence&);
+    void updateGroups(MonotonicTime now);
+    void dropOutdatedRecords(MonotonicTime now);
+
+    const Membership& m_membership;
+    QuarantineOptions m_options;
+    CrashEvidence m_evidence;
+    std::vector<SuspectGroup> m_groups;
+    std::map<std::vector<std::uint64_t>, MonotonicTime> m_trials; // by the segments of the group
+    std::map<std::uint64_t, Record> m_records; // to pass on, by sequence number
+    std::uint64_t m_nextSequence = 1;
+    std::map<std::string, std::uint64_t, std::less<>> m_sentUpTo; // sequence numbers, by peer
+    bool m_changed = false; // the evidence, since the groups were determined
+    MonotonicTime m_lastCleanup;
+};
+
+} // namespace briarwharf
--- a/coordination/testing/progressfleet.h
+++ b/coordination/testing/progressfleet.h
@@ -9,12 +9,13 @@
 namespace briarwharf::testing {
 
 // Memberships that know each other, with the links that the tree or the full mesh requires. Each has a table
-// of work in progress. Frames arrive within the round in which they are sent.
+// of work in progress and a quarantine. Frames arrive within the round in which they are sent.
 struct ProgressFleet {
     struct Node {
         Outbox outbox;
         std::unique_ptr<Membership> membership;
         std::unique_ptr<InProgressTable> work;
+        std::unique_ptr<SegmentQuarantine> quarantine;
         std::uint64_t bytesSent = 0; // of frames, without the overhead of TCP and IP
     };
     std::map<std::string, Node> nodes;
@@ -44,7 +45,9 @@
             InstanceIdentity { self.id, self.address, self.failureDomain, incarnation }, MembershipOptions {},
             node.outbox, incarnation);
         node.work = std::make_unique<InProgressTable>(*node.membership, InProgressOptions {});
+        node.quarantine = std::make_unique<SegmentQuarantine>(*node.membership);
         node.membership->addSection(*node.work);
+        node.membership->addSection(*node.quarantine);
         node.membership->seed(known, now);
     }
 
@@ -67,8 +70,10 @@
     {
         now += duration;
         openLinks();
-        for (auto& [id, node] : nodes)
+        for (auto& [id, node] : nodes) {
             node.membership->tick(now);
+            node.quarantine->tick(now);
+        }
         deliver();
         for (auto& [id, node] : nodes)
             node.work->refresh(now);
--- /dev/null
+++ b/coordination/testing/quarantine_test.cc
@@ -0,0 +1,226 @@
+// The quarantine of prompt segments in fleets of several sizes, with engines that crash when they begin to
+// answer one of them.
+
+#include "base/random.h"
+#include "coordination/testing/progressfleet.h"
+#include <algorithm>
+#include <deque>
+#include <doctest/doctest.h>
+
+using namespace briarwharf;
+using namespace briarwharf::testing;
+
+namespace {
+
+constexpr std::uint64_t bad = 0xbad;
+constexpr std::size_t toleratedCrashes = 5;
+constexpr std::size_t maxRequestsAfterContactTime = 3;
+
+struct CrashDay {
+    int instances = 7;
+    std::size_t engines = 12;
+    double badPerSecond = 5;
+    double soundPerSecond = 100;
+    Milliseconds contactTime { 3000 };
+    std::uint64_t seed = 1;
+};
+
+// Requests arrive at random instances and engines. Each has a first segment that many share, a second one,
+// and, not modelled, one of its own. Bad requests have `bad` as their second segment.
+class CrashSimulation {
+public:
+    explicit CrashSimulation(const CrashDay& day)
+        : fleet(day.instances, 4)
+        , m_day(day)
+        , m_random(day.seed)
+        , m_engines(day.engines)
+    {
+        for (const auto& [id, node] : fleet.nodes)
+            m_ids.push_back(id);
+        for (int round = 0; round < 30; ++round)
+            fleet.step();
+    }
+
+    void run(Milliseconds duration)
+    {
+        MonotonicTime end = fleet.now + duration;
+        while (fleet.now < end) {
+            arrive(m_day.badPerSecond, true);
+            arrive(m_day.soundPerSecond, false);
+            fleet.step(stepDuration);
+            answerRequests();
+        }
+    }
+
+    bool refusedBy(const std::string& id)
+    {
+        const std::uint64_t segments[] { 1, bad };
+        return fleet.nodes[id].quarantine->refuse(segments, fleet.now).has_value();
+    }
+
+    ProgressFleet fleet;
+    std::size_t crashes = 0;
+    std::size_t lateBadRequests = 0; // reached an engine later than contactTime after the fifth crash
+    std::size_t sound = 0;
+    std::size_t soundRefused = 0;
+
+private:
+    static constexpr Milliseconds stepDuration { 50 };
+    static constexpr Milliseconds timeToFirstEvent { 100 };
+    static constexpr Milliseconds soundAnswerAge { 300 };
+    static constexpr Milliseconds restartTime { 3000 };
+
+    struct Engine {
+        std::uint32_t lifetime = 0;
+        MonotonicTime upSince;
+    };
+    struct Request {
+        std::string instance;
+        std::vector<std::uint64_t> segments;
+        std::size_t engine = 0;
+        std::uint32_t lifetime = 0;
+        MonotonicTime sent;
+    };
+
+    void arrive(double perSecond, bool isBad)
+    {
+        double expected = perSecond * std::chrono::duration<double>(stepDuration).count();
+        for (; expected > 0; expected -= 1) {
+            if (m_random.unit() < expected)
+                place(isBad);
+        }
+    }
+
+    void place(bool isBad)
+    {
+        Request request;
+        request.instance = m_ids[m_random.below(m_ids.size())];
+        request.segments = { 1 + m_random.below(20), isBad ? bad : 1000 + m_random.below(167) };
+        bool refused
+            = fleet.nodes[request.instance].quarantine->refuse(request.segments, fleet.now).has_value();
+        sound += isBad ? 0 : 1;
+        soundRefused += !isBad && refused ? 1 : 0;
+        request.engine = m_random.below(m_engines.size());
+        const Engine& engine = m_engines[request.engine];
+        if (refused || fleet.now < engine.upSince)
+            return;
+        lateBadRequests += isBad && m_fifthCrash && fleet.now > *m_fifthCrash + m_day.contactTime ? 1 : 0;
+        request.lifetime = engine.lifetime;
+        request.sent = fleet.now;
+        m_requests.push_back(request);
+    }
+
+    bool isBadRequest(const Request& request) const { return request.segments.back() == bad; }
+
+    void answerRequests()
+    {
+        for (const Request& request : m_requests) {
+            bool begins = fleet.now >= request.sent + timeToFirstEvent;
+            if (isBadRequest(request) && begins && m_engines[request.engine].lifetime == request.lifetime)
+                crash(request.engine);
+        }
+        std::erase_if(m_requests, [&](const Request& request) {
+            if (m_engines[request.engine].lifetime != request.lifetime)
+                return true;
+            if (fleet.now < request.sent + timeToFirstEvent + soundAnswerAge)
+                return false;
+            fleet.nodes[request.instance].quarantine->recordAnswer(
+                request.segments, request.sent + timeToFirstEvent, fleet.now);
+            return true;
+        });
+    }
+
+    // Every instance accuses the segments of its requests that wait at the engine.
+    void crash(std::size_t engine)
+    {
+        for (const Request& request : m_requests) {
+            if (request.engine == engine && request.lifetime == m_engines[engine].lifetime)
+                fleet.nodes[request.instance].quarantine->recordCrash(
+                    request.segments, lifetimeHash(engine), fleet.now, fleet.now);
+        }
+        ++m_engines[engine].lifetime;
+        m_engines[engine].upSince = fleet.now + restartTime;
+        if (++crashes == toleratedCrashes)
+            m_fifthCrash = fleet.now;
+    }
+
+    std::uint32_t lifetimeHash(std::size_t engine) const
+    {
+        return static_cast<std::uint32_t>(engine) * 1000 + m_engines[engine].lifetime;
+    }
+
+    CrashDay m_day;
+    Random m_random;
+    std::vector<Engine> m_engines;
+    std::vector<std::string> m_ids;
+    std::vector<Request> m_requests;
+    std::optional<MonotonicTime> m_fifthCrash;
+};
+
+} // namespace
+
+// Guards against requests that end one engine after the other, at any rate and in fleets of any size, and
+// against refusing sound requests for it.
+TEST_CASE("a segment that crashes engines is refused by the whole fleet in time, sound requests are served")
+{
+    std::vector<CrashDay> days {
+        { 7, 12, 5, 100 },
+        { 7, 12, 0.7, 100 },
+        { 7, 12, 60, 100 },
+        { 2, 3, 5, 30 },
+        { 90, 90, 20, 500, Milliseconds(4000) },
+        { 295, 160, 10, 1000, Milliseconds(5000) },
+    };
+    for (CrashDay day : days) {
+        for (day.seed = 1; day.seed <= 3; ++day.seed) {
+            CAPTURE(day.instances);
+            CAPTURE(day.badPerSecond);
+            CAPTURE(day.seed);
+            CrashSimulation simulation(day);
+            simulation.run(Milliseconds(15000));
+            CHECK(simulation.lateBadRequests <= maxRequestsAfterContactTime);
+            CHECK(simulation.soundRefused * 50 <= simulation.sound);
+            CHECK(simulation.crashes >= 3);
+        }
+    }
+}
+
+// Guards against an instance that sends such requests again after it was restarted or has joined the fleet.
+TEST_CASE("an instance that joins learns from its peers what is in quarantine")
+{
+    CrashSimulation simulation({ 9, 12, 5, 100 });
+    simulation.run(Milliseconds(10000));
+    const ListedInstance joining = simulation.fleet.all[4];
+    REQUIRE(simulation.refusedBy(joining.id));
+    simulation.fleet.restart(joining, 2);
+    CHECK_FALSE(simulation.refusedBy(joining.id));
+    for (int round = 0; round < 8; ++round)
+        simulation.fleet.step();
+    CHECK(simulation.refusedBy(joining.id));
+}
+
+// Guards against a segment that was blamed by mistake and is refused for good, and against trials by all
+// instances at once.
+TEST_CASE("after its term one instance of the fleet tries the segment, and an answer ends the quarantine")
+{
+    CrashSimulation simulation({ 9, 12, 5, 100 });
+    simulation.run(Milliseconds(10000));
+    ProgressFleet& fleet = simulation.fleet;
+    MonotonicTime termEnd = fleet.nodes.begin()->second.quarantine->groups().at(0).termEnd;
+    fleet.now = termEnd + Milliseconds(1000);
+    for (int round = 0; round < 40; ++round) // the instances notice the pause and link again
+        fleet.step();
+    std::vector<std::string> trying;
+    for (const auto& [id, node] : fleet.nodes) {
+        if (!simulation.refusedBy(id))
+            trying.push_back(id);
+    }
+    REQUIRE(trying.size() == 1);
+    CHECK(simulation.refusedBy(trying[0])); // one request only
+    const std::uint64_t segments[] { bad };
+    fleet.nodes[trying[0]].quarantine->recordAnswer(segments, fleet.now, fleet.now);
+    for (int round = 0; round < 8; ++round)
+        fleet.step();
+    for (const auto& [id, node] : fleet.nodes)
+        CHECK_FALSE(simulation.refusedBy(id));
+}
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -116,8 +116,10 @@
     , m_relay({}, m_mesh.membership(), m_mesh.outbox())
     , m_inProgress(m_mesh.membership(), {})
     , m_health(healthOptions())
+    , m_quarantine(m_mesh.membership())
     , m_directory(directoryOptions(m_settings))
-    , m_forwarder(base, forwarderSettings(m_settings), m_source->headers(), m_inProgress, m_health, m_metrics)
+    , m_forwarder(base, forwarderSettings(m_settings), m_source->headers(),
+          { m_inProgress, m_health, m_quarantine }, m_metrics)
     , m_callers(base, ingressLimits(m_settings),
           [this](IngressRequest request, CallerExchange& caller) {
               m_forwarder.handle(std::move(request), caller);
@@ -129,7 +131,7 @@
     , m_startedAt(clockNow())
 {
     for (HeartbeatSection* section :
-        std::initializer_list<HeartbeatSection*> { &m_relay, &m_inProgress, &m_health })
+        std::initializer_list<HeartbeatSection*> { &m_relay, &m_inProgress, &m_health, &m_quarantine })
         m_mesh.membership().addSection(*section);
 }
 
@@ -271,6 +273,7 @@
         m_relay.confirm(*confirmed);
     m_mesh.tick();
     m_relay.tick(now);
+    m_quarantine.tick(now);
     m_source->follow(m_stopping ? WatchDuty::OwnOnly : m_relay.duty());
     m_mesh.flush();
     if (m_directory.expire(now))
@@ -300,8 +303,9 @@
         if (!text.empty())
             return caller.answer(200, "Content-Type: application/json\r\n", text);
     }
-    answerText(
-        caller, 404, "use /healthz, /readyz, /metrics, /show/routes, /show/upstreams or /show/instances\n");
+    answerText(caller, 404,
+        "use /healthz, /readyz, /metrics, /show/routes, /show/upstreams, /show/quarantine or "
+        "/show/instances\n");
 }
 
 std::string ForwardDaemon::showText(std::string_view resource) const
@@ -324,6 +328,15 @@
                 { "usable", m_health.usable(hash, now) }, { "requests", m_inProgress.own(hash).requests },
                 { "requests_elsewhere", m_inProgress.others(hash).requests } });
         }
+    } else if (resource == "quarantine") {
+        MonotonicTime now = clockNow();
+        for (const SuspectGroup& group : m_quarantine.groups()) {
+            Json segments = Json::array();
+            for (std::uint64_t segment : group.segments)
+                segments.push_back(printHex(segment));
+            rows.push_back({ { "segments", segments }, { "crashes", group.crashes },
+                { "left_ms", std::max<std::int64_t>(0, toMilliseconds(group.termEnd - now).count()) } });
+        }
     } else if (resource == "instances") {
         for (const auto& [id, member] : m_mesh.membership().members())
             rows.push_back({ { "id", id }, { "domain", member.failureDomain },
@@ -349,6 +362,8 @@
     };
     total("briarwharf_repeats_total", "Attempts beyond the first of a request.", forwarded.repeats);
     total("briarwharf_resumes_total", "Streams continued at another upstream.", forwarded.resumes);
+    total("briarwharf_quarantine_refusals_total",
+        "Requests refused because of a prompt segment that crashes upstreams.", forwarded.quarantined);
     total("briarwharf_callers_left_total", "Callers that closed before their answer ended.",
         forwarded.callersLeft);
     total("briarwharf_upstream_connections_opened_total", "Connections opened to upstreams.",
@@ -372,6 +387,8 @@
         static_cast<double>(m_relay.routingVersion()));
     m_metrics.set("briarwharf_directory_revision", "Revision of the list of upstreams in force.",
         static_cast<double>(m_directory.revision()));
+    m_metrics.set("briarwharf_quarantined_segments", "Groups of prompt segments that crash upstreams.",
+        static_cast<double>(m_quarantine.groups().size()));
     m_metrics.set("briarwharf_requests_in_progress", "Requests that wait for their answer's end.",
         static_cast<double>(m_forwarder.requestsInProgress()));
     m_metrics.set("briarwharf_buffered_answer_bytes", "Bytes of incomplete answers in memory.",
--- a/process/forwarddaemon.h
+++ b/process/forwarddaemon.h
@@ -66,6 +66,7 @@
     DirectoryRelay m_relay;
     InProgressTable m_inProgress;
     UpstreamHealth m_health;
+    SegmentQuarantine m_quarantine;
     UpstreamDirectory m_directory;
     ForwardMetrics m_metrics;
     Forwarder m_forwarder;
--- a/process/forwardedanswer.cc
+++ b/process/forwardedanswer.cc
@@ -15,6 +15,9 @@
     constexpr double minSlowness = 0.5;
     constexpr double maxSlowness = 10;
 
+    // An upstream that goes on with an answer for this long after the first event has survived its start.
+    constexpr Milliseconds soundAnswerAge { 300 };
+
 } // namespace
 
 void ForwardedRequest::answerHead(const HttpHead& head)
@@ -69,8 +72,10 @@
 {
     std::string out;
     Status passed = m_relay.feed(bytes, out);
-    if (!out.empty())
+    if (!out.empty()) {
         m_lastProgressAt = now;
+        recordEvents(now);
+    }
     if (!out.empty() && m_caller) {
         if (m_answerBegun)
             forwardBytes(out);
@@ -81,6 +86,24 @@
         attemptEnded(AttemptEnd::Broken, passed.error().message);
 }
 
+void ForwardedRequest::recordEvents(MonotonicTime now)
+{
+    if (m_firstEventAt == MonotonicTime {})
+        m_firstEventAt = now;
+    if (!m_answerIsSound && now - m_firstEventAt >= soundAnswerAge)
+        recordSoundAnswer(now);
+}
+
+// The upstream has survived the start of its answer, so none of the prompt's segments crashes it.
+void ForwardedRequest::recordSoundAnswer(MonotonicTime now)
+{
+    m_answerIsSound = true;
+    MonotonicTime began = m_firstEventAt == MonotonicTime {} ? now : m_firstEventAt;
+    bool success = m_head.status >= 200 && m_head.status < 300;
+    if (success && m_forwarder.m_quarantine.hasEvidence())
+        m_forwarder.m_quarantine.recordAnswer(m_sharedSegments, began, now);
+}
+
 // The head is sent only with the first bytes of the body: until then another upstream can replace one that
 // fails without the caller noticing.
 void ForwardedRequest::beginAnswer(std::string_view firstBytes)
@@ -115,9 +138,17 @@
     m_exchange.reset();
     if (m_mode == AnswerMode::Buffered)
         return finishBuffered();
-    bool unfinished = m_mode == AnswerMode::Events && !m_relay.isAtBoundary();
-    if (unfinished)
-        return attemptEnded(AttemptEnd::Broken, "the stream ended in the middle of an event");
+    if (m_mode == AnswerMode::Events) {
+        // Without a length, a stream that ends before its first event cannot be told from a broken one.
+        bool isEmpty = m_head.framing == BodyFraming::UntilClose && attemptEvents() == 0;
+        if (isEmpty || !m_relay.isAtBoundary()) {
+            reportBrokenConnection();
+            return attemptEnded(AttemptEnd::Broken,
+                isEmpty ? "the stream ended without an event" : "the stream ended in the middle of an event");
+        }
+    }
+    if (m_mode == AnswerMode::Forwarding || attemptEvents() > 0)
+        recordSoundAnswer(clockNow());
     ++m_attempts;
     recordHealth(AttemptEnd::TimeUp, false);
     closeAttempt();
@@ -142,6 +173,7 @@
         return attemptEnded(AttemptEnd::FailureAnswered, "the upstream answered with a failure status");
     ++m_attempts;
     recordHealth(AttemptEnd::TimeUp, false);
+    recordSoundAnswer(clockNow());
     closeAttempt();
     deliverBuffered();
 }
--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -67,6 +67,8 @@
     m_pool = RoutingTable::choosePool(*m_route, requestHash);
     m_routedPool = m_table->findPool(m_pool);
     m_item.segments = std::move(m_fields.segments);
+    for (const PromptSegment& segment : m_item.sharedSegments())
+        m_sharedSegments.push_back(segment.id);
     m_item.promptTokens = m_fields.promptTokens;
     m_item.outputTokens = m_fields.outputHint > 0 ? m_fields.outputHint : m_fields.maxOutputTokens;
     m_item.targetLatency = m_route->targetLatency;
@@ -137,6 +139,8 @@
 void ForwardedRequest::place()
 {
     MonotonicTime now = clockNow();
+    if (refuseQuarantined(now))
+        return;
     for (;;) {
         auto upstreams = m_forwarder.untriedUpstreams(m_pool, m_tried);
         std::vector<UpstreamCandidate> candidates;
@@ -161,6 +165,26 @@
     }
 }
 
+// Refuses the request, and returns true, if prompts like it crash the upstreams that answer them.
+bool ForwardedRequest::refuseQuarantined(MonotonicTime now)
+{
+    auto retryAfter = m_forwarder.m_quarantine.refuse(m_sharedSegments, now);
+    if (!retryAfter)
+        return false;
+    ++m_forwarder.m_counters.quarantined;
+    constexpr std::string_view reason = "a segment of the prompt crashes upstreams";
+    if (m_mayHaveRun || m_answerBegun) {
+        giveUp(reason);
+        return true;
+    }
+    answerLocally({ 503, "quarantined",
+        "upstreams crash when they answer prompts with one of these segments; the request did not run: "
+        "do not send it again before the stated time",
+        *retryAfter });
+    finish("refused", 503, reason);
+    return true;
+}
+
 // Before the first attempt: refuses the request, and returns true, if no answer is expected before its
 // deadline. It would otherwise occupy a place in an engine's queue for nothing.
 bool ForwardedRequest::refuseUnreachableDeadline(const CostDecision& decision, MonotonicTime now)
@@ -218,6 +242,8 @@
     m_sentAt = m_lastProgressAt = now;
     m_headReceived = false;
     m_eventsBefore = m_relay.eventCount();
+    m_firstEventAt = {};
+    m_answerIsSound = false;
     m_mode = AnswerMode::None;
     m_buffered.clear();
     m_forwarder.m_inProgress.started(m_upstream->hash, m_decision.tokensToRead);
@@ -238,9 +264,20 @@
     AttemptEnd end
         = failure.kind == ExchangeFailureKind::NotConnected ? AttemptEnd::NotConnected : AttemptEnd::Broken;
     recordHealth(end, failure.keptConnection);
+    if (end == AttemptEnd::Broken)
+        reportBrokenConnection();
     attemptEnded(end, failure.reason);
 }
 
+// If the upstream has ended, a segment of the prompt may be the cause, unless its answer had gone on for some
+// time.
+void ForwardedRequest::reportBrokenConnection()
+{
+    if (servedByEngines() && !m_answerIsSound)
+        m_forwarder.m_crashDetector.connectionBroke(
+            m_upstream->entry.endpoint, m_upstream->lifetimeHash, m_sharedSegments);
+}
+
 void ForwardedRequest::recordHealth(AttemptEnd end, bool keptConnection)
 {
     MonotonicTime now = clockNow();
@@ -295,7 +332,7 @@
         .field("attempts", m_attempts)
         .field("written", written)
         .field("head", m_headReceived)
-        .field("events", m_relay.eventCount() - m_eventsBefore)
+        .field("events", attemptEvents())
         .field("segments", printSegments(m_item.sharedSegments()))
         .field("left_ms", toMilliseconds(m_deadline - now).count())
         .field("verdict", attemptVerdictName(verdict));
--- a/process/forwardedrequest.h
+++ b/process/forwardedrequest.h
@@ -64,6 +64,7 @@
     bool endsBeforeShutdown();
     Milliseconds expectedDuration() const;
     void place();
+    bool refuseQuarantined(MonotonicTime now);
     bool refuseUnreachableDeadline(const CostDecision&, MonotonicTime now);
     void send(std::shared_ptr<Forwarder::Upstream>, const CostDecision&);
     void beginAnswer(std::string_view firstBytes);
@@ -78,6 +79,10 @@
     void closeAttempt();
     void recordHealth(AttemptEnd, bool keptConnection);
     void recordFirstByte(MonotonicTime now);
+    void recordEvents(MonotonicTime now);
+    void recordSoundAnswer(MonotonicTime now);
+    void reportBrokenConnection();
+    std::uint64_t attemptEvents() const { return m_relay.eventCount() - m_eventsBefore; }
     void recordUnansweredWait(MonotonicTime now);
     bool mayRepeat() const;
     // Whether the upstreams of the request's pool are model engines.
@@ -98,6 +103,7 @@
     std::string m_pool;
     const RoutedPool* m_routedPool = nullptr; // null: the configuration does not describe the pool
     WorkItem m_item;
+    std::vector<std::uint64_t> m_sharedSegments; // identifiers
     MonotonicTime m_deadline;
 
     int m_attempts = 0; // handed to the network, uncounted attempts excepted
@@ -120,6 +126,8 @@
     std::string m_buffered;
     EventRelay m_relay;
     std::uint64_t m_eventsBefore = 0; // events of earlier attempts
+    MonotonicTime m_firstEventAt; // of the current attempt
+    bool m_answerIsSound = false; // of the current attempt: the upstream survived the start of the answer
     bool m_answerBegun = false; // a part of the answer was sent to the caller
     bool m_done = false;
 };
--- a/process/forwarder.cc
+++ b/process/forwarder.cc
@@ -40,14 +40,19 @@
 }
 
 Forwarder::Forwarder(event_base* base, ForwarderSettings settings, ForwardingHeaders headers,
-    InProgressTable& inProgress, UpstreamHealth& health, ForwardMetrics& metrics)
+    SharedState shared, ForwardMetrics& metrics)
     : m_base(base)
     , m_settings(std::move(settings))
     , m_headers(std::move(headers))
-    , m_inProgress(inProgress)
-    , m_health(health)
+    , m_inProgress(shared.inProgress)
+    , m_health(shared.health)
+    , m_quarantine(shared.quarantine)
     , m_metrics(metrics)
     , m_connections(base, {})
+    , m_crashDetector(base,
+          [this](std::uint32_t upstream, const std::vector<std::uint64_t>& segments, MonotonicTime at) {
+              m_quarantine.recordCrash(segments, upstream, at, clockNow());
+          })
     , m_placement(m_settings.cost)
     , m_budget(m_settings.budget)
     , m_deferredDelete(base, [this] { m_done.clear(); })
@@ -90,6 +95,8 @@
             upstream->hash = shortHash(id);
         }
         upstream->entry = entry;
+        upstream->lifetimeHash = static_cast<std::uint32_t>(
+            combineHashes(hash64(id), static_cast<std::uint64_t>(entry.started)));
         hashes.push_back(upstream->hash);
         if (!entry.draining)
             m_pools[entry.pool].upstreams.push_back(upstream);
--- a/process/forwarder.h
+++ b/process/forwarder.h
@@ -2,6 +2,7 @@
 
 #include "connection/connection.h"
 #include "coordination/coordination.h"
+#include "process/crashdetector.h"
 #include "process/forwardheaders.h"
 #include "process/forwardmetrics.h"
 #include "request/request.h"
@@ -40,20 +41,27 @@
     std::uint64_t repeats = 0; // attempts after the first one of a request
     std::uint64_t resumes = 0; // repeats that continued a stream at another upstream
     std::uint64_t callersLeft = 0;
+    std::uint64_t quarantined = 0; // refused because of a segment that crashes upstreams
+};
+
+// What the forwarder shares with other instances.
+struct SharedState {
+    InProgressTable& inProgress;
+    UpstreamHealth& health;
+    SegmentQuarantine& quarantine;
 };
 
 class ForwardedRequest;
 
 // Forwards callers' requests to the upstreams of their route's pool.
 //
-//   Forwarder forwarder(base, settings, headers, work, health, metrics);
+//   Forwarder forwarder(base, settings, headers, { work, health, quarantine }, metrics);
 //   forwarder.setRouting(table);                 // each new version of the configuration
 //   forwarder.setUpstreams(directory.upstreams(), directory.revision());
 //   forwarder.handle(std::move(request), caller);
 class Forwarder {
 public:
-    Forwarder(event_base*, ForwarderSettings, ForwardingHeaders, InProgressTable&, UpstreamHealth&,
-        ForwardMetrics&);
+    Forwarder(event_base*, ForwarderSettings, ForwardingHeaders, SharedState, ForwardMetrics&);
     ~Forwarder();
     Forwarder(const Forwarder&) = delete;
     Forwarder& operator=(const Forwarder&) = delete;
@@ -84,6 +92,7 @@
     struct Upstream {
         UpstreamEntry entry;
         std::uint32_t hash = 0;
+        std::uint32_t lifetimeHash = 0; // of the id and the start time: differs after a restart
         MonotonicTime lastByteAt; // when any byte last arrived on any connection
         MonotonicTime avoidUntil; // set after a refusal; other upstreams are preferred until then
         double slowness = 1; // moving average of the time to the first byte over the expected time
@@ -108,8 +117,10 @@
     ForwardingHeaders m_headers;
     InProgressTable& m_inProgress;
     UpstreamHealth& m_health;
+    SegmentQuarantine& m_quarantine;
     ForwardMetrics& m_metrics;
     HttpPool m_connections;
+    CrashDetector m_crashDetector;
     CostPlacement m_placement;
     FleetRetryBudget m_budget;
     FirstByteForecast m_forecast;
--- a/process/forwardheaders.cc
+++ b/process/forwardheaders.cc
@@ -3,7 +3,6 @@
 #include "base/number.h"
 #include <algorithm>
 #include <array>
-#include <sstream>
 
 namespace briarwharf {
 
@@ -91,11 +90,10 @@
 
 std::string printSegments(std::span<const PromptSegment> segments)
 {
-    std::ostringstream out;
-    out << std::hex;
-    for (std::size_t index = 0; index < segments.size(); ++index)
-        out << (index > 0 ? "," : "") << segments[index].id;
-    return out.str();
+    std::string out;
+    for (const PromptSegment& segment : segments)
+        out += (out.empty() ? "" : ",") + printHex(segment.id);
+    return out;
 }
 
 std::string upstreamHead(const HttpHead& caller, const ForwardingHeaders& headers,
