Keep quarantines in the store, for a restart of all instances

Cause: what the fleet knew was in memory only. A single instance gets it from its peers; after a restart of all nobody has it.

Change: the instance that owns a quarantine (rendezvous order of its segments) copies it to the source, half a second after its evidence last changed, and removes the copy when the quarantine ends. Instances that watch the store read the copies once, with their own entry. The time of the last crash is kept as wall time, so that the term goes on.

Ruled out: reading the copies at every instance's start (a call for each instance, and the peers have it), and the clock of the store (calls do not tell it).

--- a/coordination/crashevidence.cc
+++ b/coordination/crashevidence.cc
@@ -134,12 +134,13 @@
             continue;
         SuspectGroup& group = groups[upstreamsOf(segment.crashes)];
         group.segments.push_back(id);
-        group.crashes = segment.crashes.size();
-        group.termEnd = std::max(group.termEnd, segment.crashes.back().at + termAfter(group.crashes));
+        group.lastCrash = std::max(group.lastCrash, segment.crashes.back().at);
     }
     std::vector<SuspectGroup> result;
     for (auto& [upstreams, group] : groups) {
         std::sort(group.segments.begin(), group.segments.end());
+        group.upstreams.assign(upstreams.begin(), upstreams.end());
+        group.termEnd = group.lastCrash + termAfter(upstreams.size());
         result.push_back(std::move(group));
     }
     return result;
--- a/coordination/crashevidence.h
+++ b/coordination/crashevidence.h
@@ -35,7 +35,7 @@
     Milliseconds maxTerm { std::chrono::hours(6) };
     Milliseconds crashRetention { std::chrono::minutes(10) }; // of segments that are not suspect
     Milliseconds suspectRetention { std::chrono::hours(24) };
-    Milliseconds answerRetention { std::chrono::minutes(1) }; // longer than a crash takes to reach all
+    Milliseconds answerRetention { std::chrono::minutes(10) };
     std::size_t maxCrashesPerSegment = 16; // the latest ones
     std::size_t maxSegments = 4096;
 };
@@ -43,7 +43,8 @@
 // Segments that were in the prompts of the same crashes, so that any of them may be the cause.
 struct SuspectGroup {
     std::vector<std::uint64_t> segments; // in ascending order
-    std::size_t crashes = 0;
+    std::vector<std::uint32_t> upstreams; // that crashed; in ascending order
+    MonotonicTime lastCrash;
     MonotonicTime termEnd;
 
     bool operator==(const SuspectGroup&) const = default;
--- a/coordination/quarantine.cc
+++ b/coordination/quarantine.cc
@@ -37,7 +37,7 @@
     {
         LogLine(LogLevel::Warning, "quarantine", event)
             .field("segments", printIdentifiers(group.segments))
-            .field("crashes", group.crashes);
+            .field("crashes", group.upstreams.size());
     }
 
     bool hasGroupOf(const std::vector<SuspectGroup>& groups, const SuspectGroup& wanted)
@@ -79,6 +79,19 @@
     updateGroups(now);
 }
 
+// The crashes are taken to be separate incidents, the last one at `lastCrash`.
+void SegmentQuarantine::restore(const std::vector<std::uint64_t>& segments,
+    const std::vector<std::uint32_t>& upstreams, MonotonicTime lastCrash, MonotonicTime now)
+{
+    MonotonicTime at = lastCrash;
+    for (std::uint32_t upstream : upstreams) {
+        for (std::uint64_t segment : segments)
+            add(SegmentCrash { segment, upstream, at });
+        at -= m_options.evidence.incidentGap;
+    }
+    updateGroups(now);
+}
+
 std::optional<Milliseconds> SegmentQuarantine::refuse(
     std::span<const std::uint64_t> segments, MonotonicTime now)
 {
--- a/coordination/quarantine.h
+++ b/coordination/quarantine.h
@@ -36,6 +36,10 @@
         std::span<const std::uint64_t> segments, std::uint32_t upstream, MonotonicTime at, MonotonicTime now);
     void recordAnswer(std::span<const std::uint64_t> segments, MonotonicTime began, MonotonicTime now);
 
+    // Adds evidence from before a restart of the fleet.
+    void restore(const std::vector<std::uint64_t>& segments, const std::vector<std::uint32_t>& upstreams,
+        MonotonicTime lastCrash, MonotonicTime now);
+
     // For a request with these segments: the time after which it may be admitted, or an empty value if it is
     // admitted now. When the term of a quarantine has ended, the instance that owns it admits one request as
     // a trial; a crash then starts a longer term, and an answer ends the quarantine everywhere.
--- a/process/directorysource.h
+++ b/process/directorysource.h
@@ -11,6 +11,15 @@
 
 namespace briarwharf {
 
+// A quarantine of prompt segments in the form in which it outlives a restart of all instances.
+struct SavedQuarantine {
+    std::vector<std::uint64_t> segments;
+    std::vector<std::uint32_t> upstreams; // hashes that identify those that crashed
+    WallTime lastCrash;
+
+    bool operator==(const SavedQuarantine&) const = default;
+};
+
 struct DirectoryCallbacks {
     // A configuration, and the document in the source's own format from which it was decoded.
     std::function<void(RoutingConfig, std::string document)> routing;
@@ -18,6 +27,8 @@
     std::function<void(const DirectoryChanges&)> upstreams;
     // The other instances of the fleet.
     std::function<void(const std::vector<ListedInstance>&)> instances;
+    // The saved quarantines, soon after the start.
+    std::function<void(const std::vector<SavedQuarantine>&)> quarantines;
 };
 
 struct DirectoryCounters {
@@ -46,6 +57,10 @@
     // reported; nullopt: never.
     virtual std::optional<MonotonicTime> confirmedAt() const = 0;
 
+    // Saves a quarantine, or replaces the saved one of the same segments, or removes it. Both are idempotent.
+    virtual void save(const SavedQuarantine&, std::function<void(Status)>) = 0;
+    virtual void remove(const SavedQuarantine&, std::function<void(Status)>) = 0;
+
     // Called when this instance leaves the fleet.
     virtual void leave() = 0;
 
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -117,6 +117,7 @@
     , m_inProgress(m_mesh.membership(), {})
     , m_health(healthOptions())
     , m_quarantine(m_mesh.membership())
+    , m_quarantineArchive(m_mesh.membership(), m_quarantine, *m_source)
     , m_directory(directoryOptions(m_settings))
     , m_forwarder(base, forwarderSettings(m_settings), m_source->headers(),
           { m_inProgress, m_health, m_quarantine }, m_metrics)
@@ -162,7 +163,10 @@
                          applyRouting(std::move(config), std::move(document), "source");
                      },
         [this](const DirectoryChanges& changes) { applyChanges(changes, "source"); },
-        [this](const std::vector<ListedInstance>& instances) { m_mesh.seed(instances); } });
+        [this](const std::vector<ListedInstance>& instances) { m_mesh.seed(instances); },
+        [this](const std::vector<SavedQuarantine>& saved) {
+            m_quarantineArchive.restore(saved, clockNow(), std::chrono::system_clock::now());
+        } });
     return ok();
 }
 
@@ -274,6 +278,7 @@
     m_mesh.tick();
     m_relay.tick(now);
     m_quarantine.tick(now);
+    m_quarantineArchive.tick(now, std::chrono::system_clock::now());
     m_source->follow(m_stopping ? WatchDuty::OwnOnly : m_relay.duty());
     m_mesh.flush();
     if (m_directory.expire(now))
@@ -334,7 +339,7 @@
             Json segments = Json::array();
             for (std::uint64_t segment : group.segments)
                 segments.push_back(printHex(segment));
-            rows.push_back({ { "segments", segments }, { "crashes", group.crashes },
+            rows.push_back({ { "segments", segments }, { "crashes", group.upstreams.size() },
                 { "left_ms", std::max<std::int64_t>(0, toMilliseconds(group.termEnd - now).count()) } });
         }
     } else if (resource == "instances") {
--- a/process/forwarddaemon.h
+++ b/process/forwarddaemon.h
@@ -3,6 +3,7 @@
 #include "process/directorysource.h"
 #include "process/forwarder.h"
 #include "process/peermesh.h"
+#include "process/quarantinearchive.h"
 #include "process/settings.h"
 #include <memory>
 #include <optional>
@@ -67,6 +68,7 @@
     InProgressTable m_inProgress;
     UpstreamHealth m_health;
     SegmentQuarantine m_quarantine;
+    QuarantineArchive m_quarantineArchive;
     UpstreamDirectory m_directory;
     ForwardMetrics m_metrics;
     Forwarder m_forwarder;
--- a/process/testing/forwardfixture.cc
+++ b/process/testing/forwardfixture.cc
@@ -70,6 +70,21 @@
         return;
     m_callbacks.routing(m_directory.routing, std::to_string(m_directory.routing.version));
     m_callbacks.upstreams({ 0, m_directory.revision, m_directory.upstreams, {} });
+    m_callbacks.quarantines(m_directory.quarantines);
+}
+
+void FakeSource::save(const SavedQuarantine& quarantine, std::function<void(Status)> done)
+{
+    remove(quarantine, [](const Status&) {});
+    m_directory.quarantines.push_back(quarantine);
+    done(ok());
+}
+
+void FakeSource::remove(const SavedQuarantine& quarantine, std::function<void(Status)> done)
+{
+    std::erase_if(m_directory.quarantines,
+        [&](const SavedQuarantine& saved) { return saved.segments == quarantine.segments; });
+    done(ok());
 }
 
 std::optional<MonotonicTime> FakeSource::confirmedAt() const
--- a/process/testing/forwardfixture.h
+++ b/process/testing/forwardfixture.h
@@ -14,6 +14,7 @@
     RoutingConfig routing;
     std::vector<UpstreamEntry> upstreams;
     std::uint64_t revision = 1;
+    std::vector<SavedQuarantine> quarantines;
     bool unreachable = false; // publishes nothing and confirms nothing
     std::vector<DirectoryCallbacks*> followers;
 
@@ -34,6 +35,8 @@
     void start(DirectoryCallbacks) override;
     void follow(WatchDuty) override { }
     std::optional<MonotonicTime> confirmedAt() const override;
+    void save(const SavedQuarantine&, std::function<void(Status)>) override;
+    void remove(const SavedQuarantine&, std::function<void(Status)>) override;
     void leave() override { hasLeft = true; }
     void setEndpoint(const Endpoint&) override { }
     Result<RoutingConfig> decodeRouting(std::string_view document) const override;
--- a/process/testing/quarantine_test.cc
+++ b/process/testing/quarantine_test.cc
@@ -23,10 +23,29 @@
         directory.routing.pools[0].engine.emplace();
         for (int number = 1; number <= upstreamCount; ++number)
             m_engines.push_back(&addUpstream("engine-" + std::to_string(number), answerOrCrash));
-        for (int number = 0; number < 3; ++number)
-            m_daemons.push_back(&startDaemon(true));
-        for (ForwardDaemon* daemon : m_daemons)
-            runUntil([&] { return daemon->isReady() && daemon->mesh().linkCount() == m_daemons.size() - 1; });
+        startInstances();
+    }
+
+    // By then, the registry has dropped the engines that crashed.
+    void restartInstances()
+    {
+        stopDaemons();
+        m_daemons.clear();
+        for (const ScriptedServer* engine : m_engines) {
+            if (engine->hasCrashed())
+                std::erase_if(directory.upstreams,
+                    [&](const UpstreamEntry& entry) { return entry.endpoint == engine->endpoint(); });
+        }
+        startInstances();
+    }
+
+    // Sends the requests, and sound ones between them, until five engines have crashed.
+    void crashEngines()
+    {
+        for (int round = 0; crashes() < toleratedCrashes && round < 10; ++round) {
+            callBad(round % 2 == 0 ? "/ask/x" : "/chat/x");
+            CHECK(callSound("/ask/x")->complete);
+        }
     }
 
     std::size_t crashes() const
@@ -60,6 +79,14 @@
     }
 
 private:
+    void startInstances()
+    {
+        for (int number = 0; number < 3; ++number)
+            m_daemons.push_back(&startDaemon(true));
+        for (ForwardDaemon* daemon : m_daemons)
+            runUntil([&] { return daemon->isReady() && daemon->mesh().linkCount() == m_daemons.size() - 1; });
+    }
+
     static bool isBad(const ScriptedRequest& request)
     {
         return request.head.fields.find("X-Briarwharf-Prompt-Parts").find("bad:") != std::string_view::npos;
@@ -101,10 +128,7 @@
     "requests with a segment that crashed five upstreams are refused by every instance, sound ones are "
     "served")
 {
-    for (int round = 0; crashes() < toleratedCrashes && round < 10; ++round) {
-        callBad(round % 2 == 0 ? "/ask/x" : "/chat/x");
-        CHECK(callSound("/ask/x")->complete);
-    }
+    crashEngines();
     pause(contactTime);
     std::size_t before = reached();
     for (int round = 0; round < 6; ++round) {
@@ -115,3 +139,19 @@
     }
     CHECK(reached() - before <= maxRequestsAfterContactTime);
 }
+
+// Guards against such requests being sent again because nobody remembers them: not even all instances
+// together, when all were restarted at the same time.
+TEST_CASE_FIXTURE(
+    CrashFixture, "a segment that crashed upstreams is still refused after all instances restarted")
+{
+    crashEngines();
+    pause(contactTime);
+    restartInstances();
+    std::size_t before = reached();
+    for (int round = 0; round < 6; ++round) {
+        CHECK(callBad("/ask/x")->head.status == 503);
+        CHECK(callSound("/ask/x")->complete);
+    }
+    CHECK(reached() - before <= maxRequestsAfterContactTime);
+}
