Take the passing on of records out of the quarantine

RecordSpread passes records on to every linked peer, each link once; other short facts that all instances need can use it as well.

--- a/coordination/quarantine.cc
+++ b/coordination/quarantine.cc
@@ -2,8 +2,8 @@
 
 #include "base/log.h"
 #include "base/number.h"
+#include "coordination/age.h"
 #include <algorithm>
-#include <limits>
 
 namespace briarwharf {
 
@@ -11,13 +11,6 @@
 
     constexpr Milliseconds cleanupInterval { 1000 };
 
-    std::uint32_t ageMilliseconds(MonotonicTime at, MonotonicTime now)
-    {
-        std::int64_t age = std::max<std::int64_t>(0, toMilliseconds(now - at).count());
-        return static_cast<std::uint32_t>(
-            std::min<std::int64_t>(age, std::numeric_limits<std::uint32_t>::max()));
-    }
-
     bool containsAll(std::span<const std::uint64_t> segments, const std::vector<std::uint64_t>& wanted)
     {
         return std::all_of(wanted.begin(), wanted.end(), [&](std::uint64_t segment) {
@@ -59,7 +52,7 @@
 {
     if (!m_evidence.add(evidence))
         return;
-    m_records.emplace(m_nextSequence++, evidence);
+    m_records.add(evidence);
     m_changed = true;
 }
 
@@ -146,28 +139,22 @@
 // Peers with a new link need only what still counts.
 void SegmentQuarantine::dropOutdatedRecords(MonotonicTime now)
 {
-    std::erase_if(m_records, [&](const auto& entry) {
-        if (const auto* crash = std::get_if<SegmentCrash>(&entry.second))
+    m_records.removeIf([&](const Record& record) {
+        if (const auto* crash = std::get_if<SegmentCrash>(&record))
             return !m_evidence.contains(*crash);
-        return now - std::get<SegmentAnswer>(entry.second).at > m_options.evidence.answerRetention;
+        return now - std::get<SegmentAnswer>(record).at > m_options.evidence.answerRetention;
     });
 }
 
 void SegmentQuarantine::fill(const LinkView& link, HeartbeatT& heartbeat, MonotonicTime now)
 {
-    std::uint64_t& sentUpTo = m_sentUpTo[link.peer];
-    std::size_t count = 0;
-    for (auto record = m_records.upper_bound(sentUpTo);
-         record != m_records.end() && count < m_options.maxRecordsPerHeartbeat; ++record, ++count) {
-        if (const auto* crash = std::get_if<SegmentCrash>(&record->second)) {
+    m_records.send(link.peer, m_options.maxRecordsPerHeartbeat, [&](const Record& record) {
+        if (const auto* crash = std::get_if<SegmentCrash>(&record))
             heartbeat.segmentCrashes.emplace_back(
                 crash->segment, crash->upstream, ageMilliseconds(crash->at, now));
-        } else {
-            const auto& answer = std::get<SegmentAnswer>(record->second);
-            heartbeat.segmentAnswers.emplace_back(answer.segment, ageMilliseconds(answer.at, now));
-        }
-        sentUpTo = record->first;
-    }
+        else if (const auto* answer = std::get_if<SegmentAnswer>(&record))
+            heartbeat.segmentAnswers.emplace_back(answer->segment, ageMilliseconds(answer->at, now));
+    });
 }
 
 void SegmentQuarantine::accept(const LinkView&, const HeartbeatT& heartbeat, MonotonicTime now)
@@ -181,12 +168,9 @@
 
 bool SegmentQuarantine::urgent(const LinkView& link, MonotonicTime) const
 {
-    if (m_records.empty())
-        return false;
-    auto sent = m_sentUpTo.find(link.peer);
-    return sent == m_sentUpTo.end() || m_records.rbegin()->first > sent->second;
+    return m_records.hasNewsFor(link.peer);
 }
 
-void SegmentQuarantine::linkDown(const std::string& peer, MonotonicTime) { m_sentUpTo.erase(peer); }
+void SegmentQuarantine::linkDown(const std::string& peer, MonotonicTime) { m_records.linkDown(peer); }
 
 } // namespace briarwharf
--- a/coordination/quarantine.h
+++ b/coordination/quarantine.h
@@ -2,6 +2,7 @@
 
 #include "coordination/crashevidence.h"
 #include "coordination/member.h"
+#include "coordination/recordspread.h"
 #include <map>
 #include <optional>
 #include <span>
@@ -22,8 +23,7 @@
 };
 
 // Keeps requests that crash the upstreams which answer them away from the upstreams. All instances share
-// their evidence: each passes new records on to every linked peer, so that a record crosses the fleet on
-// whatever links there are, and each link carries it once in each direction.
+// their evidence.
 //
 //   quarantine.recordCrash(segments, upstream, crashedAt, now);   // of a request that waited there
 //   quarantine.recordAnswer(segments, answerBegan, now);          // the upstream went on after its first
@@ -69,9 +69,7 @@
     CrashEvidence m_evidence;
     std::vector<SuspectGroup> m_groups;
     std::map<std::vector<std::uint64_t>, MonotonicTime> m_trials; // by the segments of the group
-    std::map<std::uint64_t, Record> m_records; // to pass on, by sequence number
-    std::uint64_t m_nextSequence = 1;
-    std::map<std::string, std::uint64_t, std::less<>> m_sentUpTo; // sequence numbers, by peer
+    RecordSpread<Record> m_records;
     bool m_changed = false; // the evidence, since the groups were determined
     MonotonicTime m_lastCleanup;
 };
