--- a/process/forwardedanswer.cc
+++ b/process/forwardedanswer.cc
@@ -24,6 +24,7 @@
 {
     MonotonicTime now = clockNow();
     recordFirstByte(now);
+    recordRateLimit(head);
     m_head = head;
     bool success = head.status >= 200 && head.status < 300;
     const std::string& signature = m_forwarder.m_headers.signature;
@@ -32,6 +33,20 @@
     m_mode = success && m_route->kind == RouteKind::Stream ? AnswerMode::Events : AnswerMode::Buffered;
 }
 
+void ForwardedRequest::recordRateLimit(const HttpHead& head)
+{
+    auto limit = parseNumber<double>(head.fields.find(m_forwarder.m_headers.rateLimit));
+    if (limit && !(*limit >= 0))
+        limit.reset();
+    if (limit == m_upstream->rateLimit)
+        return;
+    m_upstream->rateLimit = limit;
+    LogLine(LogLevel::Info, "upstream", "limit")
+        .field("id", m_fields.requestId)
+        .field("upstream", m_upstream->entry.id)
+        .field("per_second", limit.value_or(-1));
+}
+
 void ForwardedRequest::recordFirstByte(MonotonicTime now)
 {
     m_lastProgressAt = m_upstream->lastByteAt = now;
--- a/process/forwardedrequest.h
+++ b/process/forwardedrequest.h
@@ -79,6 +79,7 @@
     void closeAttempt();
     void recordHealth(AttemptEnd, bool keptConnection);
     void recordFirstByte(MonotonicTime now);
+    void recordRateLimit(const HttpHead&);
     void recordEvents(MonotonicTime now);
     void recordSoundAnswer(MonotonicTime now);
     void reportBrokenConnection();
--- a/process/forwarder.h
+++ b/process/forwarder.h
@@ -97,6 +97,7 @@
         MonotonicTime avoidUntil; // set after a refusal; other upstreams are preferred until then
         double slowness = 1; // moving average of the time to the first byte over the expected time
         MonotonicTime slownessUpdatedAt; // time of the last observation
+        std::optional<double> rateLimit; // requests per second from all instances, by its latest answer
 
         void updateSlowness(double ratio, double weight, MonotonicTime now);
         double decayedSlowness(MonotonicTime now) const;
--- a/process/forwardheaders.h
+++ b/process/forwardheaders.h
@@ -21,6 +21,9 @@
     std::string organisation = "X-Briarwharf-Organisation"; // the organisation's name, sent to the upstream
     std::string expectedUpstream = "X-Briarwharf-Expect-Upstream"; // any other upstream answers 421
     std::string notRun = "X-Briarwharf-Not-Run"; // on an upstream's answer: it did not run the request
+    // On an upstream's answer: the requests a second that it takes from all instances together, while it has
+    // the field.
+    std::string rateLimit = "X-Briarwharf-Rate-Limit";
     std::string signature = "X-Briarwharf-Signature"; // on upstreams' 2xx answers; empty: not required
     std::string promptSegments = "X-Briarwharf-Prompt-Parts"; // "id:tokens,..." with hexadecimal ids
     std::string tokens = "X-Briarwharf-Tokens"; // "prompt tokens,maximum output tokens"
