Keep requests within the limits that upstreams state

Cause: what an upstream says about its own capacity was read nowhere.

Change: instances tell each other of limits and of their end, with versions instead of clocks; the sharers of a limit keep to equal parts of it, in a large fleet the first of the upstream's rendezvous order. Upstreams that take no request now are no candidates; with none left the request is refused at once with the time until the next one is taken.

Equal parts bound the requests of any 4 s whatever the demand.

--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -20,4 +20,5 @@
 #include "coordination/store.h"
 #include "coordination/tree.h"
 #include "coordination/upstreamhealth.h"
+#include "coordination/upstreamlimits.h"
 #include "coordination/watchelection.h"
--- a/coordination/peer_generated.h
+++ b/coordination/peer_generated.h
@@ -43,6 +43,8 @@
 
 struct PeerSegmentAnswer;
 
+struct PeerUpstreamLimit;
+
 struct Heartbeat;
 struct HeartbeatBuilder;
 struct HeartbeatT;
@@ -861,6 +863,38 @@
 };
 FLATBUFFERS_STRUCT_END(PeerSegmentAnswer, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) PeerUpstreamLimit FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t upstream_;
+  uint32_t version_;
+  float perSecond_;
+
+ public:
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.PeerUpstreamLimit";
+  }
+  PeerUpstreamLimit()
+      : upstream_(0),
+        version_(0),
+        perSecond_(0) {
+  }
+  PeerUpstreamLimit(uint32_t _upstream, uint32_t _version, float _perSecond)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        version_(flatbuffers::EndianScalar(_version)),
+        perSecond_(flatbuffers::EndianScalar(_perSecond)) {
+  }
+  uint32_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint32_t version() const {
+    return flatbuffers::EndianScalar(version_);
+  }
+  float perSecond() const {
+    return flatbuffers::EndianScalar(perSecond_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PeerUpstreamLimit, 12);
+
 struct MemberT : public flatbuffers::NativeTable {
   typedef Member TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
@@ -1258,6 +1292,7 @@
   std::vector<briarwharf::UpstreamWork> work{};
   std::vector<briarwharf::PeerSegmentCrash> segmentCrashes{};
   std::vector<briarwharf::PeerSegmentAnswer> segmentAnswers{};
+  std::vector<briarwharf::PeerUpstreamLimit> upstreamLimits{};
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1293,7 +1328,8 @@
     VT_DIRECTORYREVISION = 48,
     VT_WORK = 50,
     VT_SEGMENTCRASHES = 52,
-    VT_SEGMENTANSWERS = 54
+    VT_SEGMENTANSWERS = 54,
+    VT_UPSTREAMLIMITS = 56
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1364,6 +1400,9 @@
   const flatbuffers::Vector<const briarwharf::PeerSegmentAnswer *> *segmentAnswers() const {
     return GetPointer<const flatbuffers::Vector<const briarwharf::PeerSegmentAnswer *> *>(VT_SEGMENTANSWERS);
   }
+  const flatbuffers::Vector<const briarwharf::PeerUpstreamLimit *> *upstreamLimits() const {
+    return GetPointer<const flatbuffers::Vector<const briarwharf::PeerUpstreamLimit *> *>(VT_UPSTREAMLIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1397,6 +1436,8 @@
            verifier.VerifyVector(segmentCrashes()) &&
            VerifyOffset(verifier, VT_SEGMENTANSWERS) &&
            verifier.VerifyVector(segmentAnswers()) &&
+           VerifyOffset(verifier, VT_UPSTREAMLIMITS) &&
+           verifier.VerifyVector(upstreamLimits()) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1477,6 +1518,9 @@
   void add_segmentAnswers(flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerSegmentAnswer *>> segmentAnswers) {
     fbb_.AddOffset(Heartbeat::VT_SEGMENTANSWERS, segmentAnswers);
   }
+  void add_upstreamLimits(flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerUpstreamLimit *>> upstreamLimits) {
+    fbb_.AddOffset(Heartbeat::VT_UPSTREAMLIMITS, upstreamLimits);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1512,7 +1556,8 @@
     uint64_t directoryRevision = 0,
     flatbuffers::Offset<flatbuffers::Vector<const briarwharf::UpstreamWork *>> work = 0,
     flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerSegmentCrash *>> segmentCrashes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerSegmentAnswer *>> segmentAnswers = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerSegmentAnswer *>> segmentAnswers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerUpstreamLimit *>> upstreamLimits = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_directoryRevision(directoryRevision);
   builder_.add_routingVersion(routingVersion);
@@ -1521,6 +1566,7 @@
   builder_.add_revision(revision);
   builder_.add_acknowledged(acknowledged);
   builder_.add_sequence(sequence);
+  builder_.add_upstreamLimits(upstreamLimits);
   builder_.add_segmentAnswers(segmentAnswers);
   builder_.add_segmentCrashes(segmentCrashes);
   builder_.add_work(work);
@@ -1564,7 +1610,8 @@
     uint64_t directoryRevision = 0,
     const std::vector<briarwharf::UpstreamWork> *work = nullptr,
     const std::vector<briarwharf::PeerSegmentCrash> *segmentCrashes = nullptr,
-    const std::vector<briarwharf::PeerSegmentAnswer> *segmentAnswers = nullptr) {
+    const std::vector<briarwharf::PeerSegmentAnswer> *segmentAnswers = nullptr,
+    const std::vector<briarwharf::PeerUpstreamLimit> *upstreamLimits = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::Member>>(*members) : 0;
   auto loadReports__ = loadReports ? _fbb.CreateVectorOfStructs<briarwharf::LoadReport>(*loadReports) : 0;
   auto usageSums__ = usageSums ? _fbb.CreateVectorOfStructs<briarwharf::UsageSum>(*usageSums) : 0;
@@ -1572,6 +1619,7 @@
   auto work__ = work ? _fbb.CreateVectorOfStructs<briarwharf::UpstreamWork>(*work) : 0;
   auto segmentCrashes__ = segmentCrashes ? _fbb.CreateVectorOfStructs<briarwharf::PeerSegmentCrash>(*segmentCrashes) : 0;
   auto segmentAnswers__ = segmentAnswers ? _fbb.CreateVectorOfStructs<briarwharf::PeerSegmentAnswer>(*segmentAnswers) : 0;
+  auto upstreamLimits__ = upstreamLimits ? _fbb.CreateVectorOfStructs<briarwharf::PeerUpstreamLimit>(*upstreamLimits) : 0;
   return briarwharf::CreateHeartbeat(
       _fbb,
       sequence,
@@ -1596,7 +1644,8 @@
       directoryRevision,
       work__,
       segmentCrashes__,
-      segmentAnswers__);
+      segmentAnswers__,
+      upstreamLimits__);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4329,7 +4378,8 @@
         directoryRevision(o.directoryRevision),
         work(o.work),
         segmentCrashes(o.segmentCrashes),
-        segmentAnswers(o.segmentAnswers) {
+        segmentAnswers(o.segmentAnswers),
+        upstreamLimits(o.upstreamLimits) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new briarwharf::MemberT(*members_) : nullptr); }
 }
@@ -4358,6 +4408,7 @@
   std::swap(work, o.work);
   std::swap(segmentCrashes, o.segmentCrashes);
   std::swap(segmentAnswers, o.segmentAnswers);
+  std::swap(upstreamLimits, o.upstreamLimits);
   return *this;
 }
 
@@ -4393,6 +4444,7 @@
   { auto _e = work(); if (_e) { _o->work.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->work[_i] = *_e->Get(_i); } } }
   { auto _e = segmentCrashes(); if (_e) { _o->segmentCrashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->segmentCrashes[_i] = *_e->Get(_i); } } }
   { auto _e = segmentAnswers(); if (_e) { _o->segmentAnswers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->segmentAnswers[_i] = *_e->Get(_i); } } }
+  { auto _e = upstreamLimits(); if (_e) { _o->upstreamLimits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->upstreamLimits[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4426,6 +4478,7 @@
   auto _work = _o->work.size() ? _fbb.CreateVectorOfStructs(_o->work) : 0;
   auto _segmentCrashes = _o->segmentCrashes.size() ? _fbb.CreateVectorOfStructs(_o->segmentCrashes) : 0;
   auto _segmentAnswers = _o->segmentAnswers.size() ? _fbb.CreateVectorOfStructs(_o->segmentAnswers) : 0;
+  auto _upstreamLimits = _o->upstreamLimits.size() ? _fbb.CreateVectorOfStructs(_o->upstreamLimits) : 0;
   return briarwharf::CreateHeartbeat(
       _fbb,
       _sequence,
@@ -4450,7 +4503,8 @@
       _directoryRevision,
       _work,
       _segmentCrashes,
-      _segmentAnswers);
+      _segmentAnswers,
+      _upstreamLimits);
 }
 
 inline PingRequestT *PingRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/coordination/quarantine.cc
+++ b/coordination/quarantine.cc
@@ -2,8 +2,8 @@
 
 #include "base/log.h"
 #include "base/number.h"
-#include "coordination/age.h"
 #include <algorithm>
+#include <limits>
 
 namespace briarwharf {
 
@@ -11,6 +11,14 @@
 
     constexpr Milliseconds cleanupInterval { 1000 };
 
+    // The form in which a time is sent to other instances, whose clocks have another origin.
+    std::uint32_t ageMilliseconds(MonotonicTime at, MonotonicTime now)
+    {
+        constexpr std::int64_t oldest = std::numeric_limits<std::uint32_t>::max();
+        std::int64_t age = toMilliseconds(now - at).count();
+        return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, oldest));
+    }
+
     bool containsAll(std::span<const std::uint64_t> segments, const std::vector<std::uint64_t>& wanted)
     {
         return std::all_of(wanted.begin(), wanted.end(), [&](std::uint64_t segment) {
--- a/coordination/testing/progressfleet.h
+++ b/coordination/testing/progressfleet.h
@@ -9,13 +9,15 @@
 namespace briarwharf::testing {
 
 // Memberships that know each other, with the links that the tree or the full mesh requires. Each has a table
-// of work in progress and a quarantine. Frames arrive within the round in which they are sent.
+// of work in progress, a quarantine and the upstreams' limits. Frames arrive within the round in which they
+// are sent.
 struct ProgressFleet {
     struct Node {
         Outbox outbox;
         std::unique_ptr<Membership> membership;
         std::unique_ptr<InProgressTable> work;
         std::unique_ptr<SegmentQuarantine> quarantine;
+        std::unique_ptr<UpstreamLimits> limits;
         std::uint64_t bytesSent = 0; // of frames, without the overhead of TCP and IP
     };
     std::map<std::string, Node> nodes;
@@ -47,7 +49,9 @@
         node.work = std::make_unique<InProgressTable>(*node.membership, InProgressOptions {});
         node.quarantine = std::make_unique<SegmentQuarantine>(*node.membership);
         node.membership->addSection(*node.work);
+        node.limits = std::make_unique<UpstreamLimits>(*node.membership);
         node.membership->addSection(*node.quarantine);
+        node.membership->addSection(*node.limits);
         node.membership->seed(known, now);
     }
 
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -118,9 +118,10 @@
     , m_health(healthOptions())
     , m_quarantine(m_mesh.membership())
     , m_quarantineArchive(m_mesh.membership(), m_quarantine, *m_source)
+    , m_limits(m_mesh.membership())
     , m_directory(directoryOptions(m_settings))
     , m_forwarder(base, forwarderSettings(m_settings), m_source->headers(),
-          { m_inProgress, m_health, m_quarantine }, m_metrics)
+          { m_inProgress, m_health, m_quarantine, m_limits }, m_metrics)
     , m_callers(base, ingressLimits(m_settings),
           [this](IngressRequest request, CallerExchange& caller) {
               m_forwarder.handle(std::move(request), caller);
@@ -131,8 +132,8 @@
     , m_fileTicker(base, fileCheckInterval, [this] { checkSettingsFile(); })
     , m_startedAt(clockNow())
 {
-    for (HeartbeatSection* section :
-        std::initializer_list<HeartbeatSection*> { &m_relay, &m_inProgress, &m_health, &m_quarantine })
+    for (HeartbeatSection* section : std::initializer_list<HeartbeatSection*> {
+             &m_relay, &m_inProgress, &m_health, &m_quarantine, &m_limits })
         m_mesh.membership().addSection(*section);
 }
 
@@ -331,7 +332,8 @@
                 { "address", printEndpoint(entry.endpoint) }, { "domain", entry.failureDomain },
                 { "draining", entry.draining }, { "lapsed", entry.lapsed },
                 { "usable", m_health.usable(hash, now) }, { "requests", m_inProgress.own(hash).requests },
-                { "requests_elsewhere", m_inProgress.others(hash).requests } });
+                { "requests_elsewhere", m_inProgress.others(hash).requests },
+                { "limit_per_second", m_limits.limit(upstreamLifetimeHash(entry)) } });
         }
     } else if (resource == "quarantine") {
         MonotonicTime now = clockNow();
@@ -369,6 +371,8 @@
     total("briarwharf_resumes_total", "Streams continued at another upstream.", forwarded.resumes);
     total("briarwharf_quarantine_refusals_total",
         "Requests refused because of a prompt segment that crashes upstreams.", forwarded.quarantined);
+    total("briarwharf_limit_refusals_total", "Requests refused because no upstream takes more at present.",
+        forwarded.overLimits);
     total("briarwharf_callers_left_total", "Callers that closed before their answer ended.",
         forwarded.callersLeft);
     total("briarwharf_upstream_connections_opened_total", "Connections opened to upstreams.",
@@ -394,6 +398,8 @@
         static_cast<double>(m_directory.revision()));
     m_metrics.set("briarwharf_quarantined_segments", "Groups of prompt segments that crash upstreams.",
         static_cast<double>(m_quarantine.groups().size()));
+    m_metrics.set("briarwharf_limited_upstreams", "Upstreams that limit the requests they take.",
+        static_cast<double>(m_limits.limitedUpstreams()));
     m_metrics.set("briarwharf_requests_in_progress", "Requests that wait for their answer's end.",
         static_cast<double>(m_forwarder.requestsInProgress()));
     m_metrics.set("briarwharf_buffered_answer_bytes", "Bytes of incomplete answers in memory.",
--- a/process/forwarddaemon.h
+++ b/process/forwarddaemon.h
@@ -69,6 +69,7 @@
     UpstreamHealth m_health;
     SegmentQuarantine m_quarantine;
     QuarantineArchive m_quarantineArchive;
+    UpstreamLimits m_limits;
     UpstreamDirectory m_directory;
     ForwardMetrics m_metrics;
     Forwarder m_forwarder;
--- a/process/forwardedanswer.cc
+++ b/process/forwardedanswer.cc
@@ -24,7 +24,8 @@
 {
     MonotonicTime now = clockNow();
     recordFirstByte(now);
-    recordRateLimit(head);
+    if (head.status != 421) // else another upstream has the address now
+        recordRateLimit(head);
     m_head = head;
     bool success = head.status >= 200 && head.status < 300;
     const std::string& signature = m_forwarder.m_headers.signature;
@@ -38,13 +39,18 @@
     auto limit = parseNumber<double>(head.fields.find(m_forwarder.m_headers.rateLimit));
     if (limit && !(*limit >= 0))
         limit.reset();
-    if (limit == m_upstream->rateLimit)
+    bool success = head.status >= 200 && head.status < 300;
+    if (!limit && !success)
+        return; // a failure may come from something before the upstream, which does not know its limit
+    double before = m_forwarder.m_limits.limit(m_upstream->lifetimeHash);
+    m_forwarder.m_limits.stated(m_upstream->lifetimeHash, limit);
+    double after = m_forwarder.m_limits.limit(m_upstream->lifetimeHash);
+    if (after == before)
         return;
-    m_upstream->rateLimit = limit;
     LogLine(LogLevel::Info, "upstream", "limit")
         .field("id", m_fields.requestId)
         .field("upstream", m_upstream->entry.id)
-        .field("per_second", limit.value_or(-1));
+        .field("per_second", after);
 }
 
 void ForwardedRequest::recordFirstByte(MonotonicTime now)
--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -142,13 +142,15 @@
     if (refuseQuarantined(now))
         return;
     for (;;) {
-        auto upstreams = m_forwarder.untriedUpstreams(m_pool, m_tried);
+        auto [upstreams, limitWait] = m_forwarder.selectable(m_pool, m_tried, now);
         std::vector<UpstreamCandidate> candidates;
         candidates.reserve(upstreams.size());
         for (const auto& upstream : upstreams)
             candidates.push_back(m_forwarder.candidate(*upstream, now));
         auto decision = servedByEngines() ? m_forwarder.m_placement.chooseEngine(m_item, candidates)
                                           : m_forwarder.m_placement.chooseService(m_item, candidates);
+        if (!decision && limitWait)
+            return refuseOverLimits(*limitWait);
         if (!decision)
             return giveUp("no upstream of the pool is left to try");
         m_chosenCandidate = candidates[decision->index];
@@ -185,6 +187,20 @@
     return true;
 }
 
+// Every upstream that could be tried takes no more requests at present.
+void ForwardedRequest::refuseOverLimits(Milliseconds retryAfter)
+{
+    constexpr std::string_view reason = "the upstreams take no more requests at present";
+    if (m_mayHaveRun || m_answerBegun)
+        return giveUp(reason);
+    ++m_forwarder.m_counters.overLimits;
+    answerLocally({ 503, "over_limit",
+        "the upstreams take no more requests at present; the request did not run: send it again after the "
+        "stated time",
+        retryAfter });
+    finish("refused", 503, reason);
+}
+
 // Before the first attempt: refuses the request, and returns true, if no answer is expected before its
 // deadline. It would otherwise occupy a place in an engine's queue for nothing.
 bool ForwardedRequest::refuseUnreachableDeadline(const CostDecision& decision, MonotonicTime now)
@@ -247,6 +263,7 @@
     m_mode = AnswerMode::None;
     m_buffered.clear();
     m_forwarder.m_inProgress.started(m_upstream->hash, m_decision.tokensToRead);
+    m_forwarder.m_limits.sent(m_upstream->lifetimeHash, now);
     if (servedByEngines())
         m_forwarder.m_placement.recordPlacement(m_item, m_upstream->hash, m_routedPool->engine->memoryTokens);
 }
--- a/process/forwardedrequest.h
+++ b/process/forwardedrequest.h
@@ -65,6 +65,7 @@
     Milliseconds expectedDuration() const;
     void place();
     bool refuseQuarantined(MonotonicTime now);
+    void refuseOverLimits(Milliseconds retryAfter);
     bool refuseUnreachableDeadline(const CostDecision&, MonotonicTime now);
     void send(std::shared_ptr<Forwarder::Upstream>, const CostDecision&);
     void beginAnswer(std::string_view firstBytes);
--- a/process/forwarder.cc
+++ b/process/forwarder.cc
@@ -16,6 +16,10 @@
     // upstream is tried again.
     constexpr double slownessDecaySeconds = 4;
 
+    // Estimated time until some instance may send a request to an upstream whose limit this one does not
+    // share.
+    constexpr Milliseconds otherInstancesWait { 1000 };
+
     // Minimum number of connections to one upstream that an instance may open, whatever the size of the
     // fleet.
     constexpr std::size_t minConnections = 4;
@@ -26,6 +30,12 @@
 
 } // namespace
 
+std::uint32_t upstreamLifetimeHash(const UpstreamEntry& entry)
+{
+    return static_cast<std::uint32_t>(
+        combineHashes(hash64(entry.id), static_cast<std::uint64_t>(entry.started)));
+}
+
 void Forwarder::Upstream::updateSlowness(double ratio, double weight, MonotonicTime now)
 {
     slowness = decayedSlowness(now);
@@ -47,6 +57,7 @@
     , m_inProgress(shared.inProgress)
     , m_health(shared.health)
     , m_quarantine(shared.quarantine)
+    , m_limits(shared.limits)
     , m_metrics(metrics)
     , m_connections(base, {})
     , m_crashDetector(base,
@@ -88,6 +99,7 @@
     }
     m_pools.clear();
     std::vector<std::uint32_t> hashes;
+    std::vector<std::uint32_t> lifetimeHashes;
     for (const auto& [id, entry] : entries) {
         auto& upstream = m_upstreams[id];
         if (!upstream) {
@@ -95,25 +107,31 @@
             upstream->hash = shortHash(id);
         }
         upstream->entry = entry;
-        upstream->lifetimeHash = static_cast<std::uint32_t>(
-            combineHashes(hash64(id), static_cast<std::uint64_t>(entry.started)));
+        upstream->lifetimeHash = upstreamLifetimeHash(entry);
         hashes.push_back(upstream->hash);
+        lifetimeHashes.push_back(upstream->lifetimeHash);
         if (!entry.draining)
             m_pools[entry.pool].upstreams.push_back(upstream);
     }
     m_health.setUpstreams(hashes);
+    m_limits.setUpstreams(lifetimeHashes);
 }
 
-std::vector<std::shared_ptr<Forwarder::Upstream>> Forwarder::untriedUpstreams(
-    const std::string& pool, const std::vector<std::string>& tried) const
+Forwarder::Choice Forwarder::selectable(
+    const std::string& pool, const std::vector<std::string>& tried, MonotonicTime now) const
 {
-    std::vector<std::shared_ptr<Upstream>> result;
+    Choice result;
     auto found = m_pools.find(pool);
     if (found == m_pools.end())
         return result;
     for (const auto& upstream : found->second.upstreams) {
-        if (std::find(tried.begin(), tried.end(), upstream->entry.id) == tried.end())
-            result.push_back(upstream);
+        if (std::find(tried.begin(), tried.end(), upstream->entry.id) != tried.end())
+            continue;
+        Milliseconds wait = m_limits.wait(upstream->lifetimeHash, now).value_or(otherInstancesWait);
+        if (wait <= Milliseconds(0))
+            result.upstreams.push_back(upstream);
+        else
+            result.limitWait = std::min(wait, result.limitWait.value_or(wait));
     }
     return result;
 }
--- a/process/forwarder.h
+++ b/process/forwarder.h
@@ -42,6 +42,7 @@
     std::uint64_t resumes = 0; // repeats that continued a stream at another upstream
     std::uint64_t callersLeft = 0;
     std::uint64_t quarantined = 0; // refused because of a segment that crashes upstreams
+    std::uint64_t overLimits = 0; // refused because no upstream takes more requests at present
 };
 
 // What the forwarder shares with other instances.
@@ -49,13 +50,17 @@
     InProgressTable& inProgress;
     UpstreamHealth& health;
     SegmentQuarantine& quarantine;
+    UpstreamLimits& limits;
 };
 
 class ForwardedRequest;
 
+// Identifies one process of an upstream among instances: differs after a restart.
+std::uint32_t upstreamLifetimeHash(const UpstreamEntry&);
+
 // Forwards callers' requests to the upstreams of their route's pool.
 //
-//   Forwarder forwarder(base, settings, headers, { work, health, quarantine }, metrics);
+//   Forwarder forwarder(base, settings, headers, { work, health, quarantine, limits }, metrics);
 //   forwarder.setRouting(table);                 // each new version of the configuration
 //   forwarder.setUpstreams(directory.upstreams(), directory.revision());
 //   forwarder.handle(std::move(request), caller);
@@ -92,12 +97,11 @@
     struct Upstream {
         UpstreamEntry entry;
         std::uint32_t hash = 0;
-        std::uint32_t lifetimeHash = 0; // of the id and the start time: differs after a restart
+        std::uint32_t lifetimeHash = 0; // by upstreamLifetimeHash()
         MonotonicTime lastByteAt; // when any byte last arrived on any connection
         MonotonicTime avoidUntil; // set after a refusal; other upstreams are preferred until then
         double slowness = 1; // moving average of the time to the first byte over the expected time
         MonotonicTime slownessUpdatedAt; // time of the last observation
-        std::optional<double> rateLimit; // requests per second from all instances, by its latest answer
 
         void updateSlowness(double ratio, double weight, MonotonicTime now);
         double decayedSlowness(MonotonicTime now) const;
@@ -106,8 +110,15 @@
         std::vector<std::shared_ptr<Upstream>> upstreams;
     };
 
-    std::vector<std::shared_ptr<Upstream>> untriedUpstreams(
-        const std::string& pool, const std::vector<std::string>& tried) const;
+    // The upstreams to which a request may be sent now.
+    struct Choice {
+        std::vector<std::shared_ptr<Upstream>> upstreams;
+        // Some were left out because of their limits: the time until the first of them takes a request.
+        std::optional<Milliseconds> limitWait;
+    };
+
+    Choice selectable(
+        const std::string& pool, const std::vector<std::string>& tried, MonotonicTime now) const;
     UpstreamCandidate candidate(const Upstream&, MonotonicTime now) const;
     std::size_t connectionLimit(const RoutedPool*) const;
     void finished(ForwardedRequest&);
@@ -119,6 +130,7 @@
     InProgressTable& m_inProgress;
     UpstreamHealth& m_health;
     SegmentQuarantine& m_quarantine;
+    UpstreamLimits& m_limits;
     ForwardMetrics& m_metrics;
     HttpPool m_connections;
     CrashDetector m_crashDetector;
