--- a/coordination/rateshare.cc
+++ b/coordination/rateshare.cc
@@ -1,5 +1,7 @@
 #include "coordination/rateshare.h"
 
+#include "base/hash.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -13,7 +15,7 @@
     // A demand of fewer tokens per second than this counts as none.
     constexpr double minDemand = 0.5;
 
-    // A change below this ratio of the organisation's limit is never urgent.
+    // A change below this ratio of the subject's limit is never urgent.
     constexpr double urgentRatioOfLimit = 0.02;
 
     // An instance accumulates credit for at most this many requests of the current size.
@@ -54,21 +56,22 @@
 {
 }
 
-void RateShare::setLimits(const std::vector<OrganisationLimit>& limits, MonotonicTime /* now */)
+void RateShare::setLimits(const std::vector<RateLimit>& limits, MonotonicTime /* now */)
 {
     std::unordered_map<std::uint32_t, std::size_t> indexes;
-    std::vector<OrganisationShare> shares;
+    std::vector<Share> shares;
     std::vector<std::size_t> sources;
     auto instances = static_cast<double>(std::max<std::size_t>(m_membership.expectedInstances(), 1));
-    for (const OrganisationLimit& limit : limits) {
-        if (!indexes.emplace(limit.organisation, shares.size()).second)
+    for (const RateLimit& limit : limits) {
+        if (!indexes.emplace(limit.subject, shares.size()).second)
             continue;
-        auto known = m_indexes.find(limit.organisation);
-        OrganisationShare share;
+        auto known = m_indexes.find(limit.subject);
+        Share share;
         if (known != m_indexes.end()) {
             share = m_shares[known->second];
         } else {
-            share.organisation = limit.organisation;
+            share.subject = limit.subject;
+            share.requestTokens = m_options.requestTokens;
             share.bucketRate = limit.tokensPerSecond / instances;
             share.bucket = share.bucketRate * seconds(m_options.burst);
         }
@@ -93,12 +96,12 @@
     m_shares = std::move(shares);
 }
 
-bool RateShare::admit(std::uint32_t organisation, double tokens, MonotonicTime /* now */)
+bool RateShare::admit(std::uint32_t subject, double tokens, MonotonicTime /* now */)
 {
-    auto index = m_indexes.find(organisation);
+    auto index = m_indexes.find(subject);
     if (index == m_indexes.end())
         return false;
-    OrganisationShare& share = m_shares[index->second];
+    Share& share = m_shares[index->second];
     share.arrivedTokens += tokens;
     share.requestTokens += (tokens - share.requestTokens) * sizeSmoothing;
     bool limited = share.admittedRatio < 1;
@@ -112,12 +115,12 @@
     return true;
 }
 
-Milliseconds RateShare::retryAfter(std::uint32_t organisation, MonotonicTime /* now */) const
+Milliseconds RateShare::retryAfter(std::uint32_t subject, MonotonicTime /* now */) const
 {
-    auto index = m_indexes.find(organisation);
+    auto index = m_indexes.find(subject);
     if (index == m_indexes.end())
         return maxRetryAfter;
-    const OrganisationShare& share = m_shares[index->second];
+    const Share& share = m_shares[index->second];
     auto wait = [](double missing, double rate) {
         if (missing <= 0)
             return Milliseconds(0);
@@ -130,15 +133,15 @@
         wait(-share.bucket, share.bucketRate), wait(missingCredit, share.admittedRatio * share.demand));
 }
 
-double RateShare::admittedRatio(std::uint32_t organisation) const
+double RateShare::admittedRatio(std::uint32_t subject) const
 {
-    auto index = m_indexes.find(organisation);
+    auto index = m_indexes.find(subject);
     return index == m_indexes.end() ? 0 : m_shares[index->second].admittedRatio;
 }
 
-double RateShare::totalDemand(std::uint32_t organisation) const
+double RateShare::totalDemand(std::uint32_t subject) const
 {
-    auto index = m_indexes.find(organisation);
+    auto index = m_indexes.find(subject);
     return index == m_indexes.end() ? 0 : m_shares[index->second].total;
 }
 
@@ -157,11 +160,14 @@
 {
     double smoothing = smoothingFactor(elapsed, m_options.demandWindow);
     double fastSmoothing = smoothingFactor(elapsed, m_options.fastWindow);
-    for (OrganisationShare& share : m_shares) {
+    for (Share& share : m_shares) {
         double rate = share.arrivedTokens / elapsed;
         share.arrivedTokens = 0;
-        share.demand += (rate - share.demand) * smoothing;
-        share.fastDemand += (rate - share.fastDemand) * fastSmoothing;
+        share.observedSeconds += elapsed;
+        // The mean of all that was observed, until that is longer than the window.
+        double startSmoothing = elapsed / share.observedSeconds;
+        share.demand += (rate - share.demand) * std::max(smoothing, startSmoothing);
+        share.fastDemand += (rate - share.fastDemand) * std::max(fastSmoothing, startSmoothing);
         adjustForSurge(share);
     }
 }
@@ -169,7 +175,7 @@
 // Moves the demand estimate at once by the change that random arrivals do not explain. For arrivals with a
 // rate of r tokens per second and a mean size of s tokens, an exponential window of time constant T has a
 // standard deviation of sqrt(r s / 2T).
-void RateShare::adjustForSurge(OrganisationShare& share) const
+void RateShare::adjustForSurge(Share& share) const
 {
     double variance = share.fastDemand * share.requestTokens / (2 * seconds(m_options.fastWindow));
     double noise = surgeDeviations * std::sqrt(std::max(variance, 0.0));
@@ -200,7 +206,7 @@
         state.isTreeLink = false;
     }
     m_covered = 1;
-    for (OrganisationShare& share : m_shares)
+    for (Share& share : m_shares)
         share.total = share.demand;
     for (const auto& [peer, state] : m_links) {
         if (!state.isTreeLink)
@@ -211,7 +217,7 @@
     }
 }
 
-// Level at which the organisations' demands, each bounded by its limit and by level * weight, add up to the
+// Level at which the subjects' demands, each bounded by its limit and by level * weight, add up to the
 // capacity; unlimited while the capacity suffices for all demands.
 double RateShare::entitlementLevel() const
 {
@@ -225,7 +231,7 @@
     std::vector<CappedDemand> cappedDemands;
     double totalCapped = 0;
     double weights = 0;
-    for (const OrganisationShare& share : m_shares) {
+    for (const Share& share : m_shares) {
         double capped = std::min(share.total, share.limit);
         if (capped < minDemand)
             continue;
@@ -247,11 +253,17 @@
     return weights > 0 ? remaining / weights : unlimitedLevel;
 }
 
-double RateShare::entitlement(const OrganisationShare& share, double level) const
+double RateShare::entitlement(const Share& share, double level) const
 {
     return std::min(share.limit, level * share.weight);
 }
 
+double RateShare::startRatio(const Share& share) const
+{
+    double observed = share.observedSeconds / (2 * seconds(m_options.demandWindow));
+    return std::min(1.0, m_options.startShare + (1 - m_options.startShare) * observed);
+}
+
 void RateShare::updateAdmittedRatios(double elapsed)
 {
     double level = entitlementLevel();
@@ -262,12 +274,16 @@
     // of instances. Dividing by the ratio of counted to expected instances keeps the mean demand per covered
     // instance right.
     double countRatio = std::clamp(covered / expected, 1.0, maxCountRatio);
-    for (OrganisationShare& share : m_shares) {
-        share.bucketRate = entitlement(share, level) * coveredRatio;
+    for (Share& share : m_shares) {
+        share.bucketRate = entitlement(share, level) * coveredRatio * startRatio(share);
         double total = share.total / countRatio;
+        bool wasLimited = share.admittedRatio < 1;
         share.admittedRatio = total > share.bucketRate ? share.bucketRate / total : 1;
-        if (share.admittedRatio >= 1)
-            share.credit = 0;
+        // The instances begin with different credit: otherwise each would admit its next request, which are
+        // many requests in a large fleet.
+        if (!wasLimited || share.admittedRatio >= 1)
+            share.credit
+                = -share.requestTokens * unitInterval(combineHashes(share.subject, m_membership.selfHash()));
         share.bucket = std::min(
             share.bucket + share.bucketRate * elapsed, share.bucketRate * seconds(m_options.burst));
     }
@@ -345,7 +361,7 @@
     }
     for (const auto& [value, i] : waiting) {
         std::uint32_t sum = outgoingSum(i, state);
-        heartbeat.usageSums.emplace_back(m_shares[i].organisation, sum);
+        heartbeat.usageSums.emplace_back(m_shares[i].subject, sum);
         state.sent[i] = { sum, now, true };
     }
     state.budget.spend(waiting.size() * sizeof(UsageSum));
--- a/coordination/rateshare.h
+++ b/coordination/rateshare.h
@@ -6,15 +6,22 @@
 
 namespace briarwharf {
 
-struct OrganisationLimit {
-    std::uint32_t organisation = 0; // nameHash of the organisation's name
-    double tokensPerSecond = 0; // limit over all instances
-    double weight = 1; // positive; the organisation's weight in dividing the capacity when it is scarce
+// A limit over all instances.
+struct RateLimit {
+    // Hash that identifies what is limited: the organisation that sends requests, or the upstream that gets
+    // them.
+    std::uint32_t subject = 0;
+    double tokensPerSecond = 0;
+    double weight = 1; // positive; the subject's weight in dividing the capacity when it is scarce
 };
 
 struct RateShareOptions {
-    double capacity = 0; // tokens per second over all organisations; 0: only the organisations' limits apply
+    double capacity = 0; // tokens per second over all subjects; 0: only the subjects' limits apply
+    double requestTokens = 1000; // usual size of a request, until requests show it
     Milliseconds demandWindow { 2000 }; // time constant of the demand estimate
+    // Share of the entitlement that is used at first, while the demand has hardly been observed. It grows to
+    // 1 within twice the demand window.
+    double startShare = 1;
     Milliseconds fastWindow { 400 }; // time constant of the estimate that detects surges
     Milliseconds burst { 1000 }; // bucket size of an instance, as time at its entitlement's rate
     Milliseconds downLinkTtl { 3000 }; // sums received on a link count this long after it went down
@@ -24,11 +31,11 @@
     double bytesPerSecond = 4000; // for sums, over all links
 };
 
-// Weighted, work-conserving rate limiting per organisation without a central counter.
+// Weighted, work-conserving rate limiting per subject without a central counter.
 //
-// The demand per organisation is summed over the aggregation tree: each instance sends on each tree link the
+// The demand per subject is summed over the aggregation tree: each instance sends on each tree link the
 // sum of its own demand and of the sums received on its other tree links. The tree has no cycles, so every
-// demand is counted once. The organisation's entitlement is its limit, or less when the fleet's capacity is
+// demand is counted once. The subject's entitlement is its limit, or less when the fleet's capacity is
 // scarce (weighted max-min fairness). While the total demand exceeds the entitlement, every instance admits
 // the same ratio of its own demand, entitlement / total. The ratio comes from the demand over all instances,
 // so an instance with few requests needs no estimate of its own rate. A token bucket with the entitlement's
@@ -41,25 +48,24 @@
 public:
     RateShare(const Membership&, RateShareOptions);
 
-    // Sets the organisations of the configuration in force. The state of organisations that were already
-    // known is kept.
-    void setLimits(const std::vector<OrganisationLimit>&, MonotonicTime now);
+    // Sets the limits in force. The state of subjects that were already known is kept.
+    void setLimits(const std::vector<RateLimit>&, MonotonicTime now);
 
     // Counts the demand and, if there is credit, admits the request and deducts `tokens`. A large request may
     // make the credit negative; later requests are then refused until it is positive again. False for unknown
-    // organisations.
-    bool admit(std::uint32_t organisation, double tokens, MonotonicTime now);
+    // subjects.
+    bool admit(std::uint32_t subject, double tokens, MonotonicTime now);
 
     // Estimated time until there is credit again, for the Retry-After header; at most 60 s.
-    Milliseconds retryAfter(std::uint32_t organisation, MonotonicTime now) const;
+    Milliseconds retryAfter(std::uint32_t subject, MonotonicTime now) const;
 
     // Updates the admitted ratios; call it about every 100 ms.
     void tick(MonotonicTime now);
 
-    // Ratio of the organisation's demand that is admitted at present, up to 1; 0 for unknown organisations.
-    double admittedRatio(std::uint32_t organisation) const;
+    // Ratio of the subject's demand that is admitted at present, up to 1; 0 for unknown subjects.
+    double admittedRatio(std::uint32_t subject) const;
     // Demand over all covered instances, in tokens per second.
-    double totalDemand(std::uint32_t organisation) const;
+    double totalDemand(std::uint32_t subject) const;
     std::size_t covered() const { return m_covered; }
 
     void fill(const LinkView&, HeartbeatT&, MonotonicTime now) override;
@@ -69,14 +75,15 @@
     void linkDown(const std::string& peer, MonotonicTime now) override;
 
 private:
-    struct OrganisationShare {
-        std::uint32_t organisation = 0;
+    struct Share {
+        std::uint32_t subject = 0;
         double limit = 0;
         double weight = 1;
         double arrivedTokens = 0; // tokens since the last tick
+        double observedSeconds = 0; // since the limit is known
         double demand = 0; // tokens per second, smoothed
         double fastDemand = 0; // the same with the time constant fastWindow
-        double requestTokens = 1; // mean size of a request
+        double requestTokens = 0; // mean size of a request
         double total = 0; // own demand and the sums of all tree links, in tokens per second
         double admittedRatio = 1;
         double credit = 0; // tokens earned by arrivals while the admitted ratio is below 1
@@ -89,7 +96,7 @@
         bool everSent = false;
     };
     struct LinkState {
-        std::vector<double> received; // by index of the organisation
+        std::vector<double> received; // by index of the subject
         std::vector<Sent> sent;
         std::size_t covered = 0;
         bool isTreeLink = false; // at the latest received heartbeat
@@ -100,11 +107,12 @@
     };
 
     void updateDemand(double seconds);
-    void adjustForSurge(OrganisationShare&) const;
+    void adjustForSurge(Share&) const;
     void updateTotals(MonotonicTime now);
     void updateAdmittedRatios(double seconds);
     double entitlementLevel() const;
-    double entitlement(const OrganisationShare&, double level) const;
+    double entitlement(const Share&, double level) const;
+    double startRatio(const Share&) const;
     std::uint32_t outgoingSum(std::size_t index, const LinkState&) const;
     void fillSums(LinkState&, std::size_t bytes, HeartbeatT&, MonotonicTime now) const;
     double priority(const Sent&, std::uint32_t value, MonotonicTime now) const;
@@ -114,7 +122,7 @@
     const Membership& m_membership;
     RateShareOptions m_options;
     std::unordered_map<std::uint32_t, std::size_t> m_indexes;
-    std::vector<OrganisationShare> m_shares;
+    std::vector<Share> m_shares;
     std::map<std::string, LinkState, std::less<>> m_links;
     std::optional<MonotonicTime> m_lastTick;
     std::size_t m_covered = 1;
--- a/coordination/testing/exchange.cc
+++ b/coordination/testing/exchange.cc
@@ -53,7 +53,7 @@
     auto instance
         = std::make_unique<Instance>(options, identity(index, options.domains, incarnation), m_random.next());
     instance->loads.setUpstreams(upstreamHashes(options.upstreams));
-    std::vector<OrganisationLimit> limits;
+    std::vector<RateLimit> limits;
     for (std::uint32_t organisation : organisationHashes(options.organisations))
         limits.push_back({ organisation, 100000, 1 });
     instance->shares.setLimits(limits, m_now);
--- a/coordination/testing/progressfleet.h
+++ b/coordination/testing/progressfleet.h
@@ -77,6 +77,7 @@
         for (auto& [id, node] : nodes) {
             node.membership->tick(now);
             node.quarantine->tick(now);
+            node.limits->tick(now);
         }
         deliver();
         for (auto& [id, node] : nodes)
--- a/coordination/testing/sections_test.cc
+++ b/coordination/testing/sections_test.cc
@@ -234,6 +234,43 @@
     CHECK(!shares.admit(6, 1, now));
 }
 
+// Guards against a large fleet in which each instance admits its next request when a limit comes into force,
+// which are as many requests as there are instances.
+TEST_CASE("the instances of a large fleet together admit their ratio of the first requests, too")
+{
+    constexpr int instances = 200;
+    constexpr std::uint32_t subject = 7;
+    constexpr double ratio = 0.25;
+    constexpr std::uint32_t demandOfOthers = 40000;
+    int admitted = 0;
+    for (int number = 0; number < instances; ++number) {
+        Outbox outbox;
+        std::string parent = "entry-0";
+        std::string self = "entry-" + std::to_string(1000 + number);
+        if (treeRank(self) < treeRank(parent))
+            std::swap(self, parent);
+        Membership membership({ self, "10.0.0.1:1", "x", 1 }, {}, outbox, 1);
+        MonotonicTime now { std::chrono::hours(1) };
+        membership.seed({ { parent, "10.0.0.2:1", "x" } }, now);
+        membership.linkUp(parent, now);
+        membership.tick(now);
+        REQUIRE(membership.inTree(parent));
+        RateShareOptions options;
+        options.requestTokens = 1000;
+        RateShare shares(membership, options);
+        shares.setLimits({ { subject, ratio * demandOfOthers, 1 } }, now);
+        HeartbeatT heartbeat;
+        heartbeat.usageCovered = 1;
+        heartbeat.usageSums.emplace_back(subject, demandOfOthers);
+        shares.accept({ parent, true, true }, heartbeat, now);
+        shares.tick(now);
+        shares.tick(now + Milliseconds(100));
+        admitted += shares.admit(subject, 1000, now + Milliseconds(100)) ? 1 : 0;
+    }
+    CHECK(admitted >= 0.15 * instances);
+    CHECK(admitted <= 0.35 * instances);
+}
+
 // Guards against shares that ignore weights when the capacity is scarce, and against unused capacity.
 TEST_CASE_FIXTURE(SingleInstance, "a scarce capacity is shared by weight and used fully")
 {
--- a/coordination/testing/upstreamlimits_test.cc
+++ b/coordination/testing/upstreamlimits_test.cc
@@ -26,11 +26,13 @@
     double limit = 3.5; // requests per second, of each limited upstream
     double requestsPerSecond = 90;
     Milliseconds contactTime { 3000 };
+    double preferLimited = 1;
     std::uint64_t seed = 1;
 };
 
-// Requests arrive at random instances and go to the upstream that had the fewest, of those that take one.
-// Upstreams answer within the step, and state their limits while `limitsInForce`.
+// Requests arrive at random instances, and each goes to a random upstream that takes it. Upstreams answer
+// within the step, and state their limits while `limitsInForce`. `preferLimited` is how often a request tries
+// an upstream with a limit, compared with one without.
 class LimitSimulation {
 public:
     explicit LimitSimulation(const LimitedDay& day)
@@ -106,28 +108,34 @@
     {
         ++requests;
         UpstreamLimits& limits = *fleet.nodes[m_ids[m_random.below(m_ids.size())]].limits;
-        std::optional<std::uint32_t> chosen;
-        auto first = static_cast<std::uint32_t>(m_random.below(m_day.upstreams));
-        for (std::uint32_t offset = 0; offset < m_day.upstreams; ++offset) {
-            std::uint32_t upstream = (first + offset) % m_day.upstreams;
-            bool takes = limits.wait(upstream, fleet.now) == Milliseconds(0);
-            if (takes && (!chosen || m_arrivals[upstream].size() < m_arrivals[*chosen].size()))
-                chosen = upstream;
+        constexpr int maxTries = 6;
+        for (int tries = 0; tries < maxTries; ++tries) {
+            std::uint32_t upstream = preferredUpstream();
+            if (limits.admit(upstream, fleet.now))
+                return send(limits, upstream);
         }
-        if (chosen)
-            send(limits, *chosen);
-        else
+        if (m_day.limited == m_day.upstreams)
             ++refused;
+        else
+            send(limits, m_day.limited); // has no limit
+    }
+
+    std::uint32_t preferredUpstream()
+    {
+        for (;;) {
+            auto upstream = static_cast<std::uint32_t>(m_random.below(m_day.upstreams));
+            if (upstream >= m_day.limited || m_random.chance(m_day.preferLimited))
+                return upstream;
+        }
     }
 
     void send(UpstreamLimits& limits, std::uint32_t upstream)
     {
-        limits.sent(upstream, fleet.now);
         m_arrivals[upstream].push_back(fleet.now);
         bool states = limitsInForce && upstream < m_day.limited;
         if (states && !m_firstStated[upstream])
             m_firstStated[upstream] = fleet.now;
-        limits.stated(upstream, states ? std::optional(m_day.limit) : std::nullopt);
+        limits.stated(upstream, states ? std::optional(m_day.limit) : std::nullopt, fleet.now);
     }
 
     LimitedDay m_day;
@@ -185,8 +193,8 @@
     }
 }
 
-// Guards against bursts while the sharers of a limit change, and against an instance that does not know the
-// limits after a restart.
+// Guards against shares that are too large while instances come and go, and against an instance that does not
+// know the limits after a restart.
 TEST_CASE("the limits hold while instances are restarted one after the other")
 {
     LimitSimulation simulation(days[0]);
--- a/coordination/upstreamlimits.cc
+++ b/coordination/upstreamlimits.cc
@@ -1,6 +1,5 @@
 #include "coordination/upstreamlimits.h"
 
-#include "base/hash.h"
 #include <algorithm>
 #include <cmath>
 
@@ -11,9 +10,16 @@
     // A stated limit of 0 requests per second would count as none.
     constexpr double minLimit = 0.01;
 
-    double seconds(std::chrono::nanoseconds duration)
+    // Demand is exchanged in whole units per second.
+    constexpr double unitsPerRequest = 1000;
+
+    RateShareOptions shareOptions(const UpstreamLimitsOptions& limits)
     {
-        return std::chrono::duration<double>(duration).count();
+        RateShareOptions options;
+        options.requestTokens = unitsPerRequest;
+        options.demandWindow = options.fastWindow = limits.demandWindow;
+        options.startShare = 0.5;
+        return options;
     }
 
     // Whether the first one takes precedence over the second.
@@ -31,6 +37,7 @@
 UpstreamLimits::UpstreamLimits(const Membership& membership, UpstreamLimitsOptions options)
     : m_membership(membership)
     , m_options(options)
+    , m_shares(membership, shareOptions(options))
 {
 }
 
@@ -41,140 +48,114 @@
     return std::abs(after - before) > m_options.significantChange * before;
 }
 
-void UpstreamLimits::stated(std::uint32_t id, std::optional<double> perSecond)
+double UpstreamLimits::usableRate(double limit) const
+{
+    double window = std::chrono::duration<double>(m_options.demandWindow).count();
+    double requestsPerInstance = limit * window / static_cast<double>(m_membership.expectedInstances());
+    return limit
+        * std::min(m_options.minUsedShare + m_options.usedSharePerRequest * requestsPerInstance,
+            m_options.maxUsedShare);
+}
+
+void UpstreamLimits::stated(std::uint32_t upstream, std::optional<double> perSecond, MonotonicTime now)
 {
-    auto known = m_upstreams.find(id);
-    if (!perSecond && known == m_upstreams.end())
+    auto known = m_limits.find(upstream);
+    if (!perSecond && known == m_limits.end())
         return; // the usual case
-    UpstreamLimit before = known == m_upstreams.end() ? UpstreamLimit { id } : known->second.limit;
+    UpstreamLimit before = known == m_limits.end() ? UpstreamLimit { upstream } : known->second;
     double after = perSecond ? static_cast<float>(std::max(*perSecond, minLimit)) : 0; // as peers get it
-    if (isSignificant(before.perSecond, after))
-        change(m_upstreams[id], { id, before.version + 1, after });
+    if (!isSignificant(before.perSecond, after))
+        return;
+    change({ upstream, before.version + 1, after });
+    updateShares(now);
 }
 
 // The peers are told only of the latest limit of an upstream.
-void UpstreamLimits::change(Upstream& upstream, const UpstreamLimit& limit)
+void UpstreamLimits::change(const UpstreamLimit& limit)
 {
-    upstream.limit = limit;
-    upstream.share.sharers = 0;
+    m_limits[limit.upstream] = limit;
     m_records.removeIf([&](const UpstreamLimit& older) { return older.upstream == limit.upstream; });
     m_records.add(limit);
 }
 
-std::size_t UpstreamLimits::sharersOf(double perSecond) const
+void UpstreamLimits::updateShares(MonotonicTime now)
 {
-    return static_cast<std::size_t>(std::ceil(m_options.sharersPerRequest * perSecond))
-        + m_options.minSharers;
-}
-
-bool UpstreamLimits::isAmongFirst(std::uint32_t upstream, std::size_t count) const
-{
-    double own = rendezvousScore(upstream, m_membership.selfHash());
-    std::size_t before = 0;
-    for (const std::string& instance : m_membership.usable()) {
-        if (instance != m_membership.self().id && rendezvousScore(upstream, hash64(instance)) > own)
-            ++before;
+    std::vector<RateLimit> limits;
+    for (const auto& [upstream, limit] : m_limits) {
+        if (limit.perSecond > 0)
+            limits.push_back({ upstream, usableRate(limit.perSecond) * unitsPerRequest });
     }
-    return before < count;
+    m_limitedUpstreams = limits.size();
+    m_shares.setLimits(limits, now);
 }
 
-void UpstreamLimits::updateShare(Upstream& upstream, MonotonicTime now)
+bool UpstreamLimits::admit(std::uint32_t upstream, MonotonicTime now)
 {
-    Share& share = upstream.share;
-    double perSecond = upstream.limit.perSecond;
-    if (share.sharers == 0 || share.epoch != m_membership.epoch()) {
-        share.epoch = m_membership.epoch();
-        share.sharers = std::min(sharersOf(perSecond), m_membership.usable().size());
-        std::uint32_t id = upstream.limit.upstream;
-        bool wasIncluded = std::exchange(share.included, isAmongFirst(id, share.sharers));
-        if (!wasIncluded) {
-            // Each begins at another moment, so that the sharers do not send at the same time.
-            share.tokens = unitInterval(combineHashes(id, m_membership.selfHash()));
-            share.updatedAt = now;
-        }
-    }
-    auto sharers = static_cast<double>(share.sharers);
-    double burst = std::max(1.0, (m_options.burstSeconds * perSecond + m_options.burstRequests) / sharers);
-    double earned = perSecond / sharers * seconds(now - share.updatedAt);
-    share.tokens = std::min(share.tokens + earned, burst);
-    share.updatedAt = now;
+    return limit(upstream) <= 0 || m_shares.admit(upstream, unitsPerRequest, now);
 }
 
-UpstreamLimits::Upstream* UpstreamLimits::findLimited(std::uint32_t id)
+Milliseconds UpstreamLimits::retryAfter(std::uint32_t upstream, MonotonicTime now) const
 {
-    auto found = m_upstreams.find(id);
-    return found == m_upstreams.end() || found->second.limit.perSecond <= 0 ? nullptr : &found->second;
+    return limit(upstream) <= 0 ? Milliseconds(0) : m_shares.retryAfter(upstream, now);
 }
 
-std::optional<Milliseconds> UpstreamLimits::wait(std::uint32_t id, MonotonicTime now)
+void UpstreamLimits::setUpstreams(const std::vector<std::uint32_t>& upstreams, MonotonicTime now)
 {
-    Upstream* upstream = findLimited(id);
-    if (!upstream)
-        return Milliseconds(0);
-    updateShare(*upstream, now);
-    const Share& share = upstream->share;
-    if (!share.included)
-        return std::nullopt;
-    if (share.tokens >= 1)
-        return Milliseconds(0);
-    double rate = upstream->limit.perSecond / static_cast<double>(share.sharers);
-    return Milliseconds(static_cast<std::int64_t>(std::ceil((1 - share.tokens) / rate * 1000)));
-}
-
-void UpstreamLimits::sent(std::uint32_t id, MonotonicTime now)
-{
-    Upstream* upstream = findLimited(id);
-    if (!upstream)
+    if (m_limits.empty())
         return;
-    updateShare(*upstream, now);
-    upstream->share.tokens -= 1;
-}
-
-void UpstreamLimits::setUpstreams(const std::vector<std::uint32_t>& upstreams)
-{
     std::vector<std::uint32_t> sorted = upstreams;
     std::sort(sorted.begin(), sorted.end());
-    auto isRemoved
-        = [&sorted](std::uint32_t id) { return !std::binary_search(sorted.begin(), sorted.end(), id); };
-    std::erase_if(m_upstreams, [&](const auto& entry) { return isRemoved(entry.first); });
+    auto isRemoved = [&sorted](std::uint32_t upstream) {
+        return !std::binary_search(sorted.begin(), sorted.end(), upstream);
+    };
+    std::erase_if(m_limits, [&](const auto& entry) { return isRemoved(entry.first); });
     m_records.removeIf([&](const UpstreamLimit& record) { return isRemoved(record.upstream); });
+    updateShares(now);
 }
 
-double UpstreamLimits::limit(std::uint32_t id) const
-{
-    auto found = m_upstreams.find(id);
-    return found == m_upstreams.end() ? 0 : found->second.limit.perSecond;
-}
-
-std::size_t UpstreamLimits::limitedUpstreams() const
+double UpstreamLimits::limit(std::uint32_t upstream) const
 {
-    return static_cast<std::size_t>(std::count_if(m_upstreams.begin(), m_upstreams.end(),
-        [](const auto& entry) { return entry.second.limit.perSecond > 0; }));
+    auto found = m_limits.find(upstream);
+    return found == m_limits.end() ? 0 : found->second.perSecond;
 }
 
-void UpstreamLimits::fill(const LinkView& link, HeartbeatT& heartbeat, MonotonicTime)
+void UpstreamLimits::fill(const LinkView& link, HeartbeatT& heartbeat, MonotonicTime now)
 {
     m_records.send(link.peer, m_options.maxRecordsPerHeartbeat, [&](const UpstreamLimit& record) {
         heartbeat.upstreamLimits.emplace_back(
             record.upstream, record.version, static_cast<float>(record.perSecond));
     });
+    m_shares.fill(link, heartbeat, now);
 }
 
-void UpstreamLimits::accept(const LinkView&, const HeartbeatT& heartbeat, MonotonicTime)
+// The limits come first: the demand for an upstream counts only where its limit is known.
+void UpstreamLimits::accept(const LinkView& link, const HeartbeatT& heartbeat, MonotonicTime now)
 {
+    bool changed = false;
     for (const PeerUpstreamLimit& received : heartbeat.upstreamLimits) {
         UpstreamLimit limit { received.upstream(), received.version(), received.perSecond() };
-        auto known = m_upstreams.find(limit.upstream);
-        if (known == m_upstreams.end() || isNewer(limit, known->second.limit))
-            change(m_upstreams[limit.upstream], limit);
+        auto known = m_limits.find(limit.upstream);
+        if (known != m_limits.end() && !isNewer(limit, known->second))
+            continue;
+        change(limit);
+        changed = true;
     }
+    if (changed)
+        updateShares(now);
+    m_shares.accept(link, heartbeat, now);
 }
 
-bool UpstreamLimits::urgent(const LinkView& link, MonotonicTime) const
+bool UpstreamLimits::urgent(const LinkView& link, MonotonicTime now) const
 {
-    return m_records.hasNewsFor(link.peer);
+    return m_records.hasNewsFor(link.peer) || m_shares.urgent(link, now);
 }
 
-void UpstreamLimits::linkDown(const std::string& peer, MonotonicTime) { m_records.linkDown(peer); }
+void UpstreamLimits::linkUp(const std::string& peer, MonotonicTime now) { m_shares.linkUp(peer, now); }
+
+void UpstreamLimits::linkDown(const std::string& peer, MonotonicTime now)
+{
+    m_records.linkDown(peer);
+    m_shares.linkDown(peer, now);
+}
 
 } // namespace briarwharf
--- a/coordination/upstreamlimits.h
+++ b/coordination/upstreamlimits.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "coordination/member.h"
+#include "coordination/rateshare.h"
 #include "coordination/recordspread.h"
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -21,77 +21,66 @@
 };
 
 struct UpstreamLimitsOptions {
-    // A limit of n requests per second is shared by at most sharersPerRequest * n + minSharers instances.
-    // Each of them may have one request in hand, so that this is also what all may send at once after a
-    // pause.
-    double sharersPerRequest = 2;
-    std::size_t minSharers = 3;
-    // In small fleets, what all may send at once: as many requests as make burstSeconds of the limit, and
-    // burstRequests more.
-    double burstSeconds = 1.5;
-    double burstRequests = 2;
+    // Time over which the demand is averaged. Many instances send only few requests each in it.
+    Milliseconds demandWindow { 4000 };
+    // Share of a limit that the instances use. The fewer requests each of them sends to an upstream, the more
+    // irregular is their sum: minUsedShare, and usedSharePerRequest for each request of an instance in
+    // demandWindow, up to maxUsedShare.
+    double minUsedShare = 0.65;
+    double usedSharePerRequest = 0.125;
+    double maxUsedShare = 0.9;
     // Smaller changes of a limit, as a share of it, are not passed on.
     double significantChange = 0.1;
     std::size_t maxRecordsPerHeartbeat = 64; // of 12 bytes; the others wait for the following heartbeats
 };
 
 // Keeps the requests of all instances to an upstream within the limit that the upstream states. The instances
-// tell each other of limits. In a large fleet, a limit is shared by the instances that come first in the
-// upstream's rendezvous order, and the others send their requests to other upstreams. Each sharer keeps to
-// its equal part, so that none needs to know what the others send, and requests saved up by many instances
-// cannot come at once.
+// tell each other of limits and share each of them by demand (RateShare).
 //
-//   limits.stated(upstream, perSecond);    // with each successful answer; nullopt: it stated none
-//   if (limits.wait(upstream, now) == Milliseconds(0)) ... a request may be sent
-//   limits.sent(upstream, now);
+//   limits.stated(upstream, perSecond, now);    // with each successful answer; nullopt: it stated none
+//   if (limits.admit(upstream, now)) ... the request may be sent
 class UpstreamLimits : public HeartbeatSection {
 public:
     explicit UpstreamLimits(const Membership&, UpstreamLimitsOptions options = {});
 
-    void stated(std::uint32_t upstream, std::optional<double> perSecond);
+    void stated(std::uint32_t upstream, std::optional<double> perSecond, MonotonicTime now);
 
-    // Time until this instance may send a request to the upstream; 0: now; nullopt: other instances share the
-    // upstream's limit.
-    std::optional<Milliseconds> wait(std::uint32_t upstream, MonotonicTime now);
-    void sent(std::uint32_t upstream, MonotonicTime now);
+    // Whether a request may be sent to the upstream now. Call it only for a request that would be sent: each
+    // call counts as demand.
+    bool admit(std::uint32_t upstream, MonotonicTime now);
+    // Estimated time until the upstream takes another request from this instance.
+    Milliseconds retryAfter(std::uint32_t upstream, MonotonicTime now) const;
+
+    // Call it about every 100 ms.
+    void tick(MonotonicTime now) { m_shares.tick(now); }
 
     // Forgets upstreams that are not listed.
-    void setUpstreams(const std::vector<std::uint32_t>&);
+    void setUpstreams(const std::vector<std::uint32_t>&, MonotonicTime now);
 
     // The limit in force, in requests per second; 0: none.
     double limit(std::uint32_t upstream) const;
-    std::size_t limitedUpstreams() const;
+    // The part of it that the instances use.
+    double usableRate(std::uint32_t upstream) const { return usableRate(limit(upstream)); }
+    std::size_t limitedUpstreams() const { return m_limitedUpstreams; }
 
     void fill(const LinkView&, HeartbeatT&, MonotonicTime now) override;
     void accept(const LinkView&, const HeartbeatT&, MonotonicTime now) override;
     bool urgent(const LinkView&, MonotonicTime now) const override;
+    void linkUp(const std::string& peer, MonotonicTime now) override;
     void linkDown(const std::string& peer, MonotonicTime now) override;
 
 private:
-    // This instance's part of an upstream's limit.
-    struct Share {
-        std::uint64_t epoch = 0; // of the membership for which it was determined
-        std::size_t sharers = 0; // instances that share the limit; 0: not determined
-        bool included = false; // this instance is one of them
-        double tokens = 0; // requests that it may send now
-        MonotonicTime updatedAt;
-    };
-    struct Upstream {
-        UpstreamLimit limit;
-        Share share;
-    };
-
+    double usableRate(double limit) const;
     bool isSignificant(double before, double after) const;
-    void change(Upstream&, const UpstreamLimit&);
-    void updateShare(Upstream&, MonotonicTime now);
-    std::size_t sharersOf(double perSecond) const;
-    bool isAmongFirst(std::uint32_t upstream, std::size_t count) const;
-    Upstream* findLimited(std::uint32_t upstream);
+    void change(const UpstreamLimit&);
+    void updateShares(MonotonicTime now);
 
     const Membership& m_membership;
     UpstreamLimitsOptions m_options;
-    std::unordered_map<std::uint32_t, Upstream> m_upstreams; // those that have stated a limit
+    std::unordered_map<std::uint32_t, UpstreamLimit> m_limits; // of upstreams that have stated one
+    std::size_t m_limitedUpstreams = 0;
     RecordSpread<UpstreamLimit> m_records;
+    RateShare m_shares;
 };
 
 } // namespace briarwharf
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -279,6 +279,7 @@
     m_mesh.tick();
     m_relay.tick(now);
     m_quarantine.tick(now);
+    m_limits.tick(now);
     m_quarantineArchive.tick(now, std::chrono::system_clock::now());
     m_source->follow(m_stopping ? WatchDuty::OwnOnly : m_relay.duty());
     m_mesh.flush();
--- a/process/forwardedanswer.cc
+++ b/process/forwardedanswer.cc
@@ -43,7 +43,7 @@
     if (!limit && !success)
         return; // a failure may come from something before the upstream, which does not know its limit
     double before = m_forwarder.m_limits.limit(m_upstream->lifetimeHash);
-    m_forwarder.m_limits.stated(m_upstream->lifetimeHash, limit);
+    m_forwarder.m_limits.stated(m_upstream->lifetimeHash, limit, clockNow());
     double after = m_forwarder.m_limits.limit(m_upstream->lifetimeHash);
     if (after == before)
         return;
--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -18,6 +18,9 @@
     // An upstream that refused a request is avoided for this long, because its queue is full.
     constexpr Milliseconds refusalPause { 150 };
 
+    // Upstreams that are asked for a place within their limits before only those without a limit are left.
+    constexpr int maxLimitRefusals = 6;
+
     // A request that must not run twice uses a kept connection only if that was idle for at most this long:
     // the upstream may close an idle connection without notice, and the outcome of a request that was written
     // to it at that moment would be unknown.
@@ -142,15 +145,14 @@
     if (refuseQuarantined(now))
         return;
     for (;;) {
-        auto [upstreams, limitWait] = m_forwarder.selectable(m_pool, m_tried, now);
+        auto upstreams = m_forwarder.untriedUpstreams(m_pool, m_tried);
         std::vector<UpstreamCandidate> candidates;
         candidates.reserve(upstreams.size());
         for (const auto& upstream : upstreams)
             candidates.push_back(m_forwarder.candidate(*upstream, now));
-        auto decision = servedByEngines() ? m_forwarder.m_placement.chooseEngine(m_item, candidates)
-                                          : m_forwarder.m_placement.chooseService(m_item, candidates);
-        if (!decision && limitWait)
-            return refuseOverLimits(*limitWait);
+        auto decision = chooseWithinLimits(upstreams, candidates, now);
+        if (!decision && !upstreams.empty())
+            return refuseOverLimits(m_forwarder.retryAfter(upstreams, now));
         if (!decision)
             return giveUp("no upstream of the pool is left to try");
         m_chosenCandidate = candidates[decision->index];
@@ -167,6 +169,25 @@
     }
 }
 
+// Chooses the best of the upstreams that take a request now. The candidates are those of the upstreams, in
+// the same order.
+std::optional<CostDecision> ForwardedRequest::chooseWithinLimits(
+    const std::vector<std::shared_ptr<Forwarder::Upstream>>& upstreams,
+    std::vector<UpstreamCandidate>& candidates, MonotonicTime now)
+{
+    for (int refusals = 0;; ++refusals) {
+        auto decision = servedByEngines() ? m_forwarder.m_placement.chooseEngine(m_item, candidates)
+                                          : m_forwarder.m_placement.chooseService(m_item, candidates);
+        if (!decision || m_forwarder.m_limits.admit(upstreams[decision->index]->lifetimeHash, now))
+            return decision;
+        candidates[decision->index].available = false;
+        if (refusals < maxLimitRefusals)
+            continue;
+        for (UpstreamCandidate& candidate : candidates)
+            candidate.available = candidate.available && !candidate.limited;
+    }
+}
+
 // Refuses the request, and returns true, if prompts like it crash the upstreams that answer them.
 bool ForwardedRequest::refuseQuarantined(MonotonicTime now)
 {
@@ -263,7 +284,6 @@
     m_mode = AnswerMode::None;
     m_buffered.clear();
     m_forwarder.m_inProgress.started(m_upstream->hash, m_decision.tokensToRead);
-    m_forwarder.m_limits.sent(m_upstream->lifetimeHash, now);
     if (servedByEngines())
         m_forwarder.m_placement.recordPlacement(m_item, m_upstream->hash, m_routedPool->engine->memoryTokens);
 }
@@ -467,6 +487,7 @@
     if (!m_headReceived)
         m_forwarder.m_inProgress.answerStarted(m_upstream->hash, m_decision.tokensToRead);
     m_forwarder.m_inProgress.ended(m_upstream->hash);
+    m_forwarder.attemptFinished(m_pool, clockNow() - m_sentAt);
     m_upstream.reset();
     m_headReceived = false;
 }
--- a/process/forwardedrequest.h
+++ b/process/forwardedrequest.h
@@ -65,6 +65,8 @@
     Milliseconds expectedDuration() const;
     void place();
     bool refuseQuarantined(MonotonicTime now);
+    std::optional<CostDecision> chooseWithinLimits(const std::vector<std::shared_ptr<Forwarder::Upstream>>&,
+        std::vector<UpstreamCandidate>&, MonotonicTime now);
     void refuseOverLimits(Milliseconds retryAfter);
     bool refuseUnreachableDeadline(const CostDecision&, MonotonicTime now);
     void send(std::shared_ptr<Forwarder::Upstream>, const CostDecision&);
--- a/process/forwarder.cc
+++ b/process/forwarder.cc
@@ -16,9 +16,16 @@
     // upstream is tried again.
     constexpr double slownessDecaySeconds = 4;
 
-    // Estimated time until some instance may send a request to an upstream whose limit this one does not
-    // share.
-    constexpr Milliseconds otherInstancesWait { 1000 };
+    // Minimum Retry-After of requests that no upstream takes because of its limit.
+    constexpr Milliseconds minLimitRetryAfter { 200 };
+
+    // Interval at which the weights of upstreams with limits are determined, and the weight of the latest
+    // value in the averages that they depend on.
+    constexpr Milliseconds weightInterval { 500 };
+    constexpr double rateWeight = 0.2;
+    constexpr double durationWeight = 0.05;
+    // Weights that would change by less than this factor stay, so that segments keep their homes.
+    constexpr double minWeightChange = 1.5;
 
     // Minimum number of connections to one upstream that an instance may open, whatever the size of the
     // fleet.
@@ -68,6 +75,7 @@
     , m_budget(m_settings.budget)
     , m_deferredDelete(base, [this] { m_done.clear(); })
     , m_timeoutTicker(base, timeoutCheckInterval, [this] { checkTimeouts(); })
+    , m_weightTicker(base, weightInterval, [this] { updateHomeWeights(); })
 {
 }
 
@@ -114,28 +122,32 @@
             m_pools[entry.pool].upstreams.push_back(upstream);
     }
     m_health.setUpstreams(hashes);
-    m_limits.setUpstreams(lifetimeHashes);
+    m_limits.setUpstreams(lifetimeHashes, clockNow());
 }
 
-Forwarder::Choice Forwarder::selectable(
-    const std::string& pool, const std::vector<std::string>& tried, MonotonicTime now) const
+std::vector<std::shared_ptr<Forwarder::Upstream>> Forwarder::untriedUpstreams(
+    const std::string& pool, const std::vector<std::string>& tried) const
 {
-    Choice result;
+    std::vector<std::shared_ptr<Upstream>> result;
     auto found = m_pools.find(pool);
     if (found == m_pools.end())
         return result;
     for (const auto& upstream : found->second.upstreams) {
-        if (std::find(tried.begin(), tried.end(), upstream->entry.id) != tried.end())
-            continue;
-        Milliseconds wait = m_limits.wait(upstream->lifetimeHash, now).value_or(otherInstancesWait);
-        if (wait <= Milliseconds(0))
-            result.upstreams.push_back(upstream);
-        else
-            result.limitWait = std::min(wait, result.limitWait.value_or(wait));
+        if (std::find(tried.begin(), tried.end(), upstream->entry.id) == tried.end())
+            result.push_back(upstream);
     }
     return result;
 }
 
+Milliseconds Forwarder::retryAfter(
+    const std::vector<std::shared_ptr<Upstream>>& upstreams, MonotonicTime now) const
+{
+    Milliseconds shortest = Milliseconds::max();
+    for (const auto& upstream : upstreams)
+        shortest = std::min(shortest, m_limits.retryAfter(upstream->lifetimeHash, now));
+    return std::max(shortest, minLimitRetryAfter);
+}
+
 UpstreamCandidate Forwarder::candidate(const Upstream& upstream, MonotonicTime now) const
 {
     UpstreamWorkload own = m_inProgress.own(upstream.hash);
@@ -147,6 +159,8 @@
     result.slots = upstream.entry.slots;
     result.requests = own.requests + others.requests;
     result.pendingPromptTokens = own.promptTokens + others.promptTokens;
+    result.homeWeight = upstream.homeWeight;
+    result.limited = m_limits.limit(upstream.lifetimeHash) > 0;
     result.slowness = upstream.decayedSlowness(now);
     return result;
 }
@@ -182,6 +196,42 @@
     m_deferredDelete.start(Milliseconds(0));
 }
 
+void Forwarder::attemptFinished(const std::string& pool, std::chrono::nanoseconds duration)
+{
+    PoolRate& rate = m_poolRates[pool];
+    rate.meanSeconds += (std::chrono::duration<double>(duration).count() - rate.meanSeconds) * durationWeight;
+}
+
+void Forwarder::updateHomeWeights()
+{
+    if (m_limits.limitedUpstreams() == 0 && !m_weightsInUse)
+        return;
+    m_weightsInUse = m_limits.limitedUpstreams() > 0;
+    for (const auto& [name, pool] : m_pools)
+        updateHomeWeights(pool, m_poolRates[name]);
+}
+
+// By Little's law, the rate of requests is the number in progress divided by their mean duration.
+void Forwarder::updateHomeWeights(const Pool& pool, PoolRate& rate)
+{
+    double inProgress = 0;
+    std::vector<double> limits;
+    for (const auto& upstream : pool.upstreams) {
+        inProgress
+            += m_inProgress.own(upstream->hash).requests + m_inProgress.others(upstream->hash).requests;
+        limits.push_back(m_limits.usableRate(upstream->lifetimeHash));
+    }
+    double latest = inProgress / std::max(rate.meanSeconds, 0.001);
+    rate.perSecond += rate.perSecond > 0 ? (latest - rate.perSecond) * rateWeight : latest;
+    std::vector<double> weights = homeWeights(rate.perSecond, limits);
+    for (std::size_t index = 0; index < weights.size(); ++index) {
+        double& current = pool.upstreams[index]->homeWeight;
+        double factor = std::max(weights[index] / current, current / weights[index]);
+        if (limits[index] <= 0 || factor >= minWeightChange)
+            current = weights[index];
+    }
+}
+
 void Forwarder::checkTimeouts()
 {
     MonotonicTime now = clockNow();
--- a/process/forwarder.h
+++ b/process/forwarder.h
@@ -102,6 +102,7 @@
         MonotonicTime avoidUntil; // set after a refusal; other upstreams are preferred until then
         double slowness = 1; // moving average of the time to the first byte over the expected time
         MonotonicTime slownessUpdatedAt; // time of the last observation
+        double homeWeight = 1;
 
         void updateSlowness(double ratio, double weight, MonotonicTime now);
         double decayedSlowness(MonotonicTime now) const;
@@ -109,20 +110,23 @@
     struct Pool {
         std::vector<std::shared_ptr<Upstream>> upstreams;
     };
-
-    // The upstreams to which a request may be sent now.
-    struct Choice {
-        std::vector<std::shared_ptr<Upstream>> upstreams;
-        // Some were left out because of their limits: the time until the first of them takes a request.
-        std::optional<Milliseconds> limitWait;
+    // Of the requests to a pool.
+    struct PoolRate {
+        double meanSeconds = 1; // from sending a request to the end of its answer
+        double perSecond = 0; // from all instances
     };
 
-    Choice selectable(
-        const std::string& pool, const std::vector<std::string>& tried, MonotonicTime now) const;
+    std::vector<std::shared_ptr<Upstream>> untriedUpstreams(
+        const std::string& pool, const std::vector<std::string>& tried) const;
+    // Estimated time until one of the upstreams, none of which takes a request now, takes one.
+    Milliseconds retryAfter(const std::vector<std::shared_ptr<Upstream>>&, MonotonicTime now) const;
     UpstreamCandidate candidate(const Upstream&, MonotonicTime now) const;
     std::size_t connectionLimit(const RoutedPool*) const;
+    void attemptFinished(const std::string& pool, std::chrono::nanoseconds duration);
     void finished(ForwardedRequest&);
     void checkTimeouts();
+    void updateHomeWeights();
+    void updateHomeWeights(const Pool&, PoolRate&);
 
     event_base* m_base;
     ForwarderSettings m_settings;
@@ -144,10 +148,13 @@
     std::optional<MonotonicTime> m_shutdownDeadline; // set while this instance shuts down
     std::map<std::string, std::shared_ptr<Upstream>> m_upstreams; // by id
     std::unordered_map<std::string, Pool> m_pools; // by name, without draining upstreams
+    std::unordered_map<std::string, PoolRate> m_poolRates; // by name
+    bool m_weightsInUse = false; // an upstream had a limit when the weights were last determined
     std::list<std::unique_ptr<ForwardedRequest>> m_requests;
     std::list<std::unique_ptr<ForwardedRequest>> m_done; // ended, but maybe still on the call stack
     Timer m_deferredDelete;
     Ticker m_timeoutTicker;
+    Ticker m_weightTicker;
 };
 
 } // namespace briarwharf
--- a/process/peers.cc
+++ b/process/peers.cc
@@ -85,7 +85,7 @@
     }
     m_loads.setUpstreams(reporting);
     m_health.setUpstreams(all);
-    std::vector<OrganisationLimit> limits;
+    std::vector<RateLimit> limits;
     for (const auto& [name, organisation] : index.config().organisations) {
         if (organisation.tokensPerSecond > 0)
             limits.push_back({ nameHash(name), organisation.tokensPerSecond, organisation.weight });
--- a/request/costplacement.cc
+++ b/request/costplacement.cc
@@ -8,27 +8,40 @@
 
 namespace {
 
-    double totalRequests(const std::vector<UpstreamCandidate>& candidates)
+    // The work of those upstreams that take as much as placement sends them; of all, if there are none.
+    struct PoolLoad {
+        double total = 1; // requests in progress, with the request to be placed
+        double mean = 0;
+    };
+
+    PoolLoad poolLoad(const std::vector<UpstreamCandidate>& candidates)
     {
-        double total = 1; // the request to be placed
-        for (const auto& candidate : candidates)
-            total += candidate.requests;
-        return total;
+        bool allLimited = std::all_of(candidates.begin(), candidates.end(),
+            [](const UpstreamCandidate& candidate) { return candidate.limited; });
+        PoolLoad load;
+        double count = 0;
+        for (const UpstreamCandidate& candidate : candidates) {
+            if (candidate.limited && !allLimited)
+                continue;
+            load.total += candidate.requests;
+            ++count;
+        }
+        load.mean = load.total / count;
+        return load;
     }
 
     // The number of requests above which an upstream is used only if no candidate is within this limit.
-    double minLoadLimit(double total, std::size_t candidates, const CostSettings& settings)
+    double minLoadLimit(const PoolLoad& load, const CostSettings& settings)
     {
-        return settings.minLoadBound * total / static_cast<double>(candidates)
-            + settings.minLoadBoundExtraRequests;
+        return settings.minLoadBound * load.mean + settings.minLoadBoundExtraRequests;
     }
 
     // The same for a request whose segment has this share of the requests.
-    double loadLimit(double total, std::size_t candidates, double segmentShare, const CostSettings& settings)
+    double loadLimit(const PoolLoad& load, double segmentShare, const CostSettings& settings)
     {
-        double limit = settings.loadBound * total / static_cast<double>(candidates)
-            + settings.loadBoundExtraRequests - settings.unseenShare * segmentShare * total;
-        return std::max(limit, minLoadLimit(total, candidates, settings));
+        double limit = settings.loadBound * load.mean + settings.loadBoundExtraRequests
+            - settings.unseenShare * segmentShare * load.total;
+        return std::max(limit, minLoadLimit(load, settings));
     }
 
     // Candidates in three classes: 0 is usable, 1 is over the load limit, 2 is to be avoided. A candidate of
@@ -109,16 +122,15 @@
     std::vector<std::pair<double, std::size_t>> order;
     order.reserve(candidates.size());
     for (std::size_t index = 0; index < candidates.size(); ++index)
-        order.emplace_back(rendezvousScore(key, candidates[index].hash), index);
+        order.emplace_back(rendezvousScore(key, candidates[index].hash, candidates[index].homeWeight), index);
     // Only the first two ranks affect what an engine is expected to cache.
-    constexpr std::ptrdiff_t rankedCandidates = 2;
+    constexpr std::size_t rankedCandidates = 2;
     std::partial_sort(order.begin(),
-        order.begin() + std::min(rankedCandidates, static_cast<std::ptrdiff_t>(order.size())), order.end(),
+        order.begin() + static_cast<std::ptrdiff_t>(std::min(rankedCandidates, order.size())), order.end(),
         [](const auto& left, const auto& right) { return left.first > right.first; });
 
-    double limit = loadLimit(
-        totalRequests(candidates), candidates.size(), m_segmentShares.repeatShare(key), m_settings);
-    CostDecision best;
+    double limit = loadLimit(poolLoad(candidates), m_segmentShares.repeatShare(key), m_settings);
+    std::optional<CostDecision> best;
     int bestClass = std::numeric_limits<int>::max();
     double bestCost = 0;
     constexpr CostReason reasons[] { CostReason::Cheaper, CostReason::HomeOverBound,
@@ -126,6 +138,8 @@
     CostReason reasonIfNotHome = CostReason::Cheaper;
     for (std::size_t rank = 0; rank < order.size(); ++rank) {
         const UpstreamCandidate& candidate = candidates[order[rank].second];
+        if (!candidate.available)
+            continue;
         std::int64_t cached = expectedCachedTokens(item, candidate.hash, rank);
         std::int64_t tokensToRead = std::max<std::int64_t>(0, item.promptTokens - cached);
         double expectedMs = (m_settings.firstTokenMs
@@ -137,11 +151,14 @@
         int candidateClass = preferenceClass(candidate, limit);
         if (rank == 0)
             reasonIfNotHome = reasons[candidateClass];
+        // An upstream with a limit keeps what it takes for the segments that it caches.
+        if (candidate.limited && rank >= rankedCandidates)
+            candidateClass = std::max(candidateClass, 1);
         if (candidateClass > bestClass || (candidateClass == bestClass && total >= bestCost))
             continue;
         bestClass = candidateClass;
         bestCost = total;
-        best = { order[rank].second, expectedMs, cached, tokensToRead,
+        best = CostDecision { order[rank].second, expectedMs, cached, tokensToRead,
             rank == 0 ? CostReason::Home : reasonIfNotHome };
     }
     return best;
@@ -152,12 +169,14 @@
 {
     if (candidates.empty())
         return std::nullopt;
-    double limit = minLoadLimit(totalRequests(candidates), candidates.size(), m_settings);
-    CostDecision best;
+    double limit = minLoadLimit(poolLoad(candidates), m_settings);
+    std::optional<CostDecision> best;
     int bestClass = std::numeric_limits<int>::max();
     double bestCost = 0;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const UpstreamCandidate& candidate = candidates[index];
+        if (!candidate.available)
+            continue;
         // Requests beyond the slots wait for a whole service time; requests within the slots share the
         // capacity of the upstream.
         double load = static_cast<double>(candidate.requests) / std::max(1, candidate.slots);
@@ -169,7 +188,7 @@
             continue;
         bestClass = candidateClass;
         bestCost = cost;
-        best = { index, expectedMs, 0, 0, CostReason::Service };
+        best = CostDecision { index, expectedMs, 0, 0, CostReason::Service };
     }
     return best;
 }
--- a/request/costplacement.h
+++ b/request/costplacement.h
@@ -36,6 +36,11 @@
     int slots = 1;
     int requests = 0; // in progress from all instances
     std::int64_t pendingPromptTokens = 0; // of requests from all instances whose answer has not begun
+    double homeWeight = 1; // in the rendezvous order of prompt segments
+    bool limited = false; // states how many requests it takes
+    // Takes a request now. An upstream that does not is never chosen, but keeps its rank in the rendezvous
+    // order, so that the segments of the others keep theirs.
+    bool available = true;
     double slowness = 1; // measured time to the first byte, divided by the expected time
 };
 
@@ -104,7 +109,7 @@
 public:
     explicit CostPlacement(CostSettings);
 
-    // Both return an empty value if there is no candidate.
+    // Both return an empty value if no candidate is available.
     std::optional<CostDecision> chooseEngine(const WorkItem&, const std::vector<UpstreamCandidate>&) const;
     std::optional<CostDecision> chooseService(const WorkItem&, const std::vector<UpstreamCandidate>&) const;
 
--- a/request/request.h
+++ b/request/request.h
@@ -50,6 +50,7 @@
 #include "request/fleetbudget.h"
 #include "request/forecast.h"
 #include "request/hint.h"
+#include "request/homeweights.h"
 #include "request/loadledger.h"
 #include "request/outcome.h"
 #include "request/partmemory.h"
--- a/request/testing/costplacement_test.cc
+++ b/request/testing/costplacement_test.cc
@@ -156,6 +156,29 @@
     CHECK_FALSE(placement.chooseEngine(chat(7, 0), {}));
 }
 
+// Guards against sessions that move, and whose contexts are read again, because other engines are at their
+// limits for a moment.
+TEST_CASE("an engine that takes no request now is not chosen, and all other sessions stay where they are")
+{
+    auto candidates = engines(12);
+    CostPlacement placement({});
+    for (std::uint64_t session = 0; session < 200; ++session) {
+        auto usual = placement.chooseEngine(chat(session, 1), candidates);
+        auto changed = candidates;
+        changed[3].limited = true;
+        changed[3].available = false;
+        auto now = placement.chooseEngine(chat(session, 1), changed);
+        REQUIRE(now);
+        CHECK(now->index != 3);
+        if (usual->index != 3)
+            CHECK(now->index == usual->index);
+    }
+    for (UpstreamCandidate& candidate : candidates)
+        candidate.available = false;
+    CHECK_FALSE(placement.chooseEngine(chat(1, 1), candidates));
+    CHECK_FALSE(placement.chooseService(chat(1, 1), candidates));
+}
+
 TEST_CASE("a slow engine loses its sessions for as long as it is slow")
 {
     auto candidates = engines(12);
