--- a/review/standins/server.h
+++ b/review/standins/server.h
@@ -79,6 +79,26 @@
         }).detach();
     }
 
+    // A planned shutdown: the server reports that it drains, serves on for `serveFor` seconds and exits. Returns
+    // after the store has accepted the report.
+    void drain(double serveFor)
+    {
+        {
+            std::lock_guard lock(m_mutex);
+            m_state = "draining";
+            m_store.write("servers", m_id, entry());
+        }
+        std::thread([this, serveFor] {
+            sleepFor(serveFor);
+            std::lock_guard lock(m_mutex);
+            ++m_lifetime;
+            shutdown(m_listener, SHUT_RDWR);
+            close(m_listener);
+            m_listener = -1;
+            m_store.erase("servers", m_id);
+        }).detach();
+    }
+
 private:
     static constexpr double beatInterval = 1.2; // seconds
 
@@ -104,7 +124,7 @@
     Json entry()
     {
         return { { "Service", m_options.service }, { "Address", "127.0.0.1:" + std::to_string(m_port) },
-            { "Zone", m_options.zone }, { "Version", "v1" }, { "Slots", m_options.slots }, { "State", "ready" },
+            { "Zone", m_options.zone }, { "Version", "v1" }, { "Slots", m_options.slots }, { "State", m_state },
             { "ColdRemainingMs", 0 }, { "Sequence", ++m_sequence }, { "born", m_born } };
     }
 
@@ -196,5 +216,6 @@
     std::string m_id;
     std::int64_t m_born = 0;
     int m_sequence = 0;
+    std::string m_state = "ready";
     std::set<int> m_sockets;
 };
--- a/review/standins/store.h
+++ b/review/standins/store.h
@@ -20,6 +20,12 @@
 
     int port() const { return portOf(m_listener); }
 
+    // Stands in a Spec for a value that this program's JSON library cannot hold.
+    static constexpr const char* unreadableMarker = "@unreadable@";
+    // That value as JSON text: escapes of two bytes that are no text, as programs write them that decode bytes leniently: lone
+    // surrogates, which JSON's grammar allows (RFC 8259, section 8.2).
+    std::string unreadable = "\"\\udcff\\udcfe\"";
+
     // Writes as an operator or a server does. Creates the object or replaces its Spec.
     void write(const std::string& kind, const std::string& name, const Json& spec)
     {
@@ -78,7 +84,7 @@
         while (reader.readHead(request, Clock::now() + idle) && reader.readBody(request, Clock::now() + idle)) {
             int status = 200;
             Json answer = handle(request, status);
-            std::string body = answer.dump();
+            std::string body = withUnreadable(answer.dump());
             std::string out = "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Type: application/json\r\n"
                 + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
             sleepFor(0.004);
@@ -88,6 +94,16 @@
         close(socket);
     }
 
+    // Replaces the marker by what the other writer wrote in its place.
+    std::string withUnreadable(std::string text)
+    {
+        std::string quoted = "\"" + std::string(unreadableMarker) + "\"";
+        for (std::size_t at = text.find(quoted); at != std::string::npos;
+             at = text.find(quoted, at + unreadable.size()))
+            text.replace(at, quoted.size(), unreadable);
+        return text;
+    }
+
     static std::string queryValue(const std::string& target, const std::string& name)
     {
         std::size_t at = target.find(name + "=");
