--- a/review/2/case.cc
+++ b/review/2/case.cpp
@@ -1,9 +1,9 @@
 // LOST: after an outage of all model servers, sound requests are refused although the servers are back.
 // See claim.txt. Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
 
-#include "../standins/fleet.h"
-#include "../standins/server.h"
-#include "../standins/store.h"
+#include "../standins/fleet.hpp"
+#include "../standins/server.hpp"
+#include "../standins/store.hpp"
 #include <fstream>
 #include <iostream>
 
@@ -51,7 +51,8 @@
             ServerOptions options;
             options.service = "estimator";
             options.zone = std::string("pkc-") + static_cast<char>('a' + index % 4);
-            auto server = std::make_unique<ModelServer>(m_store, *this, options, "i-" + std::to_string(index));
+            auto server
+                = std::make_unique<ModelServer>(m_store, *this, options, "i-" + std::to_string(index));
             server->crashesOn = [](const Message& request) {
                 return request.field("X-Prompt-Prefix").find(crashPart) != std::string::npos;
             };
@@ -152,9 +153,10 @@
         // The second part is the subject: one of 40, each with its home at one of the servers.
         std::string subject = sound ? "77" + std::to_string(1000 + number % 40) + ":1000" : crashPart;
         const Instance& instance = m_fleet->instances[static_cast<std::size_t>(number % instances)];
-        std::string request = "POST /full/2f HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: " + std::string(id)
-            + "\r\nX-Model: m\r\nX-Token-Usage: 1762,60\r\nX-Prompt-Prefix: " + systemPrompt + "," + subject + ","
-            + own + "\r\nX-Deadline-Ms: 12000\r\nApi-Key: key-1\r\nContent-Length: 2\r\n\r\nhi";
+        std::string request
+            = "POST /full/2f HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: " + std::string(id)
+            + "\r\nX-Model: m\r\nX-Token-Usage: 1762,60\r\nX-Prompt-Prefix: " + systemPrompt + "," + subject
+            + "," + own + "\r\nX-Deadline-Ms: 12000\r\nApi-Key: key-1\r\nContent-Length: 2\r\n\r\nhi";
         int socket = connectTo(instance.ip, instance.front);
         Message answer;
         Reader reader(socket);
@@ -167,8 +169,8 @@
         }
         if (socket >= 0)
             close(socket);
-        note(std::string(sound ? "client: sound request " : "client: request with the crashing part ") + id + " to "
-            + instance.name + " sent at " + std::to_string(result.sentAt) + ": status "
+        note(std::string(sound ? "client: sound request " : "client: request with the crashing part ") + id
+            + " to " + instance.name + " sent at " + std::to_string(result.sentAt) + ": status "
             + std::to_string(result.status) + (result.whole ? "" : ", not whole")
             + (result.retryAfter.empty() ? "" : ", Retry-After " + result.retryAfter));
         std::lock_guard lock(m_mutex);
@@ -184,9 +186,11 @@
         Reader reader(socket);
         Message answer;
         auto deadline = Clock::now() + std::chrono::seconds(3);
-        bool ok = sendAll(socket, "POST /full/2f HTTP/1.1\r\nX-Request-Id: direct\r\nX-Prompt-Prefix: " + systemPrompt
-                              + ",77:1000,1:1\r\nContent-Length: 0\r\n\r\n")
-            && reader.readHead(answer, deadline) && answer.status() == 200 && reader.readBody(answer, deadline);
+        bool ok = sendAll(socket,
+                      "POST /full/2f HTTP/1.1\r\nX-Request-Id: direct\r\nX-Prompt-Prefix: " + systemPrompt
+                          + ",77:1000,1:1\r\nContent-Length: 0\r\n\r\n")
+            && reader.readHead(answer, deadline) && answer.status() == 200
+            && reader.readBody(answer, deadline);
         close(socket);
         return ok;
     }
@@ -220,7 +224,8 @@
         note("servers that answer a direct request at the end: " + std::to_string(answering) + " of "
             + std::to_string(engines));
         note("sound requests before: " + std::to_string(before) + ", begun " + std::to_string(beforeBegun));
-        note("sound requests in the judged time: " + std::to_string(after) + ", begun " + std::to_string(afterBegun));
+        note("sound requests in the judged time: " + std::to_string(after) + ", begun "
+            + std::to_string(afterBegun));
         m_record.flush();
         if (before < 20 || after < 20 || answering < engines)
             return 2;
--- a/review/3/case.cc
+++ b/review/3/case.cpp
@@ -1,9 +1,9 @@
 // BUDGET: prompts whose parts have 128-bit identifiers and crash servers are sent on without end.
 // See claim.txt. Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
 
-#include "../standins/fleet.h"
-#include "../standins/server.h"
-#include "../standins/store.h"
+#include "../standins/fleet.hpp"
+#include "../standins/server.hpp"
+#include "../standins/store.hpp"
 #include <fstream>
 #include <iostream>
 
@@ -72,7 +72,8 @@
             ServerOptions options;
             options.service = "estimator";
             options.zone = std::string("pkc-") + static_cast<char>('a' + index % 4);
-            auto server = std::make_unique<ModelServer>(m_store, *this, options, "i-" + std::to_string(index));
+            auto server
+                = std::make_unique<ModelServer>(m_store, *this, options, "i-" + std::to_string(index));
             server->crashesOn = [](const Message& request) {
                 return request.field("X-Prompt-Prefix").find(crashPart) != std::string::npos;
             };
@@ -94,7 +95,8 @@
     void arrived(const std::string& id, const Message& request) override
     {
         bool crashes = request.field("X-Prompt-Prefix").find(crashPart) != std::string::npos;
-        note("server " + id + " gets " + request.field("X-Request-Id") + (crashes ? " with the crashing part" : ""));
+        note("server " + id + " gets " + request.field("X-Request-Id")
+            + (crashes ? " with the crashing part" : ""));
         if (!crashes)
             return;
         std::lock_guard lock(m_mutex);
@@ -162,11 +164,13 @@
         snprintf(id, sizeof id, "%016x", static_cast<unsigned>(number * 2654435761u));
         std::string own = partId(0xe4000000 + static_cast<unsigned>(number)) + ":250";
         // The second part is the subject: one of 40, each with its home at one of the servers.
-        std::string subject = sound ? partId(0x77000000 + static_cast<unsigned>(number % 40)) + ":1000" : crashPart;
+        std::string subject
+            = sound ? partId(0x77000000 + static_cast<unsigned>(number % 40)) + ":1000" : crashPart;
         const Instance& instance = m_fleet->instances[static_cast<std::size_t>(number % instances)];
-        std::string request = "POST /full/2f HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: " + std::string(id)
-            + "\r\nX-Model: m\r\nX-Token-Usage: 1762,60\r\nX-Prompt-Prefix: " + systemPrompt + "," + subject + ","
-            + own + "\r\nX-Deadline-Ms: 12000\r\nApi-Key: key-1\r\nContent-Length: 2\r\n\r\nhi";
+        std::string request
+            = "POST /full/2f HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: " + std::string(id)
+            + "\r\nX-Model: m\r\nX-Token-Usage: 1762,60\r\nX-Prompt-Prefix: " + systemPrompt + "," + subject
+            + "," + own + "\r\nX-Deadline-Ms: 12000\r\nApi-Key: key-1\r\nContent-Length: 2\r\n\r\nhi";
         int socket = connectTo(instance.ip, instance.front);
         Message answer;
         Reader reader(socket);
@@ -179,8 +183,8 @@
         }
         if (socket >= 0)
             close(socket);
-        note(std::string(sound ? "client: sound request " : "client: request with the crashing part ") + id + " to "
-            + instance.name + " sent at " + std::to_string(result.sentAt) + ": status "
+        note(std::string(sound ? "client: sound request " : "client: request with the crashing part ") + id
+            + " to " + instance.name + " sent at " + std::to_string(result.sentAt) + ": status "
             + std::to_string(result.status) + (result.whole ? "" : ", not whole")
             + (result.retryAfter.empty() ? "" : ", Retry-After " + result.retryAfter));
         std::lock_guard lock(m_mutex);
@@ -202,9 +206,9 @@
         }
         note("sound requests: " + std::to_string(sound) + ", begun " + std::to_string(begun) + ", whole "
             + std::to_string(whole));
-        note("requests with the crashing part from clients: " + std::to_string(prompts) + ", arrivals at servers "
-            + std::to_string(m_crashingArrivals.size()) + ", crashes " + std::to_string(m_promptCrashes)
-            + ", the fifth at " + std::to_string(m_fifthCrash) + " s");
+        note("requests with the crashing part from clients: " + std::to_string(prompts)
+            + ", arrivals at servers " + std::to_string(m_crashingArrivals.size()) + ", crashes "
+            + std::to_string(m_promptCrashes) + ", the fifth at " + std::to_string(m_fifthCrash) + " s");
         note("arrivals of them later than ContactMs after the fifth crash: " + std::to_string(late)
             + ", allowed 3");
         note(late > 3 ? "BUDGET: broken" : "BUDGET: held");
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p out
-for source in [1-5]/case.cc; do
+for source in [1-5]/case.cpp; do
   [ -f "$source" ] || continue
   g++ -std=c++20 -O1 -Wall -Wextra -pthread "$source" -o "out/case-${source%%/*}"
 done
--- a/review/standins/fleet.h
+++ b/review/standins/fleet.hpp
@@ -1,7 +1,7 @@
 // Starts the fleet with the command of the deploy file and settings rendered from its template, and ends it.
 #pragma once
 
-#include "net.h"
+#include "net.hpp"
 #include <csignal>
 #include <cstdio>
 #include <fcntl.h>
@@ -41,7 +41,8 @@
         int internal = freePort(ips);
         std::string seeds;
         for (int index = 0; index < size && index < 3; ++index)
-            seeds += (seeds.empty() ? "" : ",") + ips[static_cast<std::size_t>(index)] + ":" + std::to_string(internal);
+            seeds += (seeds.empty() ? "" : ",") + ips[static_cast<std::size_t>(index)] + ":"
+                + std::to_string(internal);
         const char* zones[] { "pkc-a", "pkc-b", "pkc-c", "pkc-d" };
         for (int index = 0; index < size; ++index) {
             Instance instance;
@@ -122,7 +123,8 @@
 
     bool waitReady(double limit) const
     {
-        auto deadline = Clock::now() + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(limit));
+        auto deadline = Clock::now()
+            + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(limit));
         for (const Instance& instance : instances) {
             while (!isReady(instance)) {
                 if (Clock::now() > deadline)
--- a/review/standins/net.h
+++ b/review/standins/net.hpp
@@ -40,7 +40,8 @@
     int on = 1;
     setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     sockaddr_in address = socketAddress(ip, port);
-    if (bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 || listen(socket, 512) != 0) {
+    if (bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0
+        || listen(socket, 512) != 0) {
         close(socket);
         return -1;
     }
--- a/review/standins/server.h
+++ b/review/standins/server.hpp
@@ -2,8 +2,8 @@
 // crash as a whole and start again under a new Id.
 #pragma once
 
-#include "net.h"
-#include "store.h"
+#include "net.hpp"
+#include "store.hpp"
 #include <functional>
 #include <memory>
 #include <set>
@@ -79,8 +79,8 @@
         }).detach();
     }
 
-    // A planned shutdown: the server reports that it drains, serves on for `serveFor` seconds and exits. Returns
-    // after the store has accepted the report.
+    // A planned shutdown: the server reports that it drains, serves on for `serveFor` seconds and exits.
+    // Returns after the store has accepted the report.
     void drain(double serveFor)
     {
         {
@@ -124,8 +124,9 @@
     Json entry()
     {
         return { { "Service", m_options.service }, { "Address", "127.0.0.1:" + std::to_string(m_port) },
-            { "Zone", m_options.zone }, { "Version", "v1" }, { "Slots", m_options.slots }, { "State", m_state },
-            { "ColdRemainingMs", 0 }, { "Sequence", ++m_sequence }, { "born", m_born } };
+            { "Zone", m_options.zone }, { "Version", "v1" }, { "Slots", m_options.slots },
+            { "State", m_state }, { "ColdRemainingMs", 0 }, { "Sequence", ++m_sequence },
+            { "born", m_born } };
     }
 
     void beat()
@@ -162,7 +163,8 @@
         Reader reader(socket);
         Message request;
         auto idle = std::chrono::seconds(3);
-        while (reader.readHead(request, Clock::now() + idle) && reader.readBody(request, Clock::now() + idle)) {
+        while (
+            reader.readHead(request, Clock::now() + idle) && reader.readBody(request, Clock::now() + idle)) {
             if (!answer(socket, request, lifetime))
                 break;
         }
@@ -177,7 +179,9 @@
         std::string echo = "X-Request-Id: " + request.field("X-Request-Id") + "\r\n";
         std::string expected = request.field("X-Expect-Instance");
         if (!expected.empty() && expected != id)
-            return sendAll(socket, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\nX-Instance-Id: " + id + "\r\n" + echo + "\r\n");
+            return sendAll(socket,
+                "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\nX-Instance-Id: " + id + "\r\n"
+                    + echo + "\r\n");
         m_observer.arrived(id, request);
         sleepFor(m_options.firstEventAfter);
         if (crashesOn && crashesOn(request)) {
@@ -185,14 +189,16 @@
                 crash("a part of the prompt of " + request.field("X-Request-Id"));
             return false;
         }
-        if (!sendAll(socket, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
-                    + echo + "X-Response-Signature: " + id + "." + request.field("X-Request-Id") + "\r\n\r\n"))
+        if (!sendAll(socket,
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + echo
+                    + "X-Response-Signature: " + id + "." + request.field("X-Request-Id") + "\r\n\r\n"))
             return false;
         int first = std::atoi(request.field("Last-Event-Id").c_str()) + 1;
         for (int number = first; number <= m_options.events; ++number) {
             if (number > first)
                 sleepFor(m_options.eventInterval);
-            std::string event = "id: " + std::to_string(number) + "\ndata: part " + std::to_string(number) + "\n\n";
+            std::string event
+                = "id: " + std::to_string(number) + "\ndata: part " + std::to_string(number) + "\n\n";
             if (!isCurrent(lifetime) || !sendAll(socket, chunk(event)))
                 return false;
         }
--- a/review/standins/store.h
+++ b/review/standins/store.hpp
@@ -2,7 +2,7 @@
 // PROTOCOL.md describes them.
 #pragma once
 
-#include "net.h"
+#include "net.hpp"
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
@@ -22,8 +22,8 @@
 
     // Stands in a Spec for a value that this program's JSON library cannot hold.
     static constexpr const char* unreadableMarker = "@unreadable@";
-    // That value as JSON text: escapes of two bytes that are no text, as programs write them that decode bytes leniently: lone
-    // surrogates, which JSON's grammar allows (RFC 8259, section 8.2).
+    // That value as JSON text: escapes of two bytes that are no text, as programs write them that decode
+    // bytes leniently: lone surrogates, which JSON's grammar allows (RFC 8259, section 8.2).
     std::string unreadable = "\"\\udcff\\udcfe\"";
 
     // Writes as an operator or a server does. Creates the object or replaces its Spec.
@@ -34,7 +34,8 @@
         if (!object.is_null() && object["Spec"] == spec)
             return;
         ++m_revision;
-        std::uint64_t created = object.is_null() ? m_revision : object["Metadata"]["CreatedRev"].get<std::uint64_t>();
+        std::uint64_t created
+            = object.is_null() ? m_revision : object["Metadata"]["CreatedRev"].get<std::uint64_t>();
         object = { { "Metadata",
                        { { "Name", name }, { "Revision", m_revision }, { "CreatedRev", created },
                            { "Finalizers", Json::array() }, { "Deleting", false } } },
@@ -81,11 +82,13 @@
         Reader reader(socket);
         Message request;
         auto idle = std::chrono::seconds(120);
-        while (reader.readHead(request, Clock::now() + idle) && reader.readBody(request, Clock::now() + idle)) {
+        while (
+            reader.readHead(request, Clock::now() + idle) && reader.readBody(request, Clock::now() + idle)) {
             int status = 200;
             Json answer = handle(request, status);
             std::string body = withUnreadable(answer.dump());
-            std::string out = "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Type: application/json\r\n"
+            std::string out = "HTTP/1.1 " + std::to_string(status)
+                + " X\r\nContent-Type: application/json\r\n"
                 + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
             sleepFor(0.004);
             if (!sendAll(socket, out))
