--- a/review/standins/fleet.hpp
+++ b/review/standins/fleet.hpp
@@ -5,8 +5,10 @@
 #include <csignal>
 #include <cstdio>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 inline std::string readFile(const std::string& path)
@@ -75,6 +77,7 @@
     {
         for (Instance& instance : instances)
             end(instance, SIGKILL);
+        std::filesystem::remove_all(m_folder);
     }
 
     void startAll()
@@ -89,6 +92,7 @@
         instance.pid = fork();
         if (instance.pid != 0)
             return;
+        prctl(PR_SET_PDEATHSIG, SIGKILL); // if this program ends early, the instances end with it
         int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
         dup2(out, 1);
         dup2(out, 2);
