Take no request during shutdown that must not run twice and may be cut

And only the first attempt was judged: a call refused by an upstream was sent to another one seconds later.

Change: requests that must not run twice (at-most-once calls, streams that cannot be resumed) are taken only if their deadline or the route's timeout ends before the exit; the estimate counts from now; a request that has not run is judged again before each further attempt.

Ruled out: pipelined requests are judged when they are dispatched, and a request without a deadline has the route's timeout as its own; both were right before.

--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -67,7 +67,7 @@
         return finish("refused", 503, "no configuration or list of upstreams yet");
     }
     readDeadline();
-    if (!findRoute() || !findOrganisation() || !endsBeforeShutdown())
+    if (!findRoute() || !findOrganisation() || !endsBeforeShutdown(clockNow()))
         return;
     std::uint64_t requestHash = hash64(m_fields.requestId);
     m_pool = RoutingTable::choosePool(*m_route, requestHash);
@@ -101,16 +101,17 @@
     return std::min(m_route->timeout, m_route->targetLatency + tokens * maxTimePerToken);
 }
 
-// Refuses the request, and returns false, if this instance shuts down and would have to cut it off.
-bool ForwardedRequest::endsBeforeShutdown()
+// Refuses a request that has not run, and returns false, if this instance shuts down and would have to cut it
+// off.
+bool ForwardedRequest::endsBeforeShutdown(MonotonicTime now)
 {
     if (!m_forwarder.m_shutdownDeadline)
         return true;
     MonotonicTime end = m_deadline;
-    // Estimates may be too short. Once the load balancer sends callers elsewhere, a refusal costs them
-    // little.
-    if (m_request.received < m_forwarder.m_shutdownEstimateUntil)
-        end = std::min(end, m_request.received + expectedDuration());
+    // Estimates may be too short, so none decides on a request that must not run twice. Once the load
+    // balancer sends callers elsewhere, a refusal costs them little.
+    if (mayRepeat() && now < m_forwarder.m_shutdownEstimateUntil)
+        end = std::min(end, now + expectedDuration());
     if (end <= *m_forwarder.m_shutdownDeadline)
         return true;
     answerLocally({ 503, "shutting_down", "this instance shuts down; the request did not run: send it again",
@@ -153,6 +154,8 @@
     MonotonicTime now = clockNow();
     if (refuseQuarantined(now))
         return;
+    if (!m_mayHaveRun && !m_answerBegun && !endsBeforeShutdown(now))
+        return;
     for (;;) {
         auto upstreams = m_forwarder.untriedUpstreams(m_pool, m_tried);
         std::vector<UpstreamCandidate> candidates;
--- a/process/forwardedrequest.h
+++ b/process/forwardedrequest.h
@@ -72,7 +72,7 @@
     bool findRoute();
     bool findOrganisation();
     void readDeadline();
-    bool endsBeforeShutdown();
+    bool endsBeforeShutdown(MonotonicTime now);
     Milliseconds expectedDuration() const;
     void place();
     bool refuseQuarantined(MonotonicTime now);
--- a/process/forwarder.h
+++ b/process/forwarder.h
@@ -76,8 +76,8 @@
     void setUpstreams(const std::map<std::string, UpstreamEntry>&, std::uint64_t revision);
     void setInstances(std::size_t instances);
     // From now on, refuses requests that are not expected to end by `deadline`, so that none is cut off.
-    // Those that arrive at `estimateUntil` or later are refused even if only their longest duration would
-    // exceed it.
+    // Requests that must not run twice, and from `estimateUntil` on all, are refused even if only their
+    // longest duration would exceed it.
     void setShutdownDeadline(MonotonicTime deadline, MonotonicTime estimateUntil)
     {
         m_shutdownDeadline = deadline;
--- a/process/testing/forwardfixture.cc
+++ b/process/testing/forwardfixture.cc
@@ -163,9 +163,9 @@
     settings.listen.peers = m_peerAddresses.back();
     if (seeds)
         settings.fleet.seeds = m_peerAddresses;
-    settings.limits.shutdownGrace = Milliseconds(8000);
+    settings.limits.shutdownGrace = shutdownGrace;
     m_daemons.push_back(std::make_unique<ForwardDaemon>(
-        m_base.get(), settings, "", std::make_unique<FakeSource>(other ? *other : directory)));
+        m_base.get(), settings, settingsFile, std::make_unique<FakeSource>(other ? *other : directory)));
     Status started = m_daemons.back()->start();
     REQUIRE(started);
     return *m_daemons.back();
--- a/process/testing/forwardfixture.h
+++ b/process/testing/forwardfixture.h
@@ -102,6 +102,9 @@
 
     event_base* base() { return m_base.get(); }
     FakeDirectory directory;
+    // Of the daemons started from now on.
+    Milliseconds shutdownGrace { 8000 };
+    std::string settingsFile; // read by reload(); may be empty
 
     static constexpr const char* host = "desk.example";
     static constexpr const char* key = "key-of-saqib";
