Answer the requests in progress at the end of the grace time

Cause: the event loop was stopped with the requests in progress, and the exit closed their connections, although most of them could still be answered.

The loop stops at the next tick, so that these answers are written.

--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -512,8 +512,13 @@
     bool graceEnding = elapsed >= std::max(grace - exitMargin, exitMargin);
     if (!(balancerNoticed && idle) && !graceEnding)
         return;
+    std::size_t cut = m_forwarder.requestsInProgress();
+    m_cutRequests += cut;
+    m_forwarder.endRequests();
+    if (cut > 0) // their answers are written before the next tick
+        return;
     LogLine(LogLevel::Info, "process", "stopped")
-        .field("cut", m_forwarder.requestsInProgress())
+        .field("cut", m_cutRequests)
         .field("after_ms", toMilliseconds(elapsed).count());
     flushLogs();
     event_base_loopbreak(m_base);
--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -478,6 +478,14 @@
         attemptEnded(AttemptEnd::Broken, "the upstream is silent");
 }
 
+void ForwardedRequest::endForShutdown()
+{
+    constexpr std::string_view reason = "this instance exits before the request ended";
+    if (!m_caller)
+        return finish("caller-left", 0, reason);
+    attemptEnded(AttemptEnd::TimeUp, reason);
+}
+
 // Whether the request can be sent to another upstream now if the current attempt is given up. Otherwise the
 // attempt is kept: a sound upstream may be silent for a while and then go on.
 bool ForwardedRequest::mayMoveOn(MonotonicTime now) const
--- a/process/forwardedrequest.h
+++ b/process/forwardedrequest.h
@@ -30,6 +30,8 @@
 
     // Ends the current attempt if the deadline has passed or the upstream is silent.
     void checkTimeouts(MonotonicTime now);
+    // Answers the caller because this instance exits. An answer that has begun is cut.
+    void endForShutdown();
 
     bool isDone() const { return m_done; }
 
--- a/process/forwarder.cc
+++ b/process/forwarder.cc
@@ -294,6 +294,14 @@
     }
 }
 
+void Forwarder::endRequests()
+{
+    for (auto request = m_requests.begin(); request != m_requests.end();) {
+        auto& current = **request++;
+        current.endForShutdown();
+    }
+}
+
 void Forwarder::checkTimeouts()
 {
     MonotonicTime now = clockNow();
--- a/process/forwarder.h
+++ b/process/forwarder.h
@@ -83,6 +83,8 @@
         m_shutdownDeadline = deadline;
         m_shutdownEstimateUntil = estimateUntil;
     }
+    // Ends all requests in progress. Each caller whose answer has not begun gets one.
+    void endRequests();
     void setBudget(const FleetRetryBudgetSettings& settings) { m_budget.setSettings(settings); }
 
     // Whether both a configuration and a list of upstreams are in force.
--- a/process/testing/shutdown_test.cc
+++ b/process/testing/shutdown_test.cc
@@ -120,3 +120,32 @@
         CHECK(asked == (endsInTime ? 2 : 1));
     }
 }
+
+// Guards against callers whose connection the exit closes without an answer.
+TEST_CASE("shutdown: at the end of the grace time each request whose answer has not begun is answered")
+{
+    ForwardFixture fixture;
+    fixture.shutdownGrace = Milliseconds(1000);
+    fixture.addUpstream("desk-1", [](const ScriptedRequest& request) {
+        if (request.head.target == "/chat/begun")
+            return Script { ScriptStep::send(streamHead(request) + streamEvents(1, 1)),
+                ScriptStep::silence() };
+        return Script { ScriptStep::silence() };
+    });
+    ForwardDaemon& daemon = fixture.startDaemon();
+    fixture.waitReady(daemon);
+    std::vector<std::shared_ptr<CallerAnswer>> waiting;
+    for (const char* target : { "/read/x", "/book/x", "/chat/x", "/ask/x" })
+        waiting.push_back(fixture.send(daemon, target, "x"));
+    auto begun = fixture.send(daemon, "/chat/begun", "x");
+    fixture.runUntil([&] { return !begun->body.empty(); });
+    daemon.shutDown();
+    wait(fixture, Milliseconds(1000));
+    fixture.stopDaemons();
+    fixture.runUntil([&] { return begun->done(); });
+    for (const auto& answer : waiting) {
+        CHECK(answer->complete);
+        CHECK(answer->head.status == 504);
+    }
+    CHECK(begun->failed);
+}
