Keep the grace time that requests were promised when a reload changes it

Callers would see: requests that were taken because they end within the grace time are cut, because a SIGHUP or a changed settings file during the shutdown shortens it.

Cause: the end of the shutdown was computed from the settings in force, the decision on each request from those at SIGTERM.

Change: the grace time at SIGTERM holds to the end.

--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -488,13 +488,14 @@
     if (std::exchange(m_stopping, true))
         return;
     m_stoppingSince = clockNow();
+    m_stoppingGrace = m_settings.limits.shutdownGrace;
     LogLine(LogLevel::Info, "process", "stopping")
         .field("in_progress", m_forwarder.requestsInProgress())
         .field("connections", m_callers.connections())
-        .field("grace_ms", m_settings.limits.shutdownGrace.count());
+        .field("grace_ms", m_stoppingGrace.count());
     m_callers.startClosing();
-    m_forwarder.setShutdownDeadline(m_stoppingSince + m_settings.limits.shutdownGrace - exitMargin,
-        m_stoppingSince + balancerDetectionDelay);
+    m_forwarder.setShutdownDeadline(
+        m_stoppingSince + m_stoppingGrace - exitMargin, m_stoppingSince + balancerDetectionDelay);
     m_mesh.leave();
     m_source->leave();
 }
@@ -502,14 +503,13 @@
 void ForwardDaemon::checkShutdown()
 {
     auto elapsed = clockNow() - m_stoppingSince;
-    Milliseconds grace = m_settings.limits.shutdownGrace;
     bool balancerNoticed = elapsed >= balancerDetectionDelay;
     // Idle connections are closed as soon as the load balancer has stopped sending new ones: a request that
     // arrives later on a kept connection might not end within the grace time.
     if (balancerNoticed)
         m_callers.closeIdle(minIdle);
     bool idle = m_callers.connections() == 0 && m_forwarder.requestsInProgress() == 0;
-    bool graceEnding = elapsed >= std::max(grace - exitMargin, exitMargin);
+    bool graceEnding = elapsed >= std::max(m_stoppingGrace - exitMargin, exitMargin);
     if (!(balancerNoticed && idle) && !graceEnding)
         return;
     std::size_t cut = m_forwarder.requestsInProgress();
--- a/process/forwarddaemon.h
+++ b/process/forwarddaemon.h
@@ -85,6 +85,7 @@
     bool m_stopping = false;
     bool m_readinessLogged = false;
     MonotonicTime m_stoppingSince;
+    Milliseconds m_stoppingGrace { 0 }; // promised to the requests in progress, whatever a reload changes
     std::size_t m_cutRequests = 0; // that the end of the grace time ended
 };
 
--- a/process/testing/shutdown_test.cc
+++ b/process/testing/shutdown_test.cc
@@ -2,7 +2,11 @@
 
 #include "process/testing/forwardfixture.h"
 
+#include "base/base.h"
+#include <cstdio>
 #include <doctest/doctest.h>
+#include <fstream>
+#include <unistd.h>
 
 using namespace briarwharf;
 
@@ -149,3 +153,53 @@
     }
     CHECK(begun->failed);
 }
+
+namespace {
+
+// A settings file with the given grace time.
+class SettingsFile {
+public:
+    explicit SettingsFile(Milliseconds grace)
+        : m_path("/tmp/briarwharf-shutdown-test-" + std::to_string(::getpid()) + ".ini")
+    {
+        const std::string key = "shutdown_grace_ms = ";
+        std::string text = exampleSettings();
+        std::size_t at = text.find(key);
+        REQUIRE(at != std::string::npos);
+        at += key.size();
+        text.replace(at, text.find('\n', at) - at, std::to_string(grace.count()));
+        std::ofstream(m_path) << text;
+    }
+    ~SettingsFile() { std::remove(m_path.c_str()); }
+    SettingsFile(const SettingsFile&) = delete;
+    SettingsFile& operator=(const SettingsFile&) = delete;
+
+    const std::string& path() const { return m_path; }
+
+private:
+    std::string m_path;
+};
+
+} // namespace
+
+// Guards against cutting requests because the settings change while they end.
+TEST_CASE("shutdown: a reload does not shorten the grace time that requests were promised")
+{
+    SettingsFile file(Milliseconds(600));
+    ForwardFixture fixture;
+    fixture.settingsFile = file.path();
+    fixture.addUpstream("desk-1", [](const ScriptedRequest& request) {
+        return Script { ScriptStep::wait(Milliseconds(1500)),
+            ScriptStep::send(upstreamAnswer(request, 200, "ok")) };
+    });
+    ForwardDaemon& daemon = fixture.startDaemon();
+    fixture.waitReady(daemon);
+    auto answer = fixture.send(daemon, "/book/x", "x");
+    wait(fixture, Milliseconds(100));
+    daemon.shutDown();
+    REQUIRE(loadSettings(file.path()));
+    daemon.reload();
+    // An exit stops the event loop.
+    fixture.runUntil([&] { return answer->done() || event_base_got_break(fixture.base()) != 0; });
+    CHECK(answer->head.status == 200);
+}
