Pass an upstream's failure answer on when no other upstream takes the request

Cause: a complete failure answer was dropped as soon as another attempt was allowed, before it was known whether an upstream takes it.

Change: the answer is kept until the next upstream has been found; if there is none, the caller gets it.

--- a/process/forwardedanswer.cc
+++ b/process/forwardedanswer.cc
@@ -264,6 +264,13 @@
     finish("answered", status, {});
 }
 
+void ForwardedRequest::deliverFailure(KeptAnswer answer)
+{
+    m_head = std::move(answer.head);
+    m_buffered = std::move(answer.body);
+    deliverBuffered();
+}
+
 void ForwardedRequest::answerLocally(const LocalAnswer& answer)
 {
     if (!m_caller)
--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -389,6 +389,10 @@
         .field("segments", printSegments(m_item.sharedSegments()))
         .field("left_ms", toMilliseconds(m_deadline - now).count())
         .field("verdict", attemptVerdictName(verdict));
+    bool keepsAnswer = end == AttemptEnd::FailureAnswered && verdict == AttemptVerdict::TryAgain
+        && m_answerComplete && !statusMeansNotRun(m_head.status);
+    if (keepsAnswer)
+        m_failure = KeptAnswer { m_head, std::move(m_buffered) };
     closeAttempt();
     applyVerdict(verdict, reason);
 }
@@ -433,6 +437,8 @@
 {
     if (m_answerBegun)
         return applyVerdict(AttemptVerdict::Cut, reason);
+    if (m_failure)
+        return deliverFailure(std::move(*m_failure));
     applyVerdict(m_mayHaveRun ? AttemptVerdict::Fail : AttemptVerdict::RefuseNotRun, reason);
 }
 
--- a/process/forwardedrequest.h
+++ b/process/forwardedrequest.h
@@ -63,6 +63,12 @@
         std::string mediaType;
     };
 
+    // An upstream's complete failure answer, kept until another upstream has answered.
+    struct KeptAnswer {
+        HttpHead head;
+        std::string body;
+    };
+
     // An answer that this instance gives itself, instead of an upstream's.
     struct LocalAnswer {
         int status = 503;
@@ -90,6 +96,7 @@
     void forwardBytes(std::string_view bytes);
     void finishBuffered();
     void deliverBuffered();
+    void deliverFailure(KeptAnswer);
     void attemptEnded(AttemptEnd, std::string_view reason);
     void applyVerdict(AttemptVerdict, std::string_view reason);
     void giveUp(std::string_view reason);
@@ -147,6 +154,7 @@
     AnswerMode m_mode = AnswerMode::None;
     HttpHead m_head; // of the latest attempt's answer
     std::string m_buffered;
+    std::optional<KeptAnswer> m_failure; // of an earlier attempt
     EventRelay m_relay;
     std::uint64_t m_eventsBefore = 0; // events of earlier attempts
     MonotonicTime m_firstEventAt; // of the current attempt
--- a/process/forwarder.cc
+++ b/process/forwarder.cc
@@ -248,7 +248,7 @@
 {
     std::size_t bytes = 0;
     for (const auto& request : m_requests)
-        bytes += request->m_buffered.size();
+        bytes += request->m_buffered.size() + (request->m_failure ? request->m_failure->body.size() : 0);
     return bytes;
 }
 
