Try an upstream again of which only a kept connection broke

Callers saw: 502 for a repeatable request although the only upstream that could take it is sound.

Cause: an upstream whose connection broke counted as tried and was out of reach for the request, also when it only closed a kept connection as idle at the moment at which the request was written to it.

Change: if no untried upstream is left, the request goes to that upstream once more on a new connection, within the attempts of the route and the fleet's budget. Requests that must not run twice stay as they were.

--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -148,6 +148,17 @@
     return false;
 }
 
+// Those of the pool that have not been tried. If there is none, one of which only a kept connection broke,
+// which is no sign of a fault: it may have closed the connection as idle.
+std::vector<std::shared_ptr<Forwarder::Upstream>> ForwardedRequest::upstreamsToTry()
+{
+    auto upstreams = m_forwarder.untriedUpstreams(m_pool, m_tried);
+    if (!upstreams.empty() || m_reachable.empty())
+        return upstreams;
+    std::erase(m_tried, std::exchange(m_reachable, {}));
+    return m_forwarder.untriedUpstreams(m_pool, m_tried);
+}
+
 // Sends the request to the best of the upstreams that have not been tried yet.
 void ForwardedRequest::place()
 {
@@ -157,7 +168,7 @@
     if (!m_mayHaveRun && !m_answerBegun && !endsBeforeShutdown(now))
         return;
     for (;;) {
-        auto upstreams = m_forwarder.untriedUpstreams(m_pool, m_tried);
+        auto upstreams = upstreamsToTry();
         std::vector<UpstreamCandidate> candidates;
         candidates.reserve(upstreams.size());
         for (const auto& upstream : upstreams)
@@ -318,6 +329,8 @@
     recordHealth(end, failure.keptConnection);
     if (end == AttemptEnd::Broken)
         reportBrokenConnection();
+    if (end == AttemptEnd::Broken && failure.keptConnection)
+        m_reachable = m_upstream->entry.id;
     attemptEnded(end, failure.reason);
 }
 
--- a/process/forwardedrequest.h
+++ b/process/forwardedrequest.h
@@ -83,6 +83,7 @@
     bool endsBeforeShutdown(MonotonicTime now);
     Milliseconds expectedDuration() const;
     void place();
+    std::vector<std::shared_ptr<Forwarder::Upstream>> upstreamsToTry();
     bool refuseQuarantined(MonotonicTime now);
     std::optional<CostDecision> chooseWithinLimits(const std::vector<std::shared_ptr<Forwarder::Upstream>>&,
         std::vector<UpstreamCandidate>&, MonotonicTime now);
@@ -138,6 +139,7 @@
     int m_uncountedAttempts = 0; // without a connection, or at an address that is another upstream's now
     bool m_mayHaveRun = false; // an earlier attempt may have run the request
     std::vector<std::string> m_tried; // ids of the upstreams of all attempts so far, the latest last
+    std::string m_reachable; // id of the one of them of which only a kept connection broke; else empty
 
     std::shared_ptr<Forwarder::Upstream> m_upstream; // of the current attempt; null between attempts
     std::unique_ptr<OutgoingExchange> m_exchange;
--- a/process/testing/furtherattempts_test.cc
+++ b/process/testing/furtherattempts_test.cc
@@ -33,3 +33,24 @@
     fixture.directory.publishUpstreams();
     CHECK(fixture.call(daemon, "/read/x")->body == "ok");
 }
+
+// Guards against giving up on the only upstream because it closed an idle connection at the moment at which
+// the request was written to it.
+TEST_CASE("a repeatable request goes to the same upstream on a new connection if a kept one broke")
+{
+    ForwardFixture fixture;
+    int asked = 0;
+    ScriptedServer& upstream = fixture.addUpstream("desk-1", [&](const ScriptedRequest& request) {
+        return ++asked == 2 ? Script { ScriptStep::reset() } : answerOk(request);
+    });
+    ForwardDaemon& daemon = fixture.startDaemon();
+    CHECK(fixture.call(daemon, "/read/x")->body == "ok");
+    CHECK(fixture.call(daemon, "/read/x")->body == "ok");
+    REQUIRE(upstream.requests().size() == 3);
+    CHECK(upstream.requests()[1].connection == 1);
+    CHECK(upstream.requests()[2].connection == 2);
+    fixture.call(daemon, "/read/x");
+    asked = 1;
+    CHECK(fixture.call(daemon, "/once/x", "deposit")->head.status == 502);
+    CHECK(upstream.requests().size() == 5);
+}
