Let a broken stream wait for an upstream until its deadline

Callers saw: a begun stream whose upstream broke was cut at once, with seconds left, because the other upstreams asked for a pause, were over their limits, had no free connection for a moment, or because there was no other one.

Cause: the search for an upstream was made once; a momentary lack of one counted as a final one.

Change: a begun stream that may be resumed keeps its connection and looks for an upstream every 100 ms until its deadline; if only the upstream that broke is left, it is asked again on a new connection. The attempts of the route and the budget of the fleet bound what is sent, as before; a prompt in quarantine is still cut at once.

Weighed against: not counting refusals while a stream has begun (docs/platform.md section 8: the stricter reading stays).

--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -28,6 +28,9 @@
     // to it at that moment would be unknown.
     constexpr Milliseconds maxIdleUnrepeatable { 700 };
 
+    // Interval at which a begun stream that waits for an upstream looks for one.
+    constexpr Milliseconds placementInterval { 100 };
+
     // An upstream counts as silent if no byte arrived from it on any connection for this long.
     constexpr Milliseconds upstreamSilenceTimeout { 700 };
     // Minimum wait for the first byte of an answer, and for the next event of a stream, before the request is
@@ -148,8 +151,8 @@
     return false;
 }
 
-// Those of the pool that have not been tried. If there is none, one of which only a kept connection broke,
-// which is no sign of a fault: it may have closed the connection as idle.
+// Those of the pool that have not been tried. If there is none, one of which only a connection broke: it may
+// have closed a kept one as idle, and a stream that has begun has no other place.
 std::vector<std::shared_ptr<Forwarder::Upstream>> ForwardedRequest::upstreamsToTry()
 {
     auto upstreams = m_forwarder.untriedUpstreams(m_pool, m_tried);
@@ -167,6 +170,7 @@
         return;
     if (!m_mayHaveRun && !m_answerBegun && !endsBeforeShutdown(now))
         return;
+    const std::vector<std::string> triedBefore = m_tried;
     for (;;) {
         auto upstreams = upstreamsToTry();
         std::vector<UpstreamCandidate> candidates;
@@ -174,6 +178,11 @@
         for (const auto& upstream : upstreams)
             candidates.push_back(m_forwarder.candidate(*upstream, now));
         auto decision = chooseWithinLimits(upstreams, candidates, now);
+        if (!decision && mayWait(now)) {
+            m_tried = triedBefore; // those without a free connection may have one later
+            m_placeAgainAt = now + placementInterval;
+            return;
+        }
         if (!decision && !upstreams.empty())
             return refuseOverLimits(now);
         if (!decision)
@@ -329,7 +338,7 @@
     recordHealth(end, failure.keptConnection);
     if (end == AttemptEnd::Broken)
         reportBrokenConnection();
-    if (end == AttemptEnd::Broken && failure.keptConnection)
+    if (end == AttemptEnd::Broken && (failure.keptConnection || m_answerBegun))
         m_reachable = m_upstream->entry.id;
     attemptEnded(end, failure.reason);
 }
@@ -446,6 +455,13 @@
     }
 }
 
+// Whether a stream that has begun is kept open until an upstream of the pool can continue it. The caller
+// would lose the events so far, and gets no later answer than its deadline.
+bool ForwardedRequest::mayWait(MonotonicTime now) const
+{
+    return m_answerBegun && m_caller && situation(now).resumable;
+}
+
 void ForwardedRequest::giveUp(std::string_view reason)
 {
     if (m_answerBegun)
@@ -489,6 +505,10 @@
             return finish("caller-left", 0, "the deadline passed after the caller had closed the connection");
         return attemptEnded(AttemptEnd::TimeUp, "the caller's deadline or the route's timeout has passed");
     }
+    if (m_placeAgainAt && now >= *m_placeAgainAt) {
+        m_placeAgainAt.reset();
+        return place();
+    }
     if (!isSilent(now))
         return;
     if (!std::exchange(m_silenceRecorded, true))
--- a/process/forwardedrequest.h
+++ b/process/forwardedrequest.h
@@ -101,6 +101,7 @@
     void attemptEnded(AttemptEnd, std::string_view reason);
     void applyVerdict(AttemptVerdict, std::string_view reason);
     void giveUp(std::string_view reason);
+    bool mayWait(MonotonicTime now) const;
     AttemptSituation situation(MonotonicTime now) const;
     void closeAttempt();
     void recordHealth(AttemptEnd, bool keptConnection);
@@ -139,10 +140,11 @@
     int m_uncountedAttempts = 0; // without a connection, or at an address that is another upstream's now
     bool m_mayHaveRun = false; // an earlier attempt may have run the request
     std::vector<std::string> m_tried; // ids of the upstreams of all attempts so far, the latest last
-    std::string m_reachable; // id of the one of them of which only a kept connection broke; else empty
+    std::string m_reachable; // id of the one of them that may be tried again; empty if none
 
     std::shared_ptr<Forwarder::Upstream> m_upstream; // of the current attempt; null between attempts
     std::unique_ptr<OutgoingExchange> m_exchange;
+    std::optional<MonotonicTime> m_placeAgainAt; // while a begun stream waits for an upstream
     MonotonicTime m_sentAt;
     MonotonicTime m_lastProgressAt; // when the head, a part of the body or a complete event last arrived
     MonotonicTime m_firstByteAt; // of the first answer, whichever attempt received it
