Keep the retry budget of fleets that are larger than its slack

Services would see: more repeats in a window than the fleet may make (BUDGET), in fleets with more instances than the slack of the budget allows repeats, while a pool gets little traffic.

Cause: each instance may make one repeat in a window, whatever its share of the slack is; with 295 instances and a slack of 58 these add up to 295.

Change: the minimum of one holds only while there are no more instances than the slack; beyond, an instance earns its repeats by its requests.

--- a/request/fleetbudget.cc
+++ b/request/fleetbudget.cc
@@ -46,7 +46,9 @@
     int requests = sumOfNewest(counts.requests, counts.newestBucket, length);
     int repeats = sumOfNewest(counts.repeats, counts.newestBucket, length + 1);
     auto instances = static_cast<double>(m_instances > 1 ? m_instances : assumedInstances);
-    double slack = std::max(1.0, m_settings.usedShare * m_settings.slack / instances);
+    double slack = m_settings.usedShare * m_settings.slack / instances;
+    if (instances <= m_settings.slack) // a whole repeat for each instance is within the slack
+        slack = std::max(1.0, slack);
     return repeats + 1 <= m_settings.usedShare * m_settings.ratio * requests + slack;
 }
 
--- a/request/testing/fleetbudget_test.cc
+++ b/request/testing/fleetbudget_test.cc
@@ -57,7 +57,7 @@
 // Guards against a retry storm by the whole fleet while every upstream fails.
 TEST_CASE("a fleet in which every request needs a repeat stays under the bound")
 {
-    for (std::size_t instances : { 1, 2, 9, 89 }) {
+    for (std::size_t instances : { 1, 2, 9, 89, 295 }) {
         CAPTURE(instances);
         SimulationResult result = simulate(instances, instances, 170, 7);
         CHECK(result.maxExcess <= 0);
