Take stale entries out of use, and count every repeat of what reached an upstream

Cause: 421 does not count as an attempt of the request, because it ran nowhere, and so it counted for nothing else either: it drew on no budget and left no mark on the entry.

Change: 421 takes the entry out of the instance's pool until the directory shows another lifetime or address, and is evidence that makes the upstream bad at once for the peers (two of them, as usual). What was written to an upstream and is sent again is a repeat, whatever the reason: the budget decides on it and counts it when it is sent.

Two cases of process/testing/upstreamavailability_test.cc expected that an entry is used again after 421. They now check that the statements in such an answer (leaving, pause) mark nothing, which is what they guard against, in /show/upstreams for all their rows, and that 421 marks the entry as stale.

--- a/coordination/testing/sections_test.cc
+++ b/coordination/testing/sections_test.cc
@@ -334,6 +334,35 @@
     CHECK(health.usable(1, now + Milliseconds(11000)));
 }
 
+// Guards against a fleet whose instances all go on using an address that belongs to another upstream, and
+// against evidence that outlives the lifetime which it is about.
+TEST_CASE("a misdirected request makes an upstream bad at once, until it has restarted")
+{
+    UpstreamHealth first({});
+    UpstreamHealth second({});
+    UpstreamHealth other({});
+    MonotonicTime now { std::chrono::hours(1) };
+    std::string names[] { "first", "second", "other" };
+    auto exchange = [&] {
+        for (auto* sender : { &first, &second }) {
+            HeartbeatT heartbeat;
+            sender->fill({ names[2] }, heartbeat, now);
+            other.accept({ sender == &first ? names[0] : names[1] }, heartbeat, now);
+        }
+    };
+    first.failed(1, UpstreamFailure::Misdirected, now);
+    second.failed(1, UpstreamFailure::Misdirected, now);
+    CHECK(!first.usable(1, now));
+    CHECK(first.urgent({ names[2] }, now));
+    exchange();
+    CHECK(!other.usable(1, now));
+    first.restarted(1);
+    second.restarted(1);
+    CHECK(first.usable(1, now));
+    exchange();
+    CHECK(other.usable(1, now));
+}
+
 // Guards against sending a peer's own earlier demand back to it as the demand of other instances. Daemons
 // sent such sums back and forth until they reached 2^32, and requests far below the limit were refused.
 TEST_CASE_FIXTURE(SingleInstance, "a sum that falls between two ticks does not return to its sender")
--- a/coordination/upstreamhealth.cc
+++ b/coordination/upstreamhealth.cc
@@ -66,6 +66,8 @@
         return addPenalty(upstream, m_options.silentPenalty, now);
     case UpstreamFailure::Broken:
         return addPenalty(upstream, m_options.brokenPenalty, now);
+    case UpstreamFailure::Misdirected:
+        return addPenalty(upstream, m_options.misdirectedPenalty, now);
     }
 }
 
@@ -84,6 +86,15 @@
     upstream->bad = false;
 }
 
+void UpstreamHealth::restarted(std::uint32_t id)
+{
+    auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end())
+        return;
+    found->second.penalty = 0;
+    found->second.bad = false;
+}
+
 double UpstreamHealth::penalty(std::uint32_t id, MonotonicTime now) const
 {
     auto found = m_upstreams.find(id);
--- a/coordination/upstreamhealth.h
+++ b/coordination/upstreamhealth.h
@@ -11,6 +11,7 @@
     Timeout,
     SilentConnection,
     Broken, // the connection broke after the request was sent
+    Misdirected, // another upstream answered at the address
 };
 
 struct UpstreamHealthOptions {
@@ -19,6 +20,7 @@
     double timeoutPenalty = 1.5;
     double silentPenalty = 2;
     double brokenPenalty = 2;
+    double misdirectedPenalty = 16; // bad at once: every further request would be misdirected too
     double successFactor = 0.8; // factor on the penalty for each success while the upstream is usable
     double badAbove = 4; // an upstream becomes bad at this penalty
     double goodBelow = 1; // and usable again below this one; the gap to badAbove damps flapping
@@ -45,6 +47,9 @@
     void succeeded(std::uint32_t upstream, MonotonicTime now);
     void failed(std::uint32_t upstream, UpstreamFailure, MonotonicTime now);
 
+    // Forgets this instance's own evidence: the directory shows a new lifetime of the upstream.
+    void restarted(std::uint32_t upstream);
+
     // Whether new chats may go to the upstream. Unknown upstreams are usable.
     bool usable(std::uint32_t upstream, MonotonicTime now) const;
 
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -366,6 +366,7 @@
                 { "requests_elsewhere", m_inProgress.others(hash).requests },
                 { "limit_per_second", m_limits.limit(lifetimeHash) },
                 { "leaving", m_forwarder.availability().isLeaving(lifetimeHash) },
+                { "stale", m_forwarder.availability().isStale(lifetimeHash) },
                 { "pause_left_ms", m_forwarder.availability().pauseLeft(lifetimeHash, now).count() } });
         }
     } else if (resource == "quarantine") {
@@ -441,6 +442,8 @@
     m_metrics.set("briarwharf_leaving_upstreams",
         "Listed upstreams that stated in an answer that they leave.",
         static_cast<double>(m_forwarder.availability().leavingUpstreams()));
+    m_metrics.set("briarwharf_stale_upstreams", "Listed upstreams at whose address another one answered.",
+        static_cast<double>(m_forwarder.availability().staleUpstreams()));
     m_metrics.set("briarwharf_paused_upstreams", "Upstreams that asked this instance for a pause.",
         static_cast<double>(m_forwarder.availability().pausedUpstreams(clockNow())));
     m_metrics.set("briarwharf_requests_in_progress", "Requests that wait for their answer's end.",
--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -305,6 +305,10 @@
         ++m_uncountedAttempts;
         return;
     }
+    if (m_arrivals > 0) {
+        m_forwarder.m_budget.repeatSent(m_pool, now);
+        ++m_forwarder.m_counters.repeats;
+    }
     m_exchange = std::move(exchange.value());
     m_upstream = std::move(upstream);
     m_decision = decision;
@@ -378,7 +382,7 @@
     result.attempts = m_attempts;
     result.maxAttempts = m_route->maxAttempts;
     result.uncountedAttempts = m_uncountedAttempts;
-    result.budgetLeft = m_attempts == 0 || m_forwarder.m_budget.allowsRepeat(m_pool, now);
+    result.budgetLeft = m_arrivals == 0 || m_forwarder.m_budget.allowsRepeat(m_pool, now);
     result.timeLeft = toMilliseconds(m_deadline - now);
     return result;
 }
@@ -388,6 +392,7 @@
     MonotonicTime now = clockNow();
     bool written = m_headReceived || (m_exchange && m_exchange->written()) || end == AttemptEnd::Broken;
     bool isUncounted = end == AttemptEnd::NotConnected || end == AttemptEnd::WrongUpstream;
+    m_arrivals += written ? 1 : 0;
     if (isUncounted)
         ++m_uncountedAttempts;
     else if (written)
@@ -398,6 +403,8 @@
         m_upstream->avoidUntil = now + refusalPause;
     if (end == AttemptEnd::FailureAnswered)
         recordHealth(end, false);
+    if (end == AttemptEnd::WrongUpstream)
+        m_forwarder.setStale(*m_upstream);
     AttemptVerdict verdict = decideNext(end, situation(now), m_forwarder.m_settings.attempts);
     LogLine(LogLevel::Info, "request", "attempt")
         .field("id", m_fields.requestId)
@@ -426,10 +433,6 @@
     case AttemptVerdict::Resume:
         if (!m_caller)
             return finish("caller-left", 0, reason);
-        if (m_attempts > 0) {
-            m_forwarder.m_budget.repeatSent(m_pool, clockNow());
-            ++m_forwarder.m_counters.repeats;
-        }
         if (verdict == AttemptVerdict::Resume)
             ++m_forwarder.m_counters.resumes;
         m_relay.restart();
@@ -505,7 +508,7 @@
             return finish("caller-left", 0, "the deadline passed after the caller had closed the connection");
         return attemptEnded(AttemptEnd::TimeUp, "the caller's deadline or the route's timeout has passed");
     }
-    if (m_placeAgainAt && now >= *m_placeAgainAt) {
+    if (m_placeAgainAt && now >= *m_placeAgainAt && m_forwarder.m_budget.allowsRepeat(m_pool, now)) {
         m_placeAgainAt.reset();
         return place();
     }
--- a/process/forwarder.cc
+++ b/process/forwarder.cc
@@ -114,8 +114,12 @@
         auto& upstream = m_upstreams[id];
         // Requests in progress keep the state of the lifetime that they were sent to.
         if (!upstream || upstream->entry.started != entry.started) {
+            if (upstream)
+                m_health.restarted(upstream->hash);
             upstream = std::make_shared<Upstream>();
             upstream->hash = shortHash(id);
+        } else if (upstream->entry.endpoint != entry.endpoint) {
+            m_availability.setMoved(upstream->lifetimeHash);
         }
         upstream->entry = entry;
         upstream->lifetimeHash = upstreamLifetimeHash(entry);
@@ -132,7 +136,10 @@
 {
     m_pools.clear();
     for (const auto& [id, upstream] : m_upstreams) {
-        if (!upstream->entry.draining && !m_availability.isLeaving(upstream->lifetimeHash))
+        std::uint32_t lifetime = upstream->lifetimeHash;
+        bool usable = !upstream->entry.draining && !m_availability.isLeaving(lifetime)
+            && !m_availability.isStale(lifetime);
+        if (usable)
             m_pools[upstream->entry.pool].upstreams.push_back(upstream);
     }
 }
@@ -156,6 +163,19 @@
     return true;
 }
 
+void Forwarder::setStale(const Upstream& upstream)
+{
+    if (!m_availability.setStale(upstream.lifetimeHash))
+        return;
+    LogLine(LogLevel::Warning, "upstream", "stale")
+        .field("upstream", upstream.entry.id)
+        .field("address", printEndpoint(upstream.entry.endpoint));
+    m_health.failed(upstream.hash, UpstreamFailure::Misdirected, clockNow());
+    updatePools();
+    m_connections.closeIdle(upstream.entry.endpoint);
+    placeUnwrittenAgain(upstream);
+}
+
 void Forwarder::placeUnwrittenAgain(const Upstream& upstream)
 {
     for (auto request = m_requests.begin(); request != m_requests.end();) {
--- a/process/forwarder.h
+++ b/process/forwarder.h
@@ -139,6 +139,8 @@
     // Both return whether the upstream's statement is news.
     bool setLeaving(const Upstream&);
     bool pause(const Upstream&, Milliseconds duration);
+    // Another upstream answered at the address of this one.
+    void setStale(const Upstream&);
     void updatePools();
     // Finds another upstream for the requests to this one whose connection is still being opened.
     void placeUnwrittenAgain(const Upstream&);
@@ -169,7 +171,7 @@
     std::optional<MonotonicTime> m_shutdownDeadline; // set while this instance shuts down
     MonotonicTime m_shutdownEstimateUntil;
     std::map<std::string, std::shared_ptr<Upstream>> m_upstreams; // by id
-    std::unordered_map<std::string, Pool> m_pools; // by name, without draining and leaving upstreams
+    std::unordered_map<std::string, Pool> m_pools; // by name, without draining, leaving and stale upstreams
     std::unordered_map<std::string, PoolRate> m_poolRates; // by name
     bool m_weightsInUse = false; // an upstream had a limit when the weights were last determined
     std::list<std::unique_ptr<ForwardedRequest>> m_requests;
--- a/process/testing/upstreamavailability_test.cc
+++ b/process/testing/upstreamavailability_test.cc
@@ -1,5 +1,6 @@
 // Upstreams that say in their answers that they leave or take no request for some time.
 
+#include "base/base.h"
 #include "process/testing/forwardfixture.h"
 
 #include <arpa/inet.h>
@@ -35,6 +36,20 @@
     }
 }
 
+// Two requests were sent and what the answers stated about the upstream counts for nothing. An answer of 421
+// only shows that the entry is stale, so the second request is not sent there.
+void checkUnmarked(ForwardFixture& fixture, ForwardDaemon& daemon, const ScriptedServer& upstream, int status)
+{
+    bool isStale = status == 421;
+    CHECK(upstream.requests().size() == (isStale ? 1 : 2));
+    auto shown = parseJson(fixture.admin(daemon, "/show/upstreams")->body, "the list of upstreams");
+    REQUIRE(shown);
+    const Json& row = shown.value()["rows"][0];
+    CHECK(row["leaving"] == false);
+    CHECK(row["pause_left_ms"] == 0);
+    CHECK(row["stale"] == isStale);
+}
+
 // A listening socket that takes one connection; all further ones stay incomplete.
 class FullListener {
 public:
@@ -203,7 +218,7 @@
         fixture.waitReady(daemon);
         fixture.call(daemon, "/read/x");
         fixture.call(daemon, "/read/x");
-        CHECK(upstream.requests().size() == 2);
+        checkUnmarked(fixture, daemon, upstream, row.status);
     }
 }
 
@@ -299,7 +314,7 @@
         fixture.waitReady(daemon);
         fixture.call(daemon, "/read/x");
         fixture.call(daemon, "/read/x");
-        CHECK(upstream.requests().size() == 2);
+        checkUnmarked(fixture, daemon, upstream, row.status);
     }
 }
 
--- a/request/testing/fleetbudget_test.cc
+++ b/request/testing/fleetbudget_test.cc
@@ -1,6 +1,8 @@
 #include "request/fleetbudget.h"
 
 #include "base/random.h"
+#include "request/attempt.h"
+#include "request/upstreamavailability.h"
 #include <algorithm>
 #include <deque>
 #include <doctest/doctest.h>
@@ -150,3 +152,90 @@
         budget.repeatSent("desk", now);
     CHECK(repeats <= 5);
 }
+
+namespace {
+
+struct StaleEntriesResult {
+    double maxExcess = 0; // maximum over all windows of the arrivals beyond the first, less the bound
+    int misdirected = 0; // arrivals that got 421
+    int maxMisdirectedPerInstance = 0;
+    int refused = 0;
+    int lateDetours = 0; // requests at an instance that knows all stale entries, not served at once
+};
+
+// A fleet whose directory lists a pool of which half of the entries are stale for 10 s.
+StaleEntriesResult simulateStaleEntries(std::size_t instances, double requestsPerSecond, std::uint64_t seed)
+{
+    constexpr std::uint32_t entries = 12;
+    constexpr std::uint32_t stale = entries / 2;
+    struct Instance {
+        FleetRetryBudget budget { settings() };
+        UpstreamAvailability availability;
+        int misdirected = 0;
+    };
+    Random random(seed);
+    std::vector<Instance> fleet(instances);
+    MonotonicTime now { std::chrono::hours(1) };
+    std::deque<MonotonicTime> requests;
+    std::deque<MonotonicTime> repeats;
+    StaleEntriesResult result;
+    for (int step = 0; step < static_cast<int>(10 * requestsPerSecond); ++step) {
+        now += std::chrono::microseconds(static_cast<std::int64_t>(1e6 / requestsPerSecond));
+        Instance& instance = fleet[random.below(instances)];
+        instance.budget.setInstances(instances, now);
+        instance.budget.requestStarted("desk", now);
+        requests.push_back(now);
+        bool knowsAll = instance.availability.staleUpstreams() == stale;
+        AttemptSituation situation;
+        situation.timeLeft = Milliseconds(1000);
+        for (;;) {
+            std::vector<std::uint32_t> usable;
+            for (std::uint32_t entry = 0; entry < entries; ++entry) {
+                if (!instance.availability.isStale(entry))
+                    usable.push_back(entry);
+            }
+            std::uint32_t chosen = usable[random.below(usable.size())];
+            if (chosen >= stale)
+                break;
+            ++result.misdirected;
+            ++instance.misdirected;
+            instance.availability.setStale(chosen);
+            ++situation.uncountedAttempts;
+            situation.budgetLeft = instance.budget.allowsRepeat("desk", now);
+            if (decideNext(AttemptEnd::WrongUpstream, situation) != AttemptVerdict::TryAgain) {
+                ++result.refused;
+                break;
+            }
+            instance.budget.repeatSent("desk", now);
+            repeats.push_back(now);
+        }
+        result.maxMisdirectedPerInstance = std::max(result.maxMisdirectedPerInstance, instance.misdirected);
+        result.lateDetours += knowsAll && situation.uncountedAttempts > 0 ? 1 : 0;
+        while (!requests.empty() && now - requests.front() > window)
+            requests.pop_front();
+        while (!repeats.empty() && now - repeats.front() > window)
+            repeats.pop_front();
+        double allowed = ratio * static_cast<double>(requests.size()) + slack;
+        result.maxExcess = std::max(result.maxExcess, static_cast<double>(repeats.size()) - allowed);
+    }
+    return result;
+}
+
+} // namespace
+
+// Guards against a fleet that goes on sending requests to entries at whose addresses other upstreams answer
+// (BUDGET, review case 4).
+TEST_CASE("a fleet before a pool with stale entries stays under the bound and meets each entry once")
+{
+    for (std::size_t instances : { 9, 60, 295 }) {
+        for (double perInstance : { 0.5, 5.0, 20.0 }) {
+            CAPTURE(instances);
+            CAPTURE(perInstance);
+            auto result = simulateStaleEntries(instances, perInstance * static_cast<double>(instances), 4);
+            CHECK(result.maxExcess <= 0);
+            CHECK(result.misdirected > 0);
+            CHECK(result.maxMisdirectedPerInstance <= 6);
+            CHECK(result.lateDetours == 0);
+        }
+    }
+}
--- a/request/testing/upstreamavailability_test.cc
+++ b/request/testing/upstreamavailability_test.cc
@@ -103,3 +103,20 @@
     CHECK_FALSE(availability.isLeaving(desk1));
     CHECK(availability.isLeaving(desk2));
 }
+
+// Guards against use of an entry at whose address another upstream answers, and against a mark that outlives
+// the entry.
+TEST_CASE("a stale entry stays unused until the directory shows another lifetime or address")
+{
+    UpstreamAvailability availability;
+    CHECK_FALSE(availability.isStale(desk1));
+    CHECK(availability.setStale(desk1));
+    CHECK_FALSE(availability.setStale(desk1));
+    availability.setUpstreams(std::vector<std::uint32_t> { desk1, desk2 }, start + std::chrono::hours(9));
+    CHECK(availability.isStale(desk1));
+    CHECK(availability.staleUpstreams() == 1);
+    CHECK_FALSE(availability.isLeaving(desk1));
+    CHECK_FALSE(availability.isStale(desk1Restarted));
+    availability.setMoved(desk1);
+    CHECK_FALSE(availability.isStale(desk1));
+}
--- a/request/upstreamavailability.cc
+++ b/request/upstreamavailability.cc
@@ -22,6 +22,24 @@
     return found != m_statements.end() && found->second.leaving;
 }
 
+bool UpstreamAvailability::setStale(std::uint32_t upstream)
+{
+    return !std::exchange(m_statements[upstream].stale, true);
+}
+
+bool UpstreamAvailability::isStale(std::uint32_t upstream) const
+{
+    auto found = m_statements.find(upstream);
+    return found != m_statements.end() && found->second.stale;
+}
+
+void UpstreamAvailability::setMoved(std::uint32_t upstream)
+{
+    auto found = m_statements.find(upstream);
+    if (found != m_statements.end())
+        found->second.stale = false;
+}
+
 bool UpstreamAvailability::pause(std::uint32_t upstream, Milliseconds duration, MonotonicTime now)
 {
     if (duration <= Milliseconds(0))
@@ -69,6 +87,12 @@
         [](const auto& entry) { return entry.second.leaving && !entry.second.unlistedSince; }));
 }
 
+std::size_t UpstreamAvailability::staleUpstreams() const
+{
+    return static_cast<std::size_t>(std::count_if(m_statements.begin(), m_statements.end(),
+        [](const auto& entry) { return entry.second.stale && !entry.second.unlistedSince; }));
+}
+
 std::size_t UpstreamAvailability::pausedUpstreams(MonotonicTime now) const
 {
     return static_cast<std::size_t>(std::count_if(m_statements.begin(), m_statements.end(),
--- a/request/upstreamavailability.h
+++ b/request/upstreamavailability.h
@@ -19,9 +19,8 @@
     Milliseconds significantChange { 500 };
 };
 
-// What upstreams have stated about themselves in their answers to this instance, whatever the directory
-// lists. A statement holds for one lifetime of an upstream, which is identified by the hash of the upstream's
-// id and start time.
+// What upstreams have stated in their answers to this instance, whatever the directory lists. A statement
+// holds for one lifetime of an upstream, which is identified by the hash of the upstream's id and start time.
 //
 //   availability.setLeaving(upstream);              // it takes no new request from now on
 //   availability.pause(upstream, duration, now);    // it takes none for this time
@@ -34,6 +33,13 @@
     bool setLeaving(std::uint32_t upstream);
     bool isLeaving(std::uint32_t upstream) const;
 
+    // Another upstream answered at the address: the directory's entry is out of date. Returns whether this
+    // was not known before.
+    bool setStale(std::uint32_t upstream);
+    bool isStale(std::uint32_t upstream) const;
+    // The directory lists the same lifetime with another address.
+    void setMoved(std::uint32_t upstream);
+
     // The upstream takes no request from this instance until the latest end of its pauses. Returns whether
     // that end changed significantly.
     bool pause(std::uint32_t upstream, Milliseconds duration, MonotonicTime now);
@@ -47,11 +53,13 @@
 
     // Only those that are listed.
     std::size_t leavingUpstreams() const;
+    std::size_t staleUpstreams() const;
     std::size_t pausedUpstreams(MonotonicTime now) const;
 
 private:
     struct Statement {
         bool leaving = false;
+        bool stale = false;
         MonotonicTime pausedUntil;
         std::optional<MonotonicTime> unlistedSince; // empty: the directory lists the upstream
     };
