--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -366,6 +366,7 @@
                 { "requests_elsewhere", m_inProgress.others(hash).requests },
                 { "limit_per_second", m_limits.limit(lifetimeHash) },
                 { "leaving", m_forwarder.availability().isLeaving(lifetimeHash) },
+                { "stale", m_forwarder.availability().isStale(lifetimeHash) },
                 { "pause_left_ms", m_forwarder.availability().pauseLeft(lifetimeHash, now).count() } });
         }
     } else if (resource == "quarantine") {
@@ -441,6 +442,8 @@
     m_metrics.set("briarwharf_leaving_upstreams",
         "Listed upstreams that stated in an answer that they leave.",
         static_cast<double>(m_forwarder.availability().leavingUpstreams()));
+    m_metrics.set("briarwharf_stale_upstreams", "Listed upstreams at whose address another one answered.",
+        static_cast<double>(m_forwarder.availability().staleUpstreams()));
     m_metrics.set("briarwharf_paused_upstreams", "Upstreams that asked this instance for a pause.",
         static_cast<double>(m_forwarder.availability().pausedUpstreams(clockNow())));
     m_metrics.set("briarwharf_requests_in_progress", "Requests that wait for their answer's end.",
@@ -488,13 +491,14 @@
     if (std::exchange(m_stopping, true))
         return;
     m_stoppingSince = clockNow();
+    m_stoppingGrace = m_settings.limits.shutdownGrace;
     LogLine(LogLevel::Info, "process", "stopping")
         .field("in_progress", m_forwarder.requestsInProgress())
         .field("connections", m_callers.connections())
-        .field("grace_ms", m_settings.limits.shutdownGrace.count());
+        .field("grace_ms", m_stoppingGrace.count());
     m_callers.startClosing();
-    m_forwarder.setShutdownDeadline(m_stoppingSince + m_settings.limits.shutdownGrace - exitMargin,
-        m_stoppingSince + balancerDetectionDelay);
+    m_forwarder.setShutdownDeadline(
+        m_stoppingSince + m_stoppingGrace - exitMargin, m_stoppingSince + balancerDetectionDelay);
     m_mesh.leave();
     m_source->leave();
 }
@@ -502,18 +506,22 @@
 void ForwardDaemon::checkShutdown()
 {
     auto elapsed = clockNow() - m_stoppingSince;
-    Milliseconds grace = m_settings.limits.shutdownGrace;
     bool balancerNoticed = elapsed >= balancerDetectionDelay;
     // Idle connections are closed as soon as the load balancer has stopped sending new ones: a request that
     // arrives later on a kept connection might not end within the grace time.
     if (balancerNoticed)
         m_callers.closeIdle(minIdle);
     bool idle = m_callers.connections() == 0 && m_forwarder.requestsInProgress() == 0;
-    bool graceEnding = elapsed >= std::max(grace - exitMargin, exitMargin);
+    bool graceEnding = elapsed >= std::max(m_stoppingGrace - exitMargin, exitMargin);
     if (!(balancerNoticed && idle) && !graceEnding)
         return;
+    std::size_t cut = m_forwarder.requestsInProgress();
+    m_cutRequests += cut;
+    m_forwarder.endRequests();
+    if (cut > 0) // their answers are written before the next tick
+        return;
     LogLine(LogLevel::Info, "process", "stopped")
-        .field("cut", m_forwarder.requestsInProgress())
+        .field("cut", m_cutRequests)
         .field("after_ms", toMilliseconds(elapsed).count());
     flushLogs();
     event_base_loopbreak(m_base);
--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -28,6 +28,9 @@
     // to it at that moment would be unknown.
     constexpr Milliseconds maxIdleUnrepeatable { 700 };
 
+    // Interval at which a begun stream that waits for an upstream looks for one.
+    constexpr Milliseconds placementInterval { 100 };
+
     // An upstream counts as silent if no byte arrived from it on any connection for this long.
     constexpr Milliseconds upstreamSilenceTimeout { 700 };
     // Minimum wait for the first byte of an answer, and for the next event of a stream, before the request is
@@ -67,7 +70,7 @@
         return finish("refused", 503, "no configuration or list of upstreams yet");
     }
     readDeadline();
-    if (!findRoute() || !findOrganisation() || !endsBeforeShutdown())
+    if (!findRoute() || !findOrganisation() || !endsBeforeShutdown(clockNow()))
         return;
     std::uint64_t requestHash = hash64(m_fields.requestId);
     m_pool = RoutingTable::choosePool(*m_route, requestHash);
@@ -101,16 +104,17 @@
     return std::min(m_route->timeout, m_route->targetLatency + tokens * maxTimePerToken);
 }
 
-// Refuses the request, and returns false, if this instance shuts down and would have to cut it off.
-bool ForwardedRequest::endsBeforeShutdown()
+// Refuses a request that has not run, and returns false, if this instance shuts down and would have to cut it
+// off.
+bool ForwardedRequest::endsBeforeShutdown(MonotonicTime now)
 {
     if (!m_forwarder.m_shutdownDeadline)
         return true;
     MonotonicTime end = m_deadline;
-    // Estimates may be too short. Once the load balancer sends callers elsewhere, a refusal costs them
-    // little.
-    if (m_request.received < m_forwarder.m_shutdownEstimateUntil)
-        end = std::min(end, m_request.received + expectedDuration());
+    // Estimates may be too short, so none decides on a request that must not run twice. Once the load
+    // balancer sends callers elsewhere, a refusal costs them little.
+    if (mayRepeat() && now < m_forwarder.m_shutdownEstimateUntil)
+        end = std::min(end, now + expectedDuration());
     if (end <= *m_forwarder.m_shutdownDeadline)
         return true;
     answerLocally({ 503, "shutting_down", "this instance shuts down; the request did not run: send it again",
@@ -147,19 +151,38 @@
     return false;
 }
 
+// Those of the pool that have not been tried. If there is none, one of which only a connection broke: it may
+// have closed a kept one as idle, and a stream that has begun has no other place.
+std::vector<std::shared_ptr<Forwarder::Upstream>> ForwardedRequest::upstreamsToTry()
+{
+    auto upstreams = m_forwarder.untriedUpstreams(m_pool, m_tried);
+    if (!upstreams.empty() || m_reachable.empty())
+        return upstreams;
+    std::erase(m_tried, std::exchange(m_reachable, {}));
+    return m_forwarder.untriedUpstreams(m_pool, m_tried);
+}
+
 // Sends the request to the best of the upstreams that have not been tried yet.
 void ForwardedRequest::place()
 {
     MonotonicTime now = clockNow();
     if (refuseQuarantined(now))
         return;
+    if (!m_mayHaveRun && !m_answerBegun && !endsBeforeShutdown(now))
+        return;
+    const std::vector<std::string> triedBefore = m_tried;
     for (;;) {
-        auto upstreams = m_forwarder.untriedUpstreams(m_pool, m_tried);
+        auto upstreams = upstreamsToTry();
         std::vector<UpstreamCandidate> candidates;
         candidates.reserve(upstreams.size());
         for (const auto& upstream : upstreams)
             candidates.push_back(m_forwarder.candidate(*upstream, now));
         auto decision = chooseWithinLimits(upstreams, candidates, now);
+        if (!decision && mayWait(now)) {
+            m_tried = triedBefore; // those without a free connection may have one later
+            m_placeAgainAt = now + placementInterval;
+            return;
+        }
         if (!decision && !upstreams.empty())
             return refuseOverLimits(now);
         if (!decision)
@@ -282,6 +305,10 @@
         ++m_uncountedAttempts;
         return;
     }
+    if (m_arrivals > 0) {
+        m_forwarder.m_budget.repeatSent(m_pool, now);
+        ++m_forwarder.m_counters.repeats;
+    }
     m_exchange = std::move(exchange.value());
     m_upstream = std::move(upstream);
     m_decision = decision;
@@ -315,6 +342,8 @@
     recordHealth(end, failure.keptConnection);
     if (end == AttemptEnd::Broken)
         reportBrokenConnection();
+    if (end == AttemptEnd::Broken && (failure.keptConnection || m_answerBegun))
+        m_reachable = m_upstream->entry.id;
     attemptEnded(end, failure.reason);
 }
 
@@ -353,7 +382,7 @@
     result.attempts = m_attempts;
     result.maxAttempts = m_route->maxAttempts;
     result.uncountedAttempts = m_uncountedAttempts;
-    result.budgetLeft = m_attempts == 0 || m_forwarder.m_budget.allowsRepeat(m_pool, now);
+    result.budgetLeft = m_arrivals == 0 || m_forwarder.m_budget.allowsRepeat(m_pool, now);
     result.timeLeft = toMilliseconds(m_deadline - now);
     return result;
 }
@@ -363,6 +392,7 @@
     MonotonicTime now = clockNow();
     bool written = m_headReceived || (m_exchange && m_exchange->written()) || end == AttemptEnd::Broken;
     bool isUncounted = end == AttemptEnd::NotConnected || end == AttemptEnd::WrongUpstream;
+    m_arrivals += written ? 1 : 0;
     if (isUncounted)
         ++m_uncountedAttempts;
     else if (written)
@@ -373,6 +403,8 @@
         m_upstream->avoidUntil = now + refusalPause;
     if (end == AttemptEnd::FailureAnswered)
         recordHealth(end, false);
+    if (end == AttemptEnd::WrongUpstream)
+        m_forwarder.setStale(*m_upstream);
     AttemptVerdict verdict = decideNext(end, situation(now), m_forwarder.m_settings.attempts);
     LogLine(LogLevel::Info, "request", "attempt")
         .field("id", m_fields.requestId)
@@ -386,6 +418,10 @@
         .field("segments", printSegments(m_item.sharedSegments()))
         .field("left_ms", toMilliseconds(m_deadline - now).count())
         .field("verdict", attemptVerdictName(verdict));
+    bool keepsAnswer = end == AttemptEnd::FailureAnswered && verdict == AttemptVerdict::TryAgain
+        && m_answerComplete && !statusMeansNotRun(m_head.status);
+    if (keepsAnswer)
+        m_failure = KeptAnswer { m_head, std::move(m_buffered) };
     closeAttempt();
     applyVerdict(verdict, reason);
 }
@@ -397,10 +433,6 @@
     case AttemptVerdict::Resume:
         if (!m_caller)
             return finish("caller-left", 0, reason);
-        if (m_attempts > 0) {
-            m_forwarder.m_budget.repeatSent(m_pool, clockNow());
-            ++m_forwarder.m_counters.repeats;
-        }
         if (verdict == AttemptVerdict::Resume)
             ++m_forwarder.m_counters.resumes;
         m_relay.restart();
@@ -426,10 +458,19 @@
     }
 }
 
+// Whether a stream that has begun is kept open until an upstream of the pool can continue it. The caller
+// would lose the events so far, and gets no later answer than its deadline.
+bool ForwardedRequest::mayWait(MonotonicTime now) const
+{
+    return m_answerBegun && m_caller && situation(now).resumable;
+}
+
 void ForwardedRequest::giveUp(std::string_view reason)
 {
     if (m_answerBegun)
         return applyVerdict(AttemptVerdict::Cut, reason);
+    if (m_failure)
+        return deliverFailure(std::move(*m_failure));
     applyVerdict(m_mayHaveRun ? AttemptVerdict::Fail : AttemptVerdict::RefuseNotRun, reason);
 }
 
@@ -467,6 +508,10 @@
             return finish("caller-left", 0, "the deadline passed after the caller had closed the connection");
         return attemptEnded(AttemptEnd::TimeUp, "the caller's deadline or the route's timeout has passed");
     }
+    if (m_placeAgainAt && now >= *m_placeAgainAt && m_forwarder.m_budget.allowsRepeat(m_pool, now)) {
+        m_placeAgainAt.reset();
+        return place();
+    }
     if (!isSilent(now))
         return;
     if (!std::exchange(m_silenceRecorded, true))
@@ -475,6 +520,14 @@
         attemptEnded(AttemptEnd::Broken, "the upstream is silent");
 }
 
+void ForwardedRequest::endForShutdown()
+{
+    constexpr std::string_view reason = "this instance exits before the request ended";
+    if (!m_caller)
+        return finish("caller-left", 0, reason);
+    attemptEnded(AttemptEnd::TimeUp, reason);
+}
+
 // Whether the request can be sent to another upstream now if the current attempt is given up. Otherwise the
 // attempt is kept: a sound upstream may be silent for a while and then go on.
 bool ForwardedRequest::mayMoveOn(MonotonicTime now) const
--- a/process/forwardedrequest.h
+++ b/process/forwardedrequest.h
@@ -30,6 +30,8 @@
 
     // Ends the current attempt if the deadline has passed or the upstream is silent.
     void checkTimeouts(MonotonicTime now);
+    // Answers the caller because this instance exits. An answer that has begun is cut.
+    void endForShutdown();
 
     bool isDone() const { return m_done; }
 
@@ -61,6 +63,12 @@
         std::string mediaType;
     };
 
+    // An upstream's complete failure answer, kept until another upstream has answered.
+    struct KeptAnswer {
+        HttpHead head;
+        std::string body;
+    };
+
     // An answer that this instance gives itself, instead of an upstream's.
     struct LocalAnswer {
         int status = 503;
@@ -72,9 +80,10 @@
     bool findRoute();
     bool findOrganisation();
     void readDeadline();
-    bool endsBeforeShutdown();
+    bool endsBeforeShutdown(MonotonicTime now);
     Milliseconds expectedDuration() const;
     void place();
+    std::vector<std::shared_ptr<Forwarder::Upstream>> upstreamsToTry();
     bool refuseQuarantined(MonotonicTime now);
     std::optional<CostDecision> chooseWithinLimits(const std::vector<std::shared_ptr<Forwarder::Upstream>>&,
         std::vector<UpstreamCandidate>&, MonotonicTime now);
@@ -88,9 +97,11 @@
     void forwardBytes(std::string_view bytes);
     void finishBuffered();
     void deliverBuffered();
+    void deliverFailure(KeptAnswer);
     void attemptEnded(AttemptEnd, std::string_view reason);
     void applyVerdict(AttemptVerdict, std::string_view reason);
     void giveUp(std::string_view reason);
+    bool mayWait(MonotonicTime now) const;
     AttemptSituation situation(MonotonicTime now) const;
     void closeAttempt();
     void recordHealth(AttemptEnd, bool keptConnection);
@@ -126,12 +137,15 @@
     MonotonicTime m_deadline;
 
     int m_attempts = 0; // handed to the network, uncounted attempts excepted
+    int m_arrivals = 0; // at upstreams: written to the network, whether they count as attempts or not
     int m_uncountedAttempts = 0; // without a connection, or at an address that is another upstream's now
     bool m_mayHaveRun = false; // an earlier attempt may have run the request
     std::vector<std::string> m_tried; // ids of the upstreams of all attempts so far, the latest last
+    std::string m_reachable; // id of the one of them that may be tried again; empty if none
 
     std::shared_ptr<Forwarder::Upstream> m_upstream; // of the current attempt; null between attempts
     std::unique_ptr<OutgoingExchange> m_exchange;
+    std::optional<MonotonicTime> m_placeAgainAt; // while a begun stream waits for an upstream
     MonotonicTime m_sentAt;
     MonotonicTime m_lastProgressAt; // when the head, a part of the body or a complete event last arrived
     MonotonicTime m_firstByteAt; // of the first answer, whichever attempt received it
@@ -145,6 +159,7 @@
     AnswerMode m_mode = AnswerMode::None;
     HttpHead m_head; // of the latest attempt's answer
     std::string m_buffered;
+    std::optional<KeptAnswer> m_failure; // of an earlier attempt
     EventRelay m_relay;
     std::uint64_t m_eventsBefore = 0; // events of earlier attempts
     MonotonicTime m_firstEventAt; // of the current attempt
