Compare absent header values without a null pointer

Callers of the instance saw broken connections.

The new test fails on the code before under the undefined-behaviour sanitizer (httpmessage.cc:61, null pointer passed as argument 1) and passes after; the file's 12 cases pass under both sanitizers. In an optimized build the C library returns before it reads through the pointer, so that this is a cause of sanitized ends only as far as is known.

--- a/connection/httpmessage.cc
+++ b/connection/httpmessage.cc
@@ -58,7 +58,10 @@
 
 bool equalHeaderNames(std::string_view left, std::string_view right)
 {
-    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
+    if (left.size() != right.size())
+        return false;
+    // An empty view may have no data, and strncasecmp() must not be given a null pointer.
+    return left.empty() || strncasecmp(left.data(), right.data(), left.size()) == 0;
 }
 
 HttpFields::Field HttpFields::at(std::size_t index) const
--- a/connection/testing/httpmessage_test.cc
+++ b/connection/testing/httpmessage_test.cc
@@ -218,3 +218,17 @@
         collected);
     CHECK(parser.complete());
 }
+
+// Guards against a null pointer that reaches strncasecmp(), which the undefined-behaviour sanitizer reports:
+// the value of an absent field is a view without data.
+TEST_CASE("an absent value equals an empty one and no other")
+{
+    HttpFields fields;
+    fields.add("Empty", "");
+    CHECK(equalHeaderNames(fields.find("Absent"), fields.find("Absent")));
+    CHECK(equalHeaderNames(fields.find("Absent"), fields.find("Empty")));
+    CHECK(equalHeaderNames("", std::string_view()));
+    CHECK_FALSE(equalHeaderNames(std::string_view(), "a"));
+    CHECK(equalHeaderNames("CONTENT-type", "Content-Type"));
+    CHECK_FALSE(equalHeaderNames("Content-Type", "Content-Typo"));
+}
