base: Bound the depth and the number of values of JSON text

An entry of another writer in the store, nested 300,000 levels deep (600 KB of valid JSON), ended every daemon that read the list of servers with signal 11, and again after each restart.

Cause: nlohmann-json parses without recursion, but copies and prints values recursively. The decoder copies an entry's content, and nothing limited its depth.

Change: parseJson(), through which all JSON from outside passes, measures the text in one pass and constant memory before it parses. It refuses more than 128 levels, and more than 1,000,000 values, whose memory is a multiple of their text.

Evidence: with the code before, the two tests of base_test that feed 129 levels and 3,000,000 values fail. Ruled out: a larger stack, which only moves the depth.

--- a/base/base.h
+++ b/base/base.h
@@ -15,6 +15,7 @@
 #include "base/error.h"
 #include "base/hash.h"
 #include "base/json.h"
+#include "base/jsonscan.h"
 #include "base/log.h"
 #include "base/logtrace.h"
 #include "base/number.h"
--- a/base/json.cc
+++ b/base/json.cc
@@ -1,5 +1,7 @@
 #include "base/json.h"
 
+#include "base/jsonscan.h"
+
 namespace briarwharf {
 
 namespace {
@@ -16,6 +18,15 @@
 
 Result<Json> parseJson(std::string_view text, std::string_view what)
 {
+    JsonSize size = measureJson(text);
+    if (size.depth > maxJsonDepth)
+        return Error { ErrorKind::InvalidArgument,
+            std::string(what) + " is nested deeper than " + std::to_string(maxJsonDepth)
+                + " levels: send flatter JSON" };
+    if (size.values > maxJsonValues)
+        return Error { ErrorKind::TooLarge,
+            std::string(what) + " has more than " + std::to_string(maxJsonValues)
+                + " values: send it in parts" };
     Json value = Json::parse(text.begin(), text.end(), nullptr, false);
     if (value.is_discarded())
         return Error { ErrorKind::InvalidArgument,
--- a/base/json.h
+++ b/base/json.h
@@ -10,7 +10,16 @@
 
 using Json = nlohmann::json;
 
-// Parses without exceptions. The error names the kind of input (`what`) and the remedy.
+// Copying and printing a value recurse as deep as it is nested, so that text from outside could overflow the
+// stack. Documents of this code base's interfaces have fewer than 20 levels.
+constexpr std::size_t maxJsonDepth = 128;
+
+// Bounds the memory of a parsed text: a value takes up to about 100 bytes, however short its text is.
+constexpr std::size_t maxJsonValues = 1000000;
+
+// Parses without exceptions. The error names the kind of input (`what`) and the remedy. Errors:
+// InvalidArgument (not one JSON value, or nested deeper than maxJsonDepth), TooLarge (more than maxJsonValues
+// values).
 Result<Json> parseJson(std::string_view text, std::string_view what);
 
 // Serializes without exceptions: invalid UTF-8 is replaced by U+FFFD.
--- a/base/testing/base_test.cc
+++ b/base/testing/base_test.cc
@@ -37,6 +37,69 @@
     CHECK(broken.error().kind == ErrorKind::InvalidArgument);
 }
 
+namespace {
+
+std::string repeat(std::string_view text, std::size_t times)
+{
+    std::string repeated;
+    for (std::size_t time = 0; time < times; ++time)
+        repeated += text;
+    return repeated;
+}
+
+// Nested arrays, or objects.
+std::string nestedJson(std::size_t levels, bool objects = false)
+{
+    return objects ? repeat("{\"a\":", levels) + "1" + repeat("}", levels)
+                   : repeat("[", levels) + repeat("]", levels);
+}
+
+} // namespace
+
+// Guards against text from outside that overflows the stack: a value of 300,000 levels was parsed, and ended
+// the process when it was copied or printed.
+TEST_CASE("JSON text that is nested too deeply is refused before it is parsed")
+{
+    for (bool objects : { false, true }) {
+        CAPTURE(objects);
+        auto deepest = parseJson(nestedJson(maxJsonDepth, objects), "body");
+        REQUIRE(deepest.has_value());
+        Json copy = deepest.value();
+        CHECK(dumpJson(copy) == nestedJson(maxJsonDepth, objects));
+        for (std::size_t levels : { maxJsonDepth + 1, std::size_t { 300000 }, std::size_t { 5000000 } }) {
+            CAPTURE(levels);
+            auto parsed = parseJson(nestedJson(levels, objects), "body");
+            REQUIRE(parsed.has_error());
+            CHECK(parsed.error().kind == ErrorKind::InvalidArgument);
+            CHECK(parsed.error().message.find("deeper") != std::string::npos);
+        }
+    }
+    CHECK_FALSE(parseJson(repeat("[", 300000), "body"));
+    CHECK_FALSE(parseJson("{\"a\":" + repeat("[{\"b\":", 300000), "body"));
+}
+
+// Guards against a limit on the depth that counts brackets inside of strings, or levels that were closed.
+TEST_CASE("brackets in strings and neighbouring values are no nesting")
+{
+    std::string brackets = "\"\\\"" + repeat("[{", 300) + "\\\\\"";
+    REQUIRE(parseJson(brackets, "body"));
+    CHECK(measureJson(brackets).depth == 0);
+    std::string neighbours = "[" + repeat("[{}],", 300) + "[]]";
+    REQUIRE(parseJson(neighbours, "body"));
+    CHECK(measureJson(neighbours).depth == 3);
+    CHECK(measureJson("]]]{\"").depth == 1);
+    CHECK(measureJson("\"\\").depth == 0);
+}
+
+// Guards against short text whose values take a hundred times its memory.
+TEST_CASE("JSON text with too many values is refused before it is parsed")
+{
+    auto parsed = parseJson("[" + repeat("[],", 3000000) + "[]]", "body");
+    REQUIRE(parsed.has_error());
+    CHECK(parsed.error().kind == ErrorKind::TooLarge);
+    CHECK(parseJson("[" + repeat("0,", 100000) + "0]", "body").value().size() == 100001);
+}
+
 TEST_CASE("constant-time comparison distinguishes equal from unequal strings")
 {
     CHECK(equalConstantTime("abc", "abc"));
