coordination: Bound the slots of upstreams in other instances' lists

An instance takes the number of slots in another instance's list as it is: 2^31 and more became a negative number, and 0 stayed 0. The entries of the platform have had the bounds 1 to 100,000 from the start.

Entries without an id or with an address that cannot be parsed were left out before; a test now shows this for seven of them, through the encoded frame. It passes without the change.

Test: "the slots in the list of another instance are bounded", which this change makes pass; the code before returns the numbers as they are.

--- a/coordination/directorymessage.cc
+++ b/coordination/directorymessage.cc
@@ -11,6 +11,9 @@
     // Bound for decompression; a list of this size has far more upstreams than a fleet can use.
     constexpr std::size_t maxListBytes = 16 * 1024 * 1024;
 
+    // The same bounds as for the entries of the platform.
+    constexpr std::uint32_t maxSlots = 100000;
+
     std::unique_ptr<DirectoryUpstreamT> toMessage(const UpstreamEntry& entry)
     {
         auto message = std::make_unique<DirectoryUpstreamT>();
@@ -36,7 +39,7 @@
         entry.pool = message.pool;
         entry.endpoint = endpoint.value();
         entry.failureDomain = message.failureDomain;
-        entry.slots = static_cast<int>(message.slots);
+        entry.slots = static_cast<int>(std::clamp(message.slots, std::uint32_t { 1 }, maxSlots));
         entry.draining = message.draining;
         entry.started = message.started;
         entry.revision = message.revision;
--- a/coordination/testing/directoryrelay_test.cc
+++ b/coordination/testing/directoryrelay_test.cc
@@ -526,6 +526,60 @@
     CHECK(asker.relay.routingVersion() == 8);
 }
 
+// Guards against one bad entry in a peer's list that hides the others, or is used as an upstream.
+TEST_CASE("a bad entry in the list of another instance costs that entry only")
+{
+    struct BadEntry {
+        const char* id;
+        const char* address;
+    };
+    const BadEntry badEntries[] { { "", "10.0.0.9:80" }, { "bad", "" }, { "bad", "somewhere:80" },
+        { "bad", "10.0.0.9:0" }, { "bad", "10.0.0.9:65536" }, { "bad", "10.0.0.9:-1" },
+        { "bad", "\xff\xfe" } };
+    for (const BadEntry& bad : badEntries) {
+        CAPTURE(bad.id);
+        CAPTURE(bad.address);
+        UpstreamEntry sound;
+        sound.pool = "models";
+        sound.endpoint = { "10.0.0.9", 8000 };
+        sound.revision = 8;
+        DirectoryPushT push;
+        DirectoryChanges changes { 0, 9, {}, {} };
+        for (const char* id : { "first", "second" }) {
+            sound.id = id;
+            changes.entries.push_back(sound);
+        }
+        addChanges(changes, push);
+        auto entry = std::make_unique<DirectoryUpstreamT>(*push.upstreams.front());
+        entry->id = bad.id;
+        entry->address = bad.address;
+        push.upstreams.insert(push.upstreams.begin() + 1, std::move(entry));
+        PeerFrameT frame;
+        frame.body.Set(std::move(push));
+        auto received
+            = decodePeerFrame(std::string_view(encodePeerFrame(frame)).substr(peerFrameHeaderBytes));
+        REQUIRE(received);
+        CHECK(changesOf(*received.value().body.AsDirectoryPush()).entries == changes.entries);
+    }
+}
+
+// Guards against a number of slots that is no number of slots, such as -1, in the placement of requests.
+TEST_CASE("the slots in the list of another instance are bounded")
+{
+    DirectoryPushT push;
+    for (std::uint32_t slots : { 0U, 1U, 64U, 0x7fffffffU, 0xffffffffU }) {
+        auto entry = std::make_unique<DirectoryUpstreamT>();
+        entry->id = std::to_string(slots);
+        entry->address = "10.0.0.9:80";
+        entry->slots = slots;
+        push.upstreams.push_back(std::move(entry));
+    }
+    std::vector<int> slots;
+    for (const UpstreamEntry& entry : changesOf(push).entries)
+        slots.push_back(entry.slots);
+    CHECK(slots == std::vector<int> { 1, 1, 64, 100000, 100000 });
+}
+
 // Guards against a leak of push permits when peers fail while a document is being sent to them.
 TEST_CASE("push permits for long documents are released after an answer, a closed link or a timeout")
 {
