platform: One unreadable entry of the store costs that entry only

What callers saw: after an entry of another writer that cannot be parsed, no change of the list of servers took effect.

Cause: the answer to a list or a watch was parsed as one JSON text. A value that the parser refuses (a number beyond a double, a lone surrogate, bytes that are no UTF-8, NaN) made the whole answer unusable. The watch was repeated from the same revision, and the list holds the entry, too. A watch's change without a readable name was dropped, so that an upstream whose entry became one stayed in use.

Change: base/jsonscan separates the members of an object and the elements of an array by brackets and quotation marks, without recursion and without parsing them. platform/objectstore separates the entries of an answer; platform/decode reads an entry field by field, so that one whose content is unreadable keeps its name and revision and counts as removed, like an invalid one. A configuration that cannot be read leaves the one in force. A change without a name causes a new list, at most one in 5 s; bad entries of that list cause none. Answers whose envelope cannot be read fail and leave what is known. Each bad entry is logged once and counted (briarwharf_directory_unusable_entries_total).

Ports 0 and 65,536, wrong types and missing fields were handled before.

Ruled out: parsing the whole answer and repairing it on failure, which depends on the parser's place of error; the parser's SAX interface, which stops at the first error.

The tests of the decoders share base/testing/corpus.h; the corpus of the platform's decoders is now replayed, and JSON text and lists of other instances have fuzz targets.

--- a/base/testing/base_test.cc
+++ b/base/testing/base_test.cc
@@ -1,4 +1,6 @@
 #include "base/base.h"
+#include "base/testing/corpus.h"
+#include "base/testing/decoders.h"
 #include <doctest/doctest.h>
 
 using namespace briarwharf;
@@ -100,6 +102,47 @@
     CHECK(parseJson("[" + repeat("0,", 100000) + "0]", "body").value().size() == 100001);
 }
 
+// Guards against one value that the parser refuses, which made all others of its list unreadable.
+TEST_CASE("lists and objects are separated, whatever their values are")
+{
+    std::string deep = nestedJson(300000);
+    std::string text
+        = " [ 1e999 ,\"\\udcff\",\"\xff\",{\"a]\":\"[,\\\"\"}, NaN , " + deep + " ,, \"\", [1 ,2] x ] ";
+    auto elements = splitJsonArray(text);
+    REQUIRE(elements);
+    CHECK(elements.value()
+        == std::vector<std::string_view> {
+            "1e999", "\"\\udcff\"", "\"\xff\"", "{\"a]\":\"[,\\\"\"}", "NaN", deep, "", "\"\"", "[1 ,2] x" });
+    auto members = splitJsonObject(R"({"a":1e999,"b" : [1, 2] ,"\u0061":"last","c":,"":0})");
+    REQUIRE(members);
+    CHECK(members.value().size() == 5);
+    CHECK(memberText(members.value(), "a") == "\"last\"");
+    CHECK(memberText(members.value(), "b") == "[1, 2]");
+    CHECK(memberText(members.value(), "c").empty());
+    CHECK(memberText(members.value(), "d").empty());
+    CHECK(splitJsonArray("[]").value().empty());
+    CHECK(splitJsonObject(" { } ").value().empty());
+}
+
+// Guards against text that breaks off and is taken for a shorter list.
+TEST_CASE("text that is no complete list or object is not separated")
+{
+    for (const char* text : { "", " ", "null", "5", "[", "[1", "[1,", "[1,\"a]", "[1,\"a\\", "[[1]", "[{]",
+             "[1]]", "[1] 2", "{", "{\"a", "{\"a\"", "{\"a\":", "{\"a\":1", "{\"a\":1,", "{\"a\":1,}",
+             "{a:1}", "{\"a\" 1}", "{1}", "{\"a\":{\"b\":1}", "\"[]\"" }) {
+        CAPTURE(text);
+        CHECK_FALSE(splitJsonArray(text));
+        CHECK_FALSE(splitJsonObject(text));
+    }
+    CHECK(splitJsonArray("[" + repeat("0,", maxJsonValues + 1) + "0]").error().kind == ErrorKind::TooLarge);
+}
+
+// Guards against a separation that differs from what the parser reads.
+TEST_CASE("the fuzz corpus of JSON texts is separated as it is parsed")
+{
+    CHECK(testing::replayCorpus("json", testing::exerciseJson) >= 4);
+}
+
 TEST_CASE("constant-time comparison distinguishes equal from unequal strings")
 {
     CHECK(equalConstantTime("abc", "abc"));
--- a/process/directorysource.h
+++ b/process/directorysource.h
@@ -36,6 +36,7 @@
     std::uint64_t failures = 0;
     std::uint64_t bytesSent = 0;
     std::uint64_t bytesReceived = 0;
+    std::uint64_t unusableEntries = 0; // each counted once for each of its revisions
 };
 
 // Supplies the configuration of forwarded routes, the list of upstreams and the list of instances from the
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -421,6 +421,8 @@
     total("briarwharf_malformed_requests_total", "Requests that could not be read.", callers.malformed);
     total("briarwharf_directory_calls_total", "Calls to the directory's source.", directory.calls);
     total("briarwharf_directory_failures_total", "Calls of these that failed.", directory.failures);
+    total("briarwharf_directory_unusable_entries_total",
+        "Entries of the directory's source that could not be read or used.", directory.unusableEntries);
     total("briarwharf_peer_bytes_sent_total", "Bytes to other instances.", peers.bytesSent);
     total("briarwharf_peer_bytes_received_total", "Bytes from other instances.", peers.bytesReceived);
     total("briarwharf_log_lines_dropped_total", "Log lines over their bound.", droppedLogLines());
--- a/process/testing/decoders.h
+++ b/process/testing/decoders.h
@@ -3,6 +3,7 @@
 #include "base/base.h"
 #include "connection/connection.h"
 #include "coordination/coordination.h"
+#include "coordination/directorymessage.h"
 #include "process/chatrequest.h"
 #include "process/settings.h"
 #include "process/trace.h"
@@ -27,6 +28,22 @@
     require(again.has_value() && again.value().body.type == frame.value().body.type);
 }
 
+// Lists of upstreams from other instances, compressed and not. Every decoded entry must be usable, and the
+// same after it is encoded and decoded again.
+inline void exerciseDirectoryList(std::string_view bytes)
+{
+    for (const std::string& compressed : { std::string(bytes), compress(bytes) }) {
+        auto changes = decompressChanges(compressed);
+        require(changes || !changes.error().message.empty());
+        if (!changes)
+            continue;
+        for (const UpstreamEntry& entry : changes.value().entries)
+            require(!entry.id.empty() && entry.slots >= 1 && entry.endpoint.port > 0);
+        auto again = decompressChanges(compressChanges(changes.value()));
+        require(again && again.value().entries == changes.value().entries);
+    }
+}
+
 // Settings files. The error for an invalid file must have a message.
 inline void exerciseSettings(std::string_view bytes)
 {
--- a/version/testing/decoders.h
+++ b/version/testing/decoders.h
@@ -1,21 +1,11 @@
 #pragma once
 
 #include "base/base.h"
+#include "base/testing/decoders.h"
 #include "version/version.h"
-#include <cstdlib>
-
-// The functions that the fuzz targets run on their inputs. The corpus test runs them on stored inputs. A
-// violated invariant aborts the process, which both the fuzzer and the test program report.
 
 namespace briarwharf::testing {
 
-// Aborts the process if the condition does not hold.
-inline void require(bool condition)
-{
-    if (!condition)
-        std::abort();
-}
-
 // Parsed commands must print and parse to themselves; an applied configuration must be valid.
 inline void exerciseCommands(std::string_view bytes)
 {
