connection: Skip unreadable entries of the platform's list of instances

In the product's own mode, one instance without an id or address made the whole list of instances unusable. Entries are now separated and read one by one.

The list of stored objects still fails as a whole: the fleet alone writes them, and a record that is left out could let a request run twice.

--- a/connection/httpstore.cc
+++ b/connection/httpstore.cc
@@ -1,5 +1,6 @@
 #include "connection/httpstore.h"
 #include "base/json.h"
+#include "base/jsonscan.h"
 #include "base/number.h"
 #include <algorithm>
 #include <deque>
@@ -153,19 +154,28 @@
         return objects;
     }
 
+    std::optional<PlatformInstance> parseInstance(std::string_view text)
+    {
+        auto entry = parseJson(text, "entry of the list of instances");
+        auto id = entry ? stringField(entry.value(), "id") : std::nullopt;
+        auto address = entry ? stringField(entry.value(), "address") : std::nullopt;
+        if (!id || !address)
+            return std::nullopt;
+        return PlatformInstance { *id, *address, stringField(entry.value(), "failure_domain").value_or(""),
+            stringField(entry.value(), "state") == "leaving" };
+    }
+
+    // Leaves out the entries that cannot be read.
     Result<std::vector<PlatformInstance>> parseInstances(const std::string& body)
     {
-        auto parsed = parseJson(body, "list of instances");
-        if (!parsed || !parsed.value().is_object() || !parsed.value().contains("instances"))
+        auto members = splitJsonObject(body);
+        auto texts = splitJsonArray(members ? memberText(members.value(), "instances") : std::string_view());
+        if (!texts)
             return unavailable("malformed list of instances");
         std::vector<PlatformInstance> instances;
-        for (const auto& entry : parsed.value()["instances"]) {
-            auto id = stringField(entry, "id");
-            auto address = stringField(entry, "address");
-            if (!id || !address)
-                return unavailable("malformed list of instances");
-            instances.push_back({ *id, *address, stringField(entry, "failure_domain").value_or(""),
-                stringField(entry, "state") == "leaving" });
+        for (std::string_view text : texts.value()) {
+            if (auto instance = parseInstance(text))
+                instances.push_back(std::move(*instance));
         }
         return instances;
     }
--- a/connection/testing/httpstore_test.cc
+++ b/connection/testing/httpstore_test.cc
@@ -267,6 +267,25 @@
     CHECK_FALSE(called);
 }
 
+// Guards against one bad entry that hides all other instances.
+TEST_CASE("a bad entry in the platform's list of instances costs that entry only")
+{
+    for (const char* bad :
+        { "5", "null", "{}", R"({"id": 5, "address": "127.0.0.1:1"})", R"({"id": "i2"})" }) {
+        CAPTURE(bad);
+        Harness harness;
+        auto instances = parseJson(R"([{"id": "i1", "address": "127.0.0.1:7500"}, )" + std::string(bad)
+                + R"(, {"id": "i3", "address": "127.0.0.1:7502"}])",
+            "list");
+        harness.model.setInstances(instances.value(), MonotonicTime {}, Milliseconds(0));
+        auto listed = harness.await<Result<std::vector<PlatformInstance>>>(
+            [&](auto callback) { harness.store->listInstances(callback); });
+        REQUIRE(listed);
+        REQUIRE(listed.value().size() == 2);
+        CHECK(listed.value()[1].id == "i3");
+    }
+}
+
 TEST_CASE("the platform's list of instances takes effect after its lag")
 {
     Harness harness;
