base: Refuse JSON text with a NUL byte

nlohmann-json takes a NUL byte after a value for the end of the text and ignores what follows, so that "{}" with a NUL byte and any bytes behind it counted as an empty object.

The test fails without the change: the text was parsed. No caller is known to have sent such text.

JSON has no NUL byte anywhere; in strings it is escaped.

--- a/base/json.cc
+++ b/base/json.cc
@@ -27,7 +27,10 @@
         return Error { ErrorKind::TooLarge,
             std::string(what) + " has more than " + std::to_string(maxJsonValues)
                 + " values: send it in parts" };
-    Json value = Json::parse(text.begin(), text.end(), nullptr, false);
+    // The parser takes this byte after a value for the end of the text, and ignores what follows.
+    bool hasNulByte = text.find('\0') != std::string_view::npos;
+    Json value
+        = hasNulByte ? Json(Json::value_t::discarded) : Json::parse(text.begin(), text.end(), nullptr, false);
     if (value.is_discarded())
         return Error { ErrorKind::InvalidArgument,
             std::string(what) + " is not valid JSON: send one JSON value" };
--- a/base/testing/base_test.cc
+++ b/base/testing/base_test.cc
@@ -80,6 +80,15 @@
     CHECK_FALSE(parseJson("{\"a\":" + repeat("[{\"b\":", 300000), "body"));
 }
 
+// Guards against text of which a part is ignored.
+TEST_CASE("JSON text with a NUL byte is refused")
+{
+    using namespace std::string_literals;
+    for (const std::string& text : { "{}\0"s, "{}\0{}"s, "5\0 6"s, "\0{}"s, "\"\0\""s })
+        CHECK_FALSE(parseJson(text, "body"));
+    CHECK(parseJson("\"\\u0000\"", "body").value() == "\0"s);
+}
+
 // Guards against a limit on the depth that counts brackets inside of strings, or levels that were closed.
 TEST_CASE("brackets in strings and neighbouring values are no nesting")
 {
