--- a/base/json.cc
+++ b/base/json.cc
@@ -1,5 +1,7 @@
 #include "base/json.h"
 
+#include "base/jsonscan.h"
+
 namespace briarwharf {
 
 namespace {
@@ -16,7 +18,19 @@
 
 Result<Json> parseJson(std::string_view text, std::string_view what)
 {
-    Json value = Json::parse(text.begin(), text.end(), nullptr, false);
+    JsonSize size = measureJson(text);
+    if (size.depth > maxJsonDepth)
+        return Error { ErrorKind::InvalidArgument,
+            std::string(what) + " is nested deeper than " + std::to_string(maxJsonDepth)
+                + " levels: send flatter JSON" };
+    if (size.values > maxJsonValues)
+        return Error { ErrorKind::TooLarge,
+            std::string(what) + " has more than " + std::to_string(maxJsonValues)
+                + " values: send it in parts" };
+    // The parser takes this byte after a value for the end of the text, and ignores what follows.
+    bool hasNulByte = text.find('\0') != std::string_view::npos;
+    Json value
+        = hasNulByte ? Json(Json::value_t::discarded) : Json::parse(text.begin(), text.end(), nullptr, false);
     if (value.is_discarded())
         return Error { ErrorKind::InvalidArgument,
             std::string(what) + " is not valid JSON: send one JSON value" };
