Bound the first frame of a peer's connection

Change: until the Hello has been accepted, a frame over 16 KiB ends the connection at its header, and no more than that is read ahead.

--- a/connection/peerlink.cc
+++ b/connection/peerlink.cc
@@ -18,6 +18,9 @@
 
     constexpr int listenBacklog = 128;
 
+    // Maximum size of the first frame. Anyone may connect, so the full size counts only after the Hello.
+    constexpr std::size_t maxHelloBytes = 16 * 1024;
+
     timeval toTimeval(Milliseconds duration)
     {
         constexpr int millisecondsPerSecond = 1000;
@@ -153,7 +156,7 @@
 {
     bufferevent_setcb(transport, &Impl::handleRead, nullptr, &Impl::handleEvent, this);
     // Reading pauses once the input buffer holds a frame of the maximum length.
-    bufferevent_setwatermark(transport, EV_READ, 0, peerFrameHeaderBytes + maxPeerFrameBytes);
+    bufferevent_setwatermark(transport, EV_READ, 0, peerFrameHeaderBytes + maxHelloBytes);
     timeval limit = toTimeval(impl.m_options.handshakeTimeout);
     event_add(timer, &limit);
 }
@@ -327,6 +330,11 @@
         fail(link, length.error());
         return false;
     }
+    if (!link.up && length.value() > maxHelloBytes) {
+        fail(
+            link, { ErrorKind::TooLarge, "the peer's first frame is too large for a Hello: close the link" });
+        return false;
+    }
     if (evbuffer_get_length(input) < header.size() + length.value())
         return false;
     evbuffer_drain(input, header.size());
@@ -364,6 +372,7 @@
                     + std::to_string(m_options.minProtocolVersion) + " is needed: update it" });
     }
     link.up = true;
+    bufferevent_setwatermark(link.transport, EV_READ, 0, peerFrameHeaderBytes + maxPeerFrameBytes);
     event_del(link.timer);
     ++counters.linksOpened;
     m_callbacks.up(link.id, *hello, link.outgoing);
--- a/connection/testing/peerlink_test.cc
+++ b/connection/testing/peerlink_test.cc
@@ -241,3 +241,17 @@
     runUntil(base.get(), [&] { return a.down.size() == 1; });
     CHECK(b.links.connect(address).error().kind == ErrorKind::Overloaded);
 }
+
+// Guards against connections that fill the memory before they have shown that they are instances.
+TEST_CASE("a first frame that is too large for a Hello ends the connection before it is read")
+{
+    Base base = makeBase();
+    PeerLinkOptions options;
+    options.handshakeTimeout = std::chrono::minutes(10); // is not what ends the connection
+    InstanceLinks a(base.get(), "a", options);
+    auto address = a.links.listen("127.0.0.1:0").value();
+    RawPeer peer(base.get(), address);
+    peer.write(std::string("\x00\x00\x10\x00", peerFrameHeaderBytes)); // 1 MiB follows, little endian
+    runUntil(base.get(), [&] { return peer.ended; });
+    CHECK(a.links.counters().handshakesFailed == 1);
+}
