Bound the unfinished answers of all requests together

Callers saw (report of another operator): a faulty server sent bytes without end; the process that had called it ran out of memory, and the requests of other callers ended with it. A single answer was bounded here (512 KiB, an event 1 MiB), the sum was not: as many of them as there are requests in progress.

Change: unfinished answers and events of all requests together are counted as they grow. Over 24 MiB, the attempt whose answer grows is given up as broken unless it is smaller than 8 KiB; `request/attempt` logs the reason "the buffers of this instance are full".

--- a/process/forwardedanswer.cc
+++ b/process/forwardedanswer.cc
@@ -15,6 +15,9 @@
     constexpr double minSlowness = 0.5;
     constexpr double maxSlowness = 10;
 
+    // An answer up to this size is kept although the buffers of all requests together are full.
+    constexpr std::size_t smallAnswerBytes = 8 * 1024;
+
     // An upstream that goes on with an answer for this long after the first event has survived its start.
     constexpr Milliseconds soundAnswerAge { 300 };
 
@@ -117,10 +120,27 @@
     if (!m_caller)
         return; // nobody receives the body, which may have no end
     m_buffered += bytes;
+    countBuffered();
+    if (exceedsBuffers())
+        return attemptEnded(AttemptEnd::Broken, "the buffers of this instance are full");
     if (m_buffered.size() > m_forwarder.m_settings.maxBufferedAnswerBytes)
         forwardLargeAnswer();
 }
 
+void ForwardedRequest::countBuffered()
+{
+    std::size_t bytes
+        = m_buffered.size() + m_relay.incompleteBytes() + (m_failure ? m_failure->body.size() : 0);
+    m_forwarder.m_bufferedBytes += bytes - m_countedBytes;
+    m_countedBytes = bytes;
+}
+
+bool ForwardedRequest::exceedsBuffers() const
+{
+    return m_forwarder.m_bufferedBytes > m_forwarder.m_settings.maxBufferedBytes
+        && m_countedBytes > smallAnswerBytes;
+}
+
 // Called when a buffered answer is too large to be kept until it is complete. One that would not be passed on
 // if it were complete is not forwarded either: its head decides.
 void ForwardedRequest::forwardLargeAnswer()
@@ -149,8 +169,11 @@
         else
             beginAnswer(out);
     }
+    countBuffered();
     if (!passed)
-        attemptEnded(AttemptEnd::Broken, passed.error().message);
+        return attemptEnded(AttemptEnd::Broken, passed.error().message);
+    if (exceedsBuffers())
+        attemptEnded(AttemptEnd::Broken, "the buffers of this instance are full");
 }
 
 void ForwardedRequest::recordEvents(MonotonicTime now)
--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -60,7 +60,11 @@
 {
 }
 
-ForwardedRequest::~ForwardedRequest() { closeAttempt(); }
+ForwardedRequest::~ForwardedRequest()
+{
+    closeAttempt();
+    m_forwarder.m_bufferedBytes -= m_countedBytes;
+}
 
 void ForwardedRequest::start()
 {
@@ -418,11 +422,16 @@
         .field("segments", printSegments(m_item.sharedSegments()))
         .field("left_ms", toMilliseconds(m_deadline - now).count())
         .field("verdict", attemptVerdictName(verdict));
+    if (end == AttemptEnd::Broken) {
+        m_buffered = {};
+        m_relay.restart();
+    }
     bool keepsAnswer = end == AttemptEnd::FailureAnswered && verdict == AttemptVerdict::TryAgain
         && m_answerComplete && !statusMeansNotRun(m_head.status);
     if (keepsAnswer)
-        m_failure = KeptAnswer { m_head, std::move(m_buffered) };
+        m_failure = KeptAnswer { m_head, std::exchange(m_buffered, {}) };
     closeAttempt();
+    countBuffered();
     applyVerdict(verdict, reason);
 }
 
@@ -436,6 +445,7 @@
         if (verdict == AttemptVerdict::Resume)
             ++m_forwarder.m_counters.resumes;
         m_relay.restart();
+        countBuffered();
         return place();
     case AttemptVerdict::PassOn:
         if (statusMeansNotRun(m_head.status) || !m_answerComplete) {
--- a/process/forwardedrequest.h
+++ b/process/forwardedrequest.h
@@ -93,6 +93,8 @@
     void beginAnswer(std::string_view firstBytes);
     bool continuesStream(const HttpHead&) const;
     void forwardLargeAnswer();
+    void countBuffered();
+    bool exceedsBuffers() const;
     void forwardEvents(std::string_view bytes, MonotonicTime now);
     void forwardBytes(std::string_view bytes);
     void finishBuffered();
@@ -160,6 +162,7 @@
     HttpHead m_head; // of the latest attempt's answer
     std::string m_buffered;
     std::optional<KeptAnswer> m_failure; // of an earlier attempt
+    std::size_t m_countedBytes = 0; // of this request's buffers, in the forwarder's sum
     EventRelay m_relay;
     std::uint64_t m_eventsBefore = 0; // events of earlier attempts
     MonotonicTime m_firstEventAt; // of the current attempt
--- a/process/forwarder.cc
+++ b/process/forwarder.cc
@@ -264,14 +264,6 @@
     m_requests.back()->start();
 }
 
-std::size_t Forwarder::bufferedBytes() const
-{
-    std::size_t bytes = 0;
-    for (const auto& request : m_requests)
-        bytes += request->m_buffered.size() + (request->m_failure ? request->m_failure->body.size() : 0);
-    return bytes;
-}
-
 void Forwarder::finished(ForwardedRequest& request)
 {
     m_done.splice(m_done.end(), m_requests, request.m_position);
--- a/process/forwarder.h
+++ b/process/forwarder.h
@@ -30,6 +30,9 @@
     // Answers up to this size, streams excepted, are buffered until they are complete, so that another
     // upstream can be tried if one breaks off.
     std::size_t maxBufferedAnswerBytes = 512 * 1024;
+    // Incomplete answers and events of all requests together. An answer that exceeds it is given up as
+    // broken, unless it is small.
+    std::size_t maxBufferedBytes = 24 * 1024 * 1024;
 };
 
 struct ForwarderCounters {
@@ -94,7 +97,7 @@
 
     std::size_t requestsInProgress() const { return m_requests.size(); }
     // Bytes of incomplete answers that are kept in memory until they are complete.
-    std::size_t bufferedBytes() const;
+    std::size_t bufferedBytes() const { return m_bufferedBytes; }
     const ForwarderCounters& counters() const { return m_counters; }
     const HttpPoolCounters& connectionCounters() const { return m_connections.counters(); }
     const RoutingTable* routing() const { return m_routing.get(); }
@@ -168,6 +171,7 @@
     std::shared_ptr<const RoutingTable> m_routing;
     std::uint64_t m_directoryRevision = 0;
     std::size_t m_instances = 1;
+    std::size_t m_bufferedBytes = 0; // of all requests
     std::optional<MonotonicTime> m_shutdownDeadline; // set while this instance shuts down
     MonotonicTime m_shutdownEstimateUntil;
     std::map<std::string, std::shared_ptr<Upstream>> m_upstreams; // by id
--- a/request/eventrelay.cc
+++ b/request/eventrelay.cc
@@ -73,7 +73,7 @@
 
 void EventRelay::restart()
 {
-    m_incompleteEvent.clear();
+    m_incompleteEvent = {}; // also frees the memory
     m_searched = 0;
     m_restarted = true;
 }
--- a/request/eventrelay.h
+++ b/request/eventrelay.h
@@ -32,6 +32,7 @@
     void restart();
 
     bool isAtBoundary() const { return m_incompleteEvent.empty(); }
+    std::size_t incompleteBytes() const { return m_incompleteEvent.size(); }
 
     // Whether another upstream can be told where to continue: the data that was forwarded has numbers.
     bool canContinue() const { return !m_dataWithoutNumber; }
