Bound the buffers of all callers' connections together

Cause: the body of one request, the pipelined input and the unsent output of one connection are bounded, their sum over up to 3,000 connections was not: bodies of 4 MiB, callers that do not read their answers.

Change: they are counted together. A body that would exceed 48 MiB is refused with 503 as it arrives. Each case logs one line, `connection/buffers-full`.

Test: two cases of connection/testing/ingress_test.cc.

--- a/connection/ingress.cc
+++ b/connection/ingress.cc
@@ -1,5 +1,6 @@
 #include "connection/ingress.h"
 
+#include "base/log.h"
 #include <algorithm>
 #include <unistd.h>
 #include <utility>
@@ -56,6 +57,7 @@
             --m_ingress.m_inProgress;
         if (m_events)
             std::exchange(m_events, nullptr)->callerLeft();
+        m_ingress.m_bufferedBytes -= m_countedBytes;
     }
     IngressConnection(const IngressConnection&) = delete;
     IngressConnection& operator=(const IngressConnection&) = delete;
@@ -91,6 +93,7 @@
             return;
         if (m_state == State::Answering) {
             m_pipelinedInput += bytes;
+            countBuffered();
             if (m_pipelinedInput.size() > maxPipelinedBytes)
                 m_stream->pauseReading();
             return;
@@ -103,6 +106,7 @@
 
     void streamDrained() override
     {
+        countBuffered();
         if (m_state == State::Closing)
             return close();
         if (m_state == State::Answering && m_events)
@@ -128,8 +132,13 @@
         m_lastBodyTime = clockNow();
         if (m_body.size() + bytes.size() > m_ingress.m_limits.maxBodyBytes)
             m_bodyTooLarge = true;
-        if (!m_bodyTooLarge)
-            m_body += bytes;
+        const std::size_t limit = m_ingress.m_limits.maxBufferedBytes;
+        m_overloaded = m_overloaded || m_ingress.m_bufferedBytes + bytes.size() > limit;
+        if (m_bodyTooLarge || m_overloaded)
+            return;
+        m_body += bytes;
+        m_bodyBytes = m_body.size();
+        countBuffered();
     }
 
     void messageEnd() override { }
@@ -143,7 +152,7 @@
         appendField(out, "Content-Length", std::to_string(body.size()));
         finishHead(out);
         out += body;
-        m_stream->write(out);
+        writeCounted(out);
         finishAnswer();
     }
 
@@ -160,7 +169,7 @@
         finishHead(out);
         if (!firstBytes.empty())
             appendBody(out, firstBytes);
-        m_stream->write(out);
+        writeCounted(out);
     }
 
     void write(std::string_view bytes) override
@@ -168,17 +177,17 @@
         if (bytes.empty())
             return;
         if (!m_chunked)
-            return m_stream->write(bytes);
+            return writeCounted(bytes);
         std::string out;
         out.reserve(bytes.size() + 16);
         appendChunk(out, bytes);
-        m_stream->write(out);
+        writeCounted(out);
     }
 
     void end() override
     {
         if (m_chunked)
-            m_stream->write(lastChunk);
+            writeCounted(lastChunk);
         finishAnswer();
     }
 
@@ -208,6 +217,8 @@
         std::size_t used = m_parser.feed(bytes, *this);
         if (m_bodyTooLarge)
             return refuse(413, "the body is over the limit of this deployment: send a shorter one");
+        if (m_overloaded)
+            return refuseOverloaded();
         if (m_parser.headTooLarge())
             return refuse(431, "the header lines are over the limit of this deployment: send fewer");
         if (m_parser.failed())
@@ -252,6 +263,8 @@
     void finishAnswer()
     {
         m_events = nullptr;
+        m_bodyBytes = 0;
+        countBuffered();
         --m_ingress.m_inProgress;
         if (m_closeAfter) {
             enterState(State::Closing);
@@ -275,17 +288,37 @@
         if (m_state != State::Reading || m_pipelinedInput.empty())
             return;
         std::string input = std::exchange(m_pipelinedInput, {});
+        countBuffered();
         m_stream->resumeReading();
         parse(input);
     }
 
+    void refuseOverloaded()
+    {
+        ++m_ingress.m_counters.overloaded;
+        LogLine(LogLevel::Warning, "connection", "buffers-full")
+            .field("action", "refused")
+            .field("bytes", m_ingress.m_bufferedBytes);
+        m_body = {};
+        m_bodyBytes = 0;
+        countBuffered();
+        sendRefusal(503, "this instance has no memory left for the body: send the request again",
+            "Retry-After: 1\r\n");
+    }
+
     void refuse(int status, std::string_view reason)
     {
         ++m_ingress.m_counters.malformed;
+        sendRefusal(status, reason, {});
+    }
+
+    void sendRefusal(int status, std::string_view reason, std::string_view lines)
+    {
         std::string out = startLine(status);
         appendField(out, "Content-Type", "text/plain");
         appendField(out, "Content-Length", std::to_string(reason.size() + 1));
         appendField(out, "Connection", "close");
+        out += lines;
         out += "\r\n";
         out += reason;
         out += "\n";
@@ -293,6 +326,19 @@
         enterState(State::Discarding);
     }
 
+    void writeCounted(std::string_view bytes)
+    {
+        m_stream->write(bytes);
+        countBuffered();
+    }
+
+    void countBuffered()
+    {
+        std::size_t bytes = m_bodyBytes + m_pipelinedInput.size() + m_stream->pendingBytes();
+        m_ingress.m_bufferedBytes += bytes - m_countedBytes;
+        m_countedBytes = bytes;
+    }
+
     void enterState(State state)
     {
         m_state = state;
@@ -316,6 +362,10 @@
         if (m_state == State::Answering)
             --m_ingress.m_inProgress;
         m_state = State::Closed;
+        m_body = {};
+        m_pipelinedInput = {};
+        m_bodyBytes = 0;
+        countBuffered();
         m_stream->pauseReading();
         m_ingress.remove(*this);
     }
@@ -332,7 +382,10 @@
     std::string m_body;
     std::string m_pipelinedInput; // buffered bytes of later requests
     CallerEvents* m_events = nullptr;
+    std::size_t m_bodyBytes = 0; // of the request that is being read or answered
+    std::size_t m_countedBytes = 0; // of this connection's buffers, in the sum of all connections
     bool m_bodyTooLarge = false;
+    bool m_overloaded = false; // the buffers of all connections were full while the body arrived
     bool m_keepAlive = true;
     bool m_closeAfter = false;
     bool m_chunked = false;
@@ -410,6 +463,26 @@
         auto& current = **connection++;
         current.checkTimeouts(now);
     }
+    closeLargest();
+}
+
+// Unsent output grows without a look at the sum, because an answer is written as it comes. Each connection
+// holds little of it, so the largest are few.
+void Ingress::closeLargest()
+{
+    while (m_bufferedBytes > m_limits.maxBufferedBytes) {
+        auto largest = std::max_element(m_connections.begin(), m_connections.end(),
+            [](const auto& left, const auto& right) { return left->m_countedBytes < right->m_countedBytes; });
+        if (largest == m_connections.end() || (*largest)->m_countedBytes == 0)
+            return;
+        ++m_counters.overloaded;
+        LogLine(LogLevel::Warning, "connection", "buffers-full")
+            .field("action", "closed")
+            .field("bytes", (*largest)->m_countedBytes);
+        IngressConnection& connection = **largest;
+        m_bufferedBytes -= std::exchange(connection.m_countedBytes, 0);
+        connection.handleDisconnect();
+    }
 }
 
 } // namespace briarwharf
--- a/connection/ingress.h
+++ b/connection/ingress.h
@@ -22,6 +22,8 @@
     Milliseconds headTimeout { 5000 }; // from the first byte of a request to the end of its head
     Milliseconds idleTimeout { 75000 }; // for a connection between two requests
     std::size_t maxConnections = 3000; // further connections are closed at once
+    // Bodies of requests, pipelined input and unsent output of all connections together.
+    std::size_t maxBufferedBytes = 48 * 1024 * 1024;
 };
 
 struct IngressRequest {
@@ -106,6 +108,7 @@
     std::uint64_t refused = 0; // connections over maxConnections, closed at once
     std::uint64_t requests = 0;
     std::uint64_t malformed = 0; // answered with 400, 408, 413 or 431 here
+    std::uint64_t overloaded = 0; // refused or closed because the buffers of all connections were full
     std::uint64_t abandoned = 0; // requests whose connection ended before their answer
 };
 
@@ -142,6 +145,7 @@
 
     std::size_t connections() const { return m_connections.size(); }
     std::size_t requestsInProgress() const { return m_inProgress; }
+    std::size_t bufferedBytes() const { return m_bufferedBytes; }
     const IngressCounters& counters() const { return m_counters; }
 
 private:
@@ -152,6 +156,7 @@
     void remove(IngressConnection&);
     void runDeferred();
     void checkTimeouts();
+    void closeLargest();
 
     event_base* m_base;
     IngressLimits m_limits;
@@ -164,6 +169,7 @@
     Timer m_deferredTimer;
     Ticker m_timeoutTicker;
     std::size_t m_inProgress = 0;
+    std::size_t m_bufferedBytes = 0; // of all connections
     bool m_closing = false;
 };
 
--- a/connection/testing/ingress_test.cc
+++ b/connection/testing/ingress_test.cc
@@ -1,6 +1,9 @@
 #include "connection/connection.h"
 #include "connection/testing/loop.h"
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <memory>
+#include <vector>
 
 using namespace briarwharf;
 
@@ -42,3 +45,96 @@
     CHECK(answer.complete);
     CHECK(answer.bodyBytes == bodyBytes);
 }
+
+namespace {
+
+// A caller that sends what the test gives it, and counts what it reads.
+class RawCaller : public TcpStreamEvents {
+public:
+    RawCaller(event_base* base, std::uint16_t port, std::string_view bytes)
+    {
+        auto stream = TcpStream::connect(base, "127.0.0.1", port, {}, *this);
+        REQUIRE(stream);
+        m_stream = std::move(stream.value());
+        m_stream->write(bytes);
+    }
+
+    void streamConnected() override
+    {
+        if (stopReading)
+            m_stream->pauseReading();
+    }
+    void streamReceived(std::string_view bytes) override { received += bytes; }
+    void streamEnded() override { ended = true; }
+    void streamFailed(std::string_view) override { ended = true; }
+
+    std::string received;
+    bool ended = false;
+    bool stopReading = false;
+
+private:
+    std::unique_ptr<TcpStream> m_stream;
+};
+
+constexpr std::size_t mebibyte = std::size_t { 1024 } * 1024;
+
+} // namespace
+
+// Guards against an instance that runs out of memory because many callers send large bodies at once.
+TEST_CASE("bodies of all requests together stay within a bound; a request over it is refused at once")
+{
+    constexpr int callers = 12;
+    IngressLimits limits;
+    limits.maxBufferedBytes = 8 * mebibyte;
+    Base base = makeBase();
+    Ingress ingress(base.get(), limits,
+        [](const IngressRequest&, CallerExchange& caller) { caller.answer(200, "", "ok"); });
+    auto port = ingress.listen({ "127.0.0.1", 0 });
+    REQUIRE(port);
+    std::string unfinished = "POST / HTTP/1.1\r\nHost: test\r\nContent-Length: "
+        + std::to_string(2 * mebibyte) + "\r\n\r\n" + std::string(mebibyte, 'x');
+    std::vector<std::unique_ptr<RawCaller>> sending;
+    while (sending.size() < callers)
+        sending.push_back(std::make_unique<RawCaller>(base.get(), port.value(), unfinished));
+    auto refused = [&] {
+        return std::count_if(sending.begin(), sending.end(),
+            [](const auto& caller) { return caller->received.rfind("HTTP/1.1 503 ", 0) == 0; });
+    };
+    std::size_t most = 0;
+    runUntil(base.get(), [&] {
+        most = std::max(most, ingress.bufferedBytes());
+        return refused() >= callers - 8;
+    });
+    CHECK(most <= limits.maxBufferedBytes);
+    CHECK(ingress.counters().overloaded >= callers - 8);
+    RawCaller sound(base.get(), port.value(), "GET / HTTP/1.1\r\nHost: test\r\n\r\n");
+    runUntil(base.get(), [&] { return !sound.received.empty(); });
+    CHECK(sound.received.rfind("HTTP/1.1 200 ", 0) == 0);
+    sending.clear();
+    runUntil(base.get(), [&] { return ingress.connections() == 1; });
+    CHECK(ingress.bufferedBytes() == 0);
+}
+
+// Guards against an instance that runs out of memory because many callers do not read their answers.
+TEST_CASE("unsent answers of all connections together fall to the bound within a second")
+{
+    constexpr std::size_t callers = 4;
+    IngressLimits limits;
+    limits.maxBufferedBytes = 8 * mebibyte;
+    Base base = makeBase();
+    Ingress ingress(base.get(), limits, [](const IngressRequest&, CallerExchange& caller) {
+        caller.answer(200, "", std::string(16 * mebibyte, 'x'));
+    });
+    auto port = ingress.listen({ "127.0.0.1", 0 });
+    REQUIRE(port);
+    std::vector<std::unique_ptr<RawCaller>> silent;
+    while (silent.size() < callers) {
+        silent.push_back(
+            std::make_unique<RawCaller>(base.get(), port.value(), "GET / HTTP/1.1\r\nHost: test\r\n\r\n"));
+        silent.back()->stopReading = true;
+    }
+    runUntil(base.get(), [&] { return ingress.counters().requests == callers; });
+    CHECK(ingress.bufferedBytes() > limits.maxBufferedBytes);
+    runUntil(base.get(), [&] { return ingress.bufferedBytes() <= limits.maxBufferedBytes; });
+    CHECK(ingress.counters().overloaded > 0);
+}
