Log the signal and a backtrace of a process that ends by itself

A process that a fatal signal ended wrote nothing, and the lines of its last 100 ms stayed in the buffer of the log's sink, so that the logs of the incident cannot say where it ended. SIGSEGV, SIGBUS, SIGILL, SIGFPE and SIGABRT (and so uncaught exceptions) now write the buffered lines and one line process/crashed with the signal, the fault address or the sender, the version and a backtrace as module and offset for addr2line. The handler runs on a stack of its own, so that a stack overflow is told too, uses only what is safe in a handler, waits at most 200 ms for a reader of the log, and lets the process end by the same signal. The address sanitizer keeps its own handlers.

Tests fork processes and check line and wait status.

--- a/base/base.h
+++ b/base/base.h
@@ -1,7 +1,7 @@
 #pragma once
 
 // The public header of the base library: errors, time, parsing of numbers, endpoints, hashing, compression,
-// random numbers, logging and JSON access.
+// random numbers, logging, crash reports and JSON access.
 //
 //   Result<Port> parsePort(std::string_view text)
 //   {
@@ -11,6 +11,7 @@
 //   }
 
 #include "base/compression.h"
+#include "base/crashreport.h"
 #include "base/endpoint.h"
 #include "base/error.h"
 #include "base/hash.h"
--- a/base/log.cc
+++ b/base/log.cc
@@ -46,6 +46,7 @@
 
         void setFlush(LogFlush flush) { m_flush = flush; }
         std::uint64_t dropped() const { return m_dropped; }
+        std::string_view buffered() const { return m_buffer; }
         void countDropped() { ++m_dropped; }
         void writeBuffered()
         {
@@ -192,6 +193,8 @@
     state.sink->writeBuffered();
 }
 
+std::string_view bufferedLogLines() { return logging().sink->buffered(); }
+
 std::uint64_t droppedLogLines() { return logging().sink->dropped(); }
 
 LogLine::LogLine(LogLevel level, std::string_view part, std::string_view event)
--- a/base/log.h
+++ b/base/log.h
@@ -42,6 +42,9 @@
 // Writes as much of the buffered lines as standard output accepts without blocking.
 void flushLogs();
 
+// The lines that wait to be written. Allocates nothing; for the handler of a signal that ends the process.
+std::string_view bufferedLogLines();
+
 // Number of lines dropped because their kind exceeded its rate limit or standard output was not read.
 std::uint64_t droppedLogLines();
 
