Close no further connections for the bytes of one that is closed

Callers would see: sound answers cut when one caller that does not read fills the buffers of an instance.

Cause: the bytes of a closed connection were taken off the sum and then counted again by its close, so that the sum stayed over its bound and the connection with the next most bytes was closed, until none was left. Found by reading before its merge.

Change: a closed connection no longer counts. The case "only the connections with the most unsent bytes are closed for the bound" guards it.

--- a/connection/ingress.cc
+++ b/connection/ingress.cc
@@ -332,8 +332,11 @@
         countBuffered();
     }
 
+    // The buffers of a closed connection are freed with it, from the loop, and no longer counted.
     void countBuffered()
     {
+        if (m_state == State::Closed)
+            return;
         std::size_t bytes = m_bodyBytes + m_pipelinedInput.size() + m_stream->pendingBytes();
         m_ingress.m_bufferedBytes += bytes - m_countedBytes;
         m_countedBytes = bytes;
@@ -364,8 +367,7 @@
         m_state = State::Closed;
         m_body = {};
         m_pipelinedInput = {};
-        m_bodyBytes = 0;
-        countBuffered();
+        m_ingress.m_bufferedBytes -= std::exchange(m_countedBytes, 0);
         m_stream->pauseReading();
         m_ingress.remove(*this);
     }
@@ -479,9 +481,7 @@
         LogLine(LogLevel::Warning, "connection", "buffers-full")
             .field("action", "closed")
             .field("bytes", (*largest)->m_countedBytes);
-        IngressConnection& connection = **largest;
-        m_bufferedBytes -= std::exchange(connection.m_countedBytes, 0);
-        connection.handleDisconnect();
+        (*largest)->handleDisconnect();
     }
 }
 
--- a/connection/testing/ingress_test.cc
+++ b/connection/testing/ingress_test.cc
@@ -138,3 +138,33 @@
     runUntil(base.get(), [&] { return ingress.bufferedBytes() <= limits.maxBufferedBytes; });
     CHECK(ingress.counters().overloaded > 0);
 }
+
+// Guards against the loss of sound callers' answers when a few callers that do not read fill the buffers: the
+// bytes of a closed connection still counted, and further connections were closed for them.
+TEST_CASE("only the connections with the most unsent bytes are closed for the bound")
+{
+    constexpr std::size_t soundCallers = 3;
+    IngressLimits limits;
+    limits.maxBufferedBytes = 24 * mebibyte;
+    Base base = makeBase();
+    Ingress ingress(base.get(), limits, [](const IngressRequest& request, CallerExchange& caller) {
+        bool isLarge = request.head.target == "/large";
+        caller.answer(200, "", std::string((isLarge ? 32 : 6) * mebibyte, 'x'));
+    });
+    auto port = ingress.listen({ "127.0.0.1", 0 });
+    REQUIRE(port);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    auto call = [&](std::string_view target) {
+        std::string request = "GET " + std::string(target) + " HTTP/1.1\r\nHost: test\r\n\r\n";
+        callers.push_back(std::make_unique<RawCaller>(base.get(), port.value(), request));
+        callers.back()->stopReading = true;
+    };
+    call("/large");
+    while (callers.size() <= soundCallers)
+        call("/small");
+    runUntil(base.get(), [&] { return ingress.counters().overloaded > 0; });
+    CHECK(ingress.counters().requests == soundCallers + 1);
+    CHECK(ingress.counters().overloaded == 1);
+    CHECK(ingress.connections() == soundCallers);
+    CHECK(ingress.bufferedBytes() <= limits.maxBufferedBytes);
+}
