Play bad answers, prompts, rough callers and restores in the soak

The end of the log of a process that ended by itself is printed, with the sanitizer's report or the line process/crashed.

--- a/soak/briarwharf_soak_main.cc
+++ b/soak/briarwharf_soak_main.cc
@@ -27,7 +27,8 @@
         options::value(&soakOptions.cycles)->default_value(1),
         "number of cycles; each has a phase of faults and phases without")("instances",
         options::value(&soakOptions.instances)->default_value(3),
-        "number of instances, 2 to 100")("upstreams",
+        "number of instances, 2 to 100")("hostile", options::bool_switch(&soakOptions.hostile),
+        "add upstreams, callers and changes of a worse kind")("upstreams",
         options::value(&soakOptions.upstreams)->default_value(4), "number of upstreams, 1 to 100")("rate",
         options::value(&soakOptions.requestsPerSecond)->default_value(60), "requests per second, 1 to 1000");
     options::variables_map arguments;
--- a/soak/faultproxy.cc
+++ b/soak/faultproxy.cc
@@ -109,16 +109,32 @@
 FaultProxy::FaultProxy(event_base* base, Endpoint target)
     : m_base(base)
     , m_target(std::move(target))
-    , m_listener(std::move(
-          TcpListener::listen(base, "127.0.0.1", 0, [this](int socket) { accept(socket); }).value()))
-    , m_cleanupTicker(base, cleanupInterval,
-          [this] { m_pairs.remove_if([](const auto& pair) { return pair->isDead(); }); })
+    , m_cleanupTicker(base, cleanupInterval, [this] { cleanUp(); })
 {
+    listen();
 }
 
 FaultProxy::~FaultProxy() = default;
 
-void FaultProxy::accept(int socket) { m_pairs.push_back(std::make_unique<Pair>(*this, socket)); }
+// Fails if another program got the port while it was closed; the next call tries again.
+void FaultProxy::listen()
+{
+    auto listener
+        = TcpListener::listen(m_base, "127.0.0.1", m_port, [this](int socket) { connected(socket); });
+    if (!listener)
+        return;
+    m_listener = std::move(listener.value());
+    m_port = m_listener->port();
+}
+
+void FaultProxy::connected(int socket) { m_pairs.push_back(std::make_unique<Pair>(*this, socket)); }
+
+void FaultProxy::cleanUp()
+{
+    m_pairs.remove_if([](const auto& pair) { return pair->isDead(); });
+    if (!m_listener && !m_refusing)
+        listen();
+}
 
 void FaultProxy::cut(Cut cut)
 {
@@ -137,4 +153,18 @@
         pair->reset();
 }
 
+void FaultProxy::refuse()
+{
+    m_refusing = true;
+    m_listener.reset();
+    resetAll();
+}
+
+void FaultProxy::accept()
+{
+    m_refusing = false;
+    if (!m_listener)
+        listen();
+}
+
 } // namespace briarwharf
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -5,6 +5,7 @@
 #include "process/forwardedrequest.h"
 #include <algorithm>
 #include <csignal>
+#include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
 #include <sstream>
@@ -17,6 +18,7 @@
 namespace {
 
     constexpr Milliseconds tickInterval { 50 };
+    constexpr Milliseconds copyInterval { 1500 }; // of the store, to be restored later
     constexpr Milliseconds startTime { 6000 }; // time for all instances to become ready
     constexpr Milliseconds faultPhase { 7000 };
     // From the end of the last fault until requests must succeed again.
@@ -24,19 +26,27 @@
     // From a configuration change until it must be in force at all instances.
     constexpr Milliseconds checkTime { 4000 };
     constexpr Milliseconds probeTime { 3000 };
-    constexpr Milliseconds minFaultGap { 150 }; // between the starts of two faults
-    constexpr int faultGapSpread = 700; // milliseconds; range of the random addition to the gap
-    constexpr int minFaultDuration = 200; // milliseconds; minimum duration of a fault
-    constexpr int faultDurationSpread = 2500; // milliseconds; range of the random addition to it
-    constexpr const char* poolName = "models";
-
-    // Returns a port that is free on all addresses that the test uses. It is below the range from which the
-    // system assigns ports itself.
-    std::uint16_t freePort(event_base* base, Random& random, int addresses)
+    constexpr const char* enginePool = "models";
+    constexpr const char* servicePool = "services"; // in hostile runs
+
+    // In hostile runs, so many of a thousand requests have a prompt that crashes upstreams, leave early, or
+    // read slowly; and so many rough connections come for each thousand requests.
+    constexpr std::uint64_t crashingPerMille = 10;
+    constexpr std::uint64_t leavingPerMille = 40;
+    constexpr std::uint64_t slowPerMille = 20;
+    constexpr std::uint64_t roughPerMille = 60;
+    constexpr std::uint64_t commonSegments = 6;
+    constexpr std::uint64_t crashingSegments = 2; // new ones in each cycle
+
+    constexpr std::size_t maxReportLines = 40; // of the log of a process that ended by itself
+
+    // Returns a port that is free on all addresses that the test uses, and was not returned before. It is
+    // below the range from which the system assigns ports itself.
+    std::uint16_t freePort(event_base* base, Random& random, int addresses, std::set<std::uint16_t>& taken)
     {
         for (;;) {
             auto port = static_cast<std::uint16_t>(10000 + random.below(20000));
-            bool isFree = true;
+            bool isFree = taken.insert(port).second;
             for (int address = 1; address <= addresses && isFree; ++address)
                 isFree = TcpListener::listen(base, "127.0.0." + std::to_string(address), port, [](int) {
                 }).has_value();
@@ -59,25 +69,67 @@
         route.timeout = Milliseconds(6000);
         route.targetLatency = Milliseconds(300);
         route.pauseLimit = Milliseconds(300);
-        route.pools = { { poolName, 1 } };
+        route.pools = { { enginePool, 1 } };
         return route;
     }
 
-} // namespace
+    // The lines at the end of the log, from the sanitizer's report on if there is one.
+    std::vector<std::string> lastLines(const std::string& file)
+    {
+        std::vector<std::string> lines;
+        std::ifstream log(file);
+        for (std::string line; std::getline(log, line);)
+            lines.push_back(line);
+        auto isReport = [](const std::string& line) {
+            return line.find("Sanitizer") != std::string::npos
+                || line.find("runtime error") != std::string::npos
+                || line.find("\"crashed\"") != std::string::npos;
+        };
+        auto begin = std::find_if(lines.begin(), lines.end(), isReport);
+        if (begin == lines.end())
+            begin -= static_cast<std::ptrdiff_t>(std::min<std::size_t>(lines.size(), 3));
+        auto length = std::min<std::ptrdiff_t>(lines.end() - begin, maxReportLines);
+        return { begin, begin + length };
+    }
 
-const std::vector<Soak::Fault>& Soak::faults()
-{
-    static const std::vector<Fault> table { { "kill", &Soak::killInstance },
-        { "pause", &Soak::pauseInstance }, { "terminate", &Soak::terminateInstance },
-        { "hang-up", &Soak::hangUpInstance }, { "reset-upstream", &Soak::resetUpstream },
-        { "delay-upstream", &Soak::delayUpstream }, { "cut-upstream", &Soak::cutUpstream },
-        { "cut-store", &Soak::cutStore }, { "delay-store", &Soak::delayStore },
-        { "stop-store", &Soak::stopStore }, { "silence-store", &Soak::silenceStore },
-        { "lose-answers", &Soak::loseStoreAnswers }, { "refuse-instance", &Soak::refuseInstance },
-        { "drop-history", &Soak::dropStoreHistory }, { "replace-upstream", &Soak::replaceUpstream },
-        { "crash-upstream", &Soak::crashUpstream }, { "change-routing", &Soak::changeRouting } };
-    return table;
-}
+    // Requests of a caller that pipelines, splits them anywhere, and does not care whether they are valid.
+    std::string roughRequests(Random& random, const ForwardingHeaders& headers, const std::string& id)
+    {
+        static const std::vector<std::string> starts { "GET /read/x HTTP/1.1\r\n",
+            "POST /book/x HTTP/1.1\r\n", "POST /chat/x HTTP/1.1\r\n", "GET /ask/x HTTP/1.1\r\n",
+            "GET /nowhere/x HTTP/1.1\r\n", "POST /chat/x HTTP/1.0\r\n", "OPTIONS * HTTP/1.1\r\n",
+            "GET /read/x HTTP/1.1\r\nConnection: close\r\n", "CONNECT read:1 HTTP/1.1\r\n" };
+        static const std::vector<std::string> tokens { "1300,200", "0,0", "-5,7", "9223372036854775807,1",
+            "9223372036854775807,9223372036854775807", ",", "1e9,x" };
+        static const std::vector<std::string> segments { "5e60:500,1:200", "1:9223372036854775807,2:1",
+            "ffffffffffffffff:0", "1:1,1:1,1:1,2:9", ":",
+            "5e61:9223372036854775807,5e61:9223372036854775807,3:1" };
+        static const std::vector<std::string> bodies { "Content-Length: 0\r\n\r\n",
+            "Content-Length: 5\r\n\r\nhello", "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+            "Expect: 100-continue\r\nContent-Length: 3\r\n\r\nabc", "\r\n", "Content-Length: 900000\r\n\r\nx",
+            "Content-Length: x\r\n\r\n" };
+        auto any = [&random](const std::vector<std::string>& choices) -> const std::string& {
+            return choices[random.below(choices.size())];
+        };
+        std::string bytes;
+        std::uint64_t count = 1 + random.below(8);
+        for (std::uint64_t number = 0; number < count; ++number) {
+            bytes += any(starts);
+            appendField(bytes, "Host", "soak.example");
+            appendField(bytes, headers.requestId, id + "-" + std::to_string(number));
+            appendField(bytes, headers.key, "key-1");
+            appendField(bytes, headers.deadline, random.chance(0.9) ? "3000" : "1e300");
+            appendField(bytes, headers.tokens, any(tokens));
+            appendField(bytes, headers.outputHint, random.chance(0.8) ? "50" : "1e300");
+            appendField(bytes, headers.promptSegments, any(segments));
+            if (random.chance(0.1))
+                appendField(bytes, headers.lastEvent, "18446744073709551615");
+            bytes += random.chance(0.8) ? bodies[random.below(3)] : any(bodies);
+        }
+        return bytes;
+    }
+
+} // namespace
 
 Soak::Soak(event_base* base, SoakOptions options)
     : m_base(base)
@@ -95,15 +147,17 @@
             report("a request reached " + upstream
                 + " although its drain should have been in force at all instances");
     };
+    m_runs.onCrash = [this](const std::string& upstream) { crashByPrompt(upstream); };
     for (int number = 0; number < m_options.upstreams; ++number)
         addUpstream();
     Random ports(randomSeed());
-    std::uint16_t peerPort = freePort(base, ports, m_options.instances);
+    std::set<std::uint16_t> taken;
+    std::uint16_t peerPort = freePort(base, ports, m_options.instances, taken);
     for (int number = 1; number <= m_options.instances; ++number) {
         auto instance = std::make_unique<Instance>();
         instance->number = number;
-        instance->callers = { "127.0.0.1", freePort(base, ports, 1) };
-        instance->admin = { "127.0.0.1", freePort(base, ports, 1) };
+        instance->callers = { "127.0.0.1", freePort(base, ports, 1, taken) };
+        instance->admin = { "127.0.0.1", freePort(base, ports, 1, taken) };
         instance->peers = { "127.0.0." + std::to_string(number), peerPort };
         Endpoint store = m_store.listen().value();
         instance->storePort = store.port;
@@ -163,6 +217,9 @@
     instance.paused = false;
     pid_t pid = fork();
     if (pid == 0) {
+        // For daemons with sanitizers. libevhtp never frees its parser tables, so leaks are not looked for.
+        setenv("ASAN_OPTIONS", "detect_leaks=0:abort_on_error=1", 0);
+        setenv("UBSAN_OPTIONS", "halt_on_error=1:print_stacktrace=1", 0);
         int log = open(instance.log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(log, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
@@ -178,6 +235,9 @@
     std::string id = "i-" + std::to_string(++m_upstreamCount);
     upstream->server = std::make_unique<SoakUpstream>(m_base, id, m_headers, m_runs, m_random.next());
     upstream->proxy = std::make_unique<FaultProxy>(m_base, upstream->server->endpoint());
+    bool isService = m_options.hostile && m_upstreamCount % 3 == 0;
+    upstream->pool = isService ? servicePool : enginePool;
+    upstream->started = m_upstreamCount;
     registerUpstream(*upstream);
     m_upstreams.push_back(std::move(upstream));
 }
@@ -185,11 +245,12 @@
 void Soak::registerUpstream(const Upstream& upstream)
 {
     UpstreamEntry entry;
-    entry.pool = poolName;
+    entry.pool = upstream.pool;
     entry.endpoint = upstream.proxy->endpoint();
     entry.failureDomain = "a";
     entry.slots = 8;
     entry.draining = upstream.draining;
+    entry.started = m_options.hostile ? upstream.started : 0;
     m_store.put("servers", upstream.server->id(), platform::encodeUpstream(entry));
 }
 
@@ -202,16 +263,50 @@
         routeFor("/book/", RouteKind::AtMostOnce, false, 2), routeFor("/chat/", RouteKind::Stream, true, 2),
         routeFor("/ask/", RouteKind::Stream, false, 1),
         routeFor("/only-" + std::to_string(m_version) + "/", RouteKind::Repeatable, false, 2) };
-    config.pools = { { poolName, 200, std::nullopt } };
+    config.pools = { { enginePool, 200, std::nullopt } };
     config.organisations = { { "org", { "key-1" }, std::nullopt } };
     config.keysRequired = true;
+    if (m_options.hostile)
+        varyRouting(config);
     m_store.put("config", "main", platform::encodeRouting(config));
 }
 
+// Prompts go to engines and calls to services. While faults are injected, each version differs from the one
+// before in what requests in progress depend on.
+void Soak::varyRouting(RoutingConfig& config)
+{
+    config.pools[0].engine = EngineTraits { 64, 500000 };
+    config.pools.push_back({ servicePool, 100, std::nullopt });
+    config.routes[0].pools = config.routes[1].pools = { { servicePool, 1 } };
+    if (m_phase != Phase::Faults)
+        return;
+    if (m_faults.chance(0.3))
+        config.routes[0].pools = { { servicePool, 0.7 }, { enginePool, 0.3 } };
+    if (m_faults.chance(0.2))
+        config.pools[0].engine.reset();
+    if (m_faults.chance(0.2))
+        config.pools.pop_back();
+    config.pools[0].maxConnections = m_faults.chance(0.3) ? 20 : 200;
+    config.routes[2].maxAttempts = 1 + static_cast<int>(m_faults.below(4));
+    config.routes[3].priority = static_cast<int>(m_faults.below(5));
+    config.limits.idleTimeout = Milliseconds(200 + m_faults.below(5000));
+    config.limits.maxBodyBytes = 1024 << m_faults.below(10);
+    std::string filler(m_faults.below(200), 'x');
+    config.organisations.push_back({ "org-" + filler, { "key-" + filler }, 1 });
+}
+
 void Soak::tick()
 {
     MonotonicTime now = clockNow();
     reapProcesses();
+    if (m_phase == Phase::Faults && now - m_lastCopy > copyInterval) {
+        m_lastCopy = now;
+        m_olderCopy = std::exchange(m_newerCopy, m_store.copy());
+    }
+    if (m_quickVersions > 0) {
+        --m_quickVersions;
+        publishRouting();
+    }
     for (std::size_t index = 0; index < m_activeFaults.size();) {
         if (now < m_activeFaults[index].endsAt) {
             ++index;
@@ -259,27 +354,6 @@
     }
 }
 
-void Soak::injectFault()
-{
-    const Fault& fault = faults()[m_faults.below(faults().size())];
-    ++m_counts[fault.name];
-    (this->*fault.apply)();
-    m_nextFault = clockNow() + minFaultGap + Milliseconds(m_faults.below(faultGapSpread));
-}
-
-void Soak::scheduleFaultEnd(std::function<void()> endFault)
-{
-    Milliseconds duration(minFaultDuration + static_cast<int>(m_faults.below(faultDurationSpread)));
-    m_activeFaults.push_back({ clockNow() + duration, std::move(endFault) });
-}
-
-void Soak::endAllFaults()
-{
-    for (auto& activeFault : std::exchange(m_activeFaults, {}))
-        activeFault.endFault();
-    m_store.faults() = {};
-}
-
 void Soak::reapProcesses()
 {
     for (auto& instance : m_instances) {
@@ -287,132 +361,52 @@
         if (instance->pid <= 0 || waitpid(instance->pid, &status, WNOHANG) != instance->pid)
             continue;
         if (!instance->expectedToEnd)
-            report("entry-" + std::to_string(instance->number) + " ended unexpectedly with wait status "
-                + std::to_string(status));
+            reportEnd(*instance, status);
         startProcess(*instance);
     }
 }
 
-Soak::Instance& Soak::randomInstance() { return *m_instances[m_faults.below(m_instances.size())]; }
-Soak::Upstream& Soak::randomUpstream() { return *m_upstreams[m_faults.below(m_upstreams.size())]; }
-
-void Soak::killInstance()
-{
-    Instance& instance = randomInstance();
-    instance.expectedToEnd = true;
-    kill(instance.pid, SIGKILL);
-}
-
-void Soak::pauseInstance()
+void Soak::reportEnd(const Instance& instance, int status)
 {
-    Instance& instance = randomInstance();
-    if (std::exchange(instance.paused, true))
-        return;
-    pid_t pid = instance.pid;
-    kill(pid, SIGSTOP);
-    scheduleFaultEnd([&instance, pid] {
-        instance.paused = false;
-        if (instance.pid == pid)
-            kill(pid, SIGCONT);
-    });
+    std::string problem = "entry-" + std::to_string(instance.number) + " ended unexpectedly with wait status "
+        + std::to_string(status);
+    for (const std::string& line : lastLines(instance.log))
+        problem += "\n    " + line;
+    report(problem);
 }
 
-void Soak::terminateInstance()
+CallerManner Soak::chooseManner(bool stream)
 {
-    Instance& instance = randomInstance();
-    instance.expectedToEnd = true;
-    kill(instance.pid, SIGTERM);
-}
-
-void Soak::hangUpInstance()
-{
-    Instance& instance = randomInstance();
-    writeSettings(instance);
-    kill(instance.pid, SIGHUP);
-}
-
-void Soak::resetUpstream() { randomUpstream().proxy->resetAll(); }
-
-void Soak::delayUpstream()
-{
-    FaultProxy* proxy = randomUpstream().proxy.get();
-    proxy->setDelay(Milliseconds(20 + m_faults.below(300)));
-    scheduleFaultEnd([proxy] { proxy->setDelay(Milliseconds(0)); });
-}
-
-void Soak::cutUpstream()
-{
-    FaultProxy* proxy = randomUpstream().proxy.get();
-    proxy->cut(static_cast<FaultProxy::Cut>(1 + m_faults.below(3)));
-    scheduleFaultEnd([proxy] { proxy->cut(FaultProxy::Cut::None); });
-}
-
-void Soak::cutStore()
-{
-    FaultProxy* proxy = randomInstance().store.get();
-    proxy->cut(static_cast<FaultProxy::Cut>(1 + m_faults.below(3)));
-    scheduleFaultEnd([proxy] { proxy->cut(FaultProxy::Cut::None); });
-}
-
-void Soak::delayStore()
-{
-    m_store.faults().delay = Milliseconds(m_faults.below(400));
-    scheduleFaultEnd([this] { m_store.faults().delay = Milliseconds(0); });
-}
-
-void Soak::stopStore()
-{
-    m_store.faults().down = true;
-    scheduleFaultEnd([this] { m_store.faults().down = false; });
-}
-
-void Soak::silenceStore()
-{
-    m_store.faults().silent = true;
-    scheduleFaultEnd([this] { m_store.faults().silent = false; });
-}
-
-void Soak::loseStoreAnswers() { m_store.faults().lostAnswers = 1 + static_cast<int>(m_faults.below(3)); }
-
-void Soak::refuseInstance()
-{
-    Instance& instance = randomInstance();
-    instance.store->resetAll();
-    m_store.faults().refusedPorts.insert(instance.storePort);
-    scheduleFaultEnd([this] { m_store.faults().refusedPorts.clear(); });
-}
-
-void Soak::dropStoreHistory() { m_store.dropHistory(); }
-
-// Registers a new upstream, then sets the oldest one to draining. The old one still serves the requests that
-// it gets.
-void Soak::replaceUpstream()
-{
-    addUpstream();
-    auto leaving = std::move(m_upstreams.front());
-    m_upstreams.erase(m_upstreams.begin());
-    leaving->draining = true;
-    leaving->proxy->cut(FaultProxy::Cut::None);
-    registerUpstream(*leaving);
-    m_retired.push_back(std::move(leaving));
+    CallerManner manner;
+    if (!m_options.hostile)
+        return manner;
+    std::string own = printHex(hash64(std::to_string(m_requestCount)) >> 8);
+    bool faults = m_phase == Phase::Faults;
+    if (stream) {
+        std::uint64_t shared = 0x5e60 + m_random.below(commonSegments);
+        if (faults && m_random.below(1000) < crashingPerMille)
+            shared = SoakUpstream::firstCrashingSegment
+                + static_cast<std::uint64_t>(m_cycle) * crashingSegments + m_random.below(crashingSegments);
+        manner.segments = printHex(shared) + ":500," + own + ":200";
+        manner.tokens = "700,60";
+    }
+    if (faults && m_random.below(1000) < leavingPerMille)
+        manner.leavesAfter = Milliseconds(1 + m_random.below(400));
+    if (faults && m_random.below(1000) < slowPerMille)
+        manner.readPause = Milliseconds(200 + m_random.below(1500));
+    return manner;
 }
 
-// Resets the upstream's connections, lets new ones hang and removes its entry from the store, as if the entry
-// had lapsed. The upstream registers again when the fault ends.
-void Soak::crashUpstream()
+// Connects to an instance like no decent caller.
+void Soak::startRoughCaller(const Instance& instance)
 {
-    Upstream* upstream = &randomUpstream();
-    upstream->proxy->resetAll();
-    upstream->proxy->cut(FaultProxy::Cut::Both);
-    m_store.remove("servers", upstream->server->id());
-    scheduleFaultEnd([this, upstream] {
-        upstream->proxy->cut(FaultProxy::Cut::None);
-        registerUpstream(*upstream);
-    });
+    m_roughCallers.remove_if([](const auto& caller) { return caller->isDone(); });
+    std::string id = "w" + std::to_string(m_options.seed) + "-" + std::to_string(++m_requestCount);
+    m_roughCallers.push_back(std::make_unique<RoughCaller>(
+        m_base, instance.callers, roughRequests(m_random, m_headers, id), m_random.next()));
+    ++m_counts["rough-callers"];
 }
 
-void Soak::changeRouting() { publishRouting(); }
-
 void Soak::sendRequest()
 {
     if (m_phase == Phase::Starting)
@@ -428,8 +422,11 @@
     if (answer.atMostOnce)
         m_atMostOnce.insert(answer.requestId);
     Instance& instance = *m_instances[m_random.below(m_instances.size())];
+    CallerManner manner = chooseManner(answer.stream);
     m_callers.push_back(std::make_unique<SoakCaller>(m_base, m_pool, instance.callers, m_headers, answer,
-        [this](const SoakAnswer& done) { handleAnswer(done); }));
+        manner, [this](const SoakAnswer& done) { handleAnswer(done); }));
+    if (m_options.hostile && m_phase == Phase::Faults && m_random.below(1000) < roughPerMille)
+        startRoughCaller(instance);
 }
 
 void Soak::handleAnswer(const SoakAnswer& answer)
@@ -498,7 +495,7 @@
     answer.target = target;
     int number = instance.number;
     m_callers.push_back(std::make_unique<SoakCaller>(m_base, m_pool, instance.callers, m_headers, answer,
-        [this, number, expectedStatus](const SoakAnswer& done) {
+        CallerManner {}, [this, number, expectedStatus](const SoakAnswer& done) {
             if (done.status != expectedStatus)
                 report("entry-" + std::to_string(number) + " answered " + done.target + " with "
                     + std::to_string(done.status) + " instead of " + std::to_string(expectedStatus));
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -2,8 +2,10 @@
 
 #include "platform/testing/standinstore.h"
 #include "soak/faultproxy.h"
+#include "soak/roughcaller.h"
 #include "soak/soakcaller.h"
 #include "soak/soakupstream.h"
+#include "version/version.h"
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -24,6 +26,9 @@
     int instances = 3;
     int upstreams = 4;
     int requestsPerSecond = 60;
+    // Adds upstreams that answer badly, crash on prompts and state limits, callers that pipeline, leave and
+    // read slowly, quick changes of the configuration, a store that is restored from an older copy, and more.
+    bool hostile = false;
 };
 
 // A randomized soak test. The daemons run as processes of their own; the stand-ins of the store and the
@@ -61,7 +66,10 @@
     struct Upstream {
         std::unique_ptr<SoakUpstream> server;
         std::unique_ptr<FaultProxy> proxy;
+        std::string pool;
+        std::int64_t started = 0; // of its present process
         bool draining = false;
+        bool stopped = false; // its process has ended, and the next has not started
     };
     struct Fault {
         const char* name;
@@ -72,19 +80,25 @@
         std::function<void()> endFault;
     };
 
-    static const std::vector<Fault>& faults();
+    static constexpr std::int64_t startedStep = 1000; // between the starts of an upstream's processes
+
+    const std::vector<Fault>& faults() const;
 
     void startProcess(Instance&);
     void writeSettings(const Instance&) const;
     void addUpstream();
     void registerUpstream(const Upstream&);
     void publishRouting();
+    void varyRouting(RoutingConfig&);
     void tick();
     void advancePhase(MonotonicTime now);
     void injectFault();
     void endAllFaults();
     void scheduleFaultEnd(std::function<void()>);
     void reapProcesses();
+    void reportEnd(const Instance&, int status);
+    CallerManner chooseManner(bool stream);
+    void startRoughCaller(const Instance&);
     void sendRequest();
     void handleAnswer(const SoakAnswer&);
     void checkAnswer(const SoakAnswer&);
@@ -112,6 +126,22 @@
     void replaceUpstream();
     void crashUpstream();
     void changeRouting();
+    void pauseSeveral();
+    void terminateSeries();
+    void hangUpAll();
+    void restoreStore();
+    void changeRoutingQuickly();
+    void setBadShare(Upstream&, double share);
+    void failUpstream();
+    void failAllUpstreams();
+    void limitUpstream();
+    void leaveUpstream();
+    void stopUpstream(Upstream&, bool underNewId);
+    void restartUpstream();
+    void renameUpstream();
+    void crashByPrompt(const std::string& id);
+    void addOddEntry();
+    void removeEntry(const std::string& name);
 
     enum class Phase { Starting, Faults, Settling, Checking, Probing, Done };
 
@@ -127,6 +157,12 @@
     std::vector<std::unique_ptr<Upstream>> m_upstreams;
     std::vector<std::unique_ptr<Upstream>> m_retired; // draining; they still serve their requests in progress
     std::list<std::unique_ptr<SoakCaller>> m_callers;
+    std::list<std::unique_ptr<RoughCaller>> m_roughCallers;
+    std::shared_ptr<const platform::StandinStore::Copy> m_newerCopy; // of the store
+    std::shared_ptr<const platform::StandinStore::Copy> m_olderCopy;
+    MonotonicTime m_lastCopy;
+    std::set<std::string> m_removedEntries; // of the list of upstreams, for good
+    int m_quickVersions = 0; // still to be published, one a tick
     std::vector<ActiveFault> m_activeFaults;
     // Requests refused as not run. No upstream may run them, even later.
     std::map<std::string, SoakAnswer> m_reportedNotRun;
