Free output that was sent although more is waiting

Operators would see: a process that runs out of memory because some callers read a little more slowly than their upstreams send, although less than 256 KiB wait for each.

Cause: the sent part of a connection's output was freed only when all of it was sent.

Change: the sent part is erased once it is 64 KiB and as large as the rest, so that it costs linear time.

--- a/connection/tcpstream.cc
+++ b/connection/tcpstream.cc
@@ -19,6 +19,9 @@
     constexpr int listenBacklog = 1024;
     constexpr int acceptsPerWakeup = 64;
 
+    // Sent output is freed in pieces of at least this size, and only if no more than that must be moved.
+    constexpr std::size_t minFreedOutputBytes = 64 * 1024;
+
     // Unanswered keep-alive probes after which the system closes the connection.
     constexpr int maxUnansweredProbes = 2;
 
@@ -215,6 +218,7 @@
         return fail(errno);
     m_outputSent += sent < 0 ? 0 : static_cast<std::size_t>(sent);
     if (pendingBytes() > 0) {
+        freeSentOutput();
         event_add(m_writeEvent.get(), nullptr);
         return;
     }
@@ -224,6 +228,15 @@
     m_events.streamDrained();
 }
 
+// A reader that is never quite done would otherwise let the sent part grow without bound.
+void TcpStream::freeSentOutput()
+{
+    if (m_outputSent < minFreedOutputBytes || m_outputSent < pendingBytes())
+        return;
+    m_output.erase(0, m_outputSent);
+    m_outputSent = 0;
+}
+
 void TcpStream::fail(int error)
 {
     m_refused = error == ECONNREFUSED;
--- a/connection/tcpstream.h
+++ b/connection/tcpstream.h
@@ -62,6 +62,8 @@
 
     // Output bytes buffered in memory because the socket has not accepted them yet.
     std::size_t pendingBytes() const { return m_output.size() - m_outputSent; }
+    // The same with output that was sent and is still in memory.
+    std::size_t heldOutputBytes() const { return m_output.size(); }
     bool isConnected() const { return !m_connecting; }
     // In streamFailed(): whether nothing listens at the address.
     bool wasRefused() const { return m_refused; }
@@ -84,6 +86,7 @@
     void readInput();
     void finishConnecting(bool timedOut);
     void flushOutput();
+    void freeSentOutput();
     void fail(int error);
     void failLater(int error);
 
