Close the connections that hold the most unsent output, by its present size

Callers would see: a request with a large body cut while it is answered, because its body counted, or an answer that is being read cut, because it counted with its first size, when the buffers of all callers are full.

Change: each connection's bytes are counted anew before the choice, and the choice goes by what a close frees: unsent output and pipelined input.

--- a/connection/ingress.cc
+++ b/connection/ingress.cc
@@ -332,12 +332,15 @@
         countBuffered();
     }
 
+    // Freed by closing the connection. The body is not: its request may go on without the caller.
+    std::size_t closableBytes() const { return m_pipelinedInput.size() + m_stream->pendingBytes(); }
+
     // The buffers of a closed connection are freed with it, from the loop, and no longer counted.
     void countBuffered()
     {
         if (m_state == State::Closed)
             return;
-        std::size_t bytes = m_bodyBytes + m_pipelinedInput.size() + m_stream->pendingBytes();
+        std::size_t bytes = m_bodyBytes + closableBytes();
         m_ingress.m_bufferedBytes += bytes - m_countedBytes;
         m_countedBytes = bytes;
     }
@@ -464,6 +467,7 @@
     for (auto connection = m_connections.begin(); connection != m_connections.end();) {
         auto& current = **connection++;
         current.checkTimeouts(now);
+        current.countBuffered(); // output was sent meanwhile
     }
     closeLargest();
 }
@@ -473,14 +477,16 @@
 void Ingress::closeLargest()
 {
     while (m_bufferedBytes > m_limits.maxBufferedBytes) {
-        auto largest = std::max_element(m_connections.begin(), m_connections.end(),
-            [](const auto& left, const auto& right) { return left->m_countedBytes < right->m_countedBytes; });
-        if (largest == m_connections.end() || (*largest)->m_countedBytes == 0)
+        auto largest = std::max_element(
+            m_connections.begin(), m_connections.end(), [](const auto& left, const auto& right) {
+                return left->closableBytes() < right->closableBytes();
+            });
+        if (largest == m_connections.end() || (*largest)->closableBytes() == 0)
             return;
         ++m_counters.overloaded;
         LogLine(LogLevel::Warning, "connection", "buffers-full")
             .field("action", "closed")
-            .field("bytes", (*largest)->m_countedBytes);
+            .field("bytes", (*largest)->closableBytes());
         (*largest)->handleDisconnect();
     }
 }
--- a/connection/testing/ingress_test.cc
+++ b/connection/testing/ingress_test.cc
@@ -168,3 +168,44 @@
     CHECK(ingress.connections() == soundCallers);
     CHECK(ingress.bufferedBytes() <= limits.maxBufferedBytes);
 }
+
+namespace {
+
+struct IgnoredEvents : TcpStreamEvents {
+    void streamConnected() override { }
+    void streamReceived(std::string_view) override { }
+    void streamEnded() override { }
+    void streamFailed(std::string_view) override { }
+};
+
+} // namespace
+
+// Guards against an instance that runs out of memory because of readers that are a little slower than their
+// upstreams: output that was sent stayed in memory until all was sent.
+TEST_CASE("output that was sent is freed although more is always waiting")
+{
+    constexpr std::size_t pieceBytes = mebibyte;
+    constexpr std::size_t maxPending = 8 * mebibyte;
+    constexpr std::size_t totalBytes = 128 * mebibyte;
+    Base base = makeBase();
+    IgnoredEvents events;
+    std::unique_ptr<TcpStream> writer;
+    auto listener = TcpListener::listen(base.get(), "127.0.0.1", 0,
+        [&](int socket) { writer = TcpStream::adopt(base.get(), socket, {}, events); });
+    REQUIRE(listener);
+    RawCaller reader(base.get(), listener.value()->port(), "x");
+    runUntil(base.get(), [&] { return writer != nullptr; });
+    std::string piece(pieceBytes, 'x');
+    std::size_t written = 0;
+    std::size_t mostHeld = 0;
+    runUntil(base.get(), [&] {
+        while (written < totalBytes && writer->pendingBytes() < maxPending) {
+            writer->write(piece);
+            written += pieceBytes;
+        }
+        mostHeld = std::max(mostHeld, writer->heldOutputBytes());
+        reader.received.clear();
+        return written == totalBytes;
+    });
+    CHECK(mostHeld <= 2 * (maxPending + pieceBytes));
+}
