Take an answer that is forwarded off the sum of unfinished answers

Callers would see: complete answers of other requests replaced by 502 while some dozens of answers over 512 KiB are being forwarded, because these still counted with the size that they had when forwarding began.

Change: the sum is updated when forwarding begins. Without a test of its own: the existing cases read the sum only after the requests have ended.

--- a/process/forwardedanswer.cc
+++ b/process/forwardedanswer.cc
@@ -151,6 +151,7 @@
         return finishBuffered();
     m_mode = AnswerMode::Forwarding;
     std::string buffered = std::exchange(m_buffered, {});
+    countBuffered();
     beginAnswer(buffered);
 }
 
