Keep the upstream that may be tried again while a stream waits

Callers would see: a begun stream that waits until its deadline and is then cut, although the only upstream, which had broken one connection while it paused, takes requests again.

Cause: the search for an upstream consumed the mark of the one that may be tried again, and the wait restored only the list of those tried. Change: both are restored. No test of its own.

--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -175,6 +175,7 @@
     if (!m_mayHaveRun && !m_answerBegun && !endsBeforeShutdown(now))
         return;
     const std::vector<std::string> triedBefore = m_tried;
+    const std::string reachableBefore = m_reachable;
     for (;;) {
         auto upstreams = upstreamsToTry();
         std::vector<UpstreamCandidate> candidates;
@@ -184,6 +185,7 @@
         auto decision = chooseWithinLimits(upstreams, candidates, now);
         if (!decision && mayWait(now)) {
             m_tried = triedBefore; // those without a free connection may have one later
+            m_reachable = reachableBefore;
             m_placeAgainAt = now + placementInterval;
             return;
         }
