Bound the numbers of tokens that callers state

Cause: a hint beyond 64 bits was converted without a check, and numbers of tokens near 64 bits overflowed in sums and products; a negative expected duration let a request be taken during a shutdown that had to be cut.

Change: 0 to 1e9 tokens. Test: "numbers of tokens are bounded" (process_test). Not run on the code before.

--- a/process/forwardheaders.cc
+++ b/process/forwardheaders.cc
@@ -60,6 +60,15 @@
         return segments;
     }
 
+    // Far more than any prompt or answer has. Sums and products of such numbers do not overflow.
+    constexpr std::int64_t maxTokens = 1'000'000'000;
+
+    // 0 for text that is no number.
+    std::int64_t readTokens(std::string_view text)
+    {
+        return std::clamp<std::int64_t>(parseNumber<std::int64_t>(text).value_or(0), 0, maxTokens);
+    }
+
     bool isSetByForwarder(const ForwardingHeaders& headers, std::string_view name)
     {
         return equalHeaderNames(name, headers.key) || equalHeaderNames(name, headers.organisation)
@@ -79,10 +88,11 @@
     if (deadline && *deadline >= 0)
         result.deadline = Milliseconds(static_cast<std::int64_t>(std::min(*deadline, maxDeadlineMs)));
     std::string_view tokens = fields.find(headers.tokens);
-    result.promptTokens = parseNumber<std::int64_t>(takeUntil(tokens, ',')).value_or(0);
-    result.maxOutputTokens = parseNumber<std::int64_t>(tokens).value_or(0);
+    result.promptTokens = readTokens(takeUntil(tokens, ','));
+    result.maxOutputTokens = readTokens(tokens);
+    double hint = parseNumber<double>(fields.find(headers.outputHint)).value_or(0);
     result.outputHint
-        = static_cast<std::int64_t>(parseNumber<double>(fields.find(headers.outputHint)).value_or(0));
+        = hint > 0 ? static_cast<std::int64_t>(std::min(hint, static_cast<double>(maxTokens))) : 0;
     result.segments = parseSegments(fields.find(headers.promptSegments));
     result.lastEvent = parseNumber<std::uint64_t>(fields.find(headers.lastEvent));
     return result;
--- a/process/testing/forwardheaders_test.cc
+++ b/process/testing/forwardheaders_test.cc
@@ -101,3 +101,21 @@
     answer.status = 202;
     CHECK(callerHeaderLines(answer, {}) == "Retry-After: 5\r\n");
 }
+
+// Guards against a caller's numbers that overflow in sums and products, by which requests were taken during a
+// shutdown that had to be cut.
+TEST_CASE("numbers of tokens are bounded")
+{
+    ForwardingHeaders headers;
+    for (const char* number : { "9223372036854775807", "1e300", "-9223372036854775808", "nan", "inf" }) {
+        CAPTURE(number);
+        std::string pair = std::string(number) + "," + number;
+        HttpHead head
+            = headWith({ { "X-Briarwharf-Tokens", pair.c_str() }, { "X-Briarwharf-Output-Hint", number } });
+        CallerFields fields = readCallerFields(head.fields, headers);
+        for (std::int64_t tokens : { fields.promptTokens, fields.maxOutputTokens, fields.outputHint }) {
+            CHECK(tokens >= 0);
+            CHECK(tokens <= 1'000'000'000);
+        }
+    }
+}
