End a crash report that hangs

Cause: the unwinder may wait for a lock of the loader that the interrupted code holds; the process would keep its sockets open and answer nothing. Found by reading, by the review. Change: an alarm of 2 s, whose default action ends the process. No test of its own.

--- a/base/crashreport.cc
+++ b/base/crashreport.cc
@@ -54,6 +54,10 @@
     constexpr std::size_t maxModules = 64;
     constexpr std::size_t maxFrames = 48;
 
+    // Ends the process if the report hangs, for example because the interrupted code holds a lock of the
+    // loader that the unwinder needs.
+    constexpr unsigned reportTimeoutSeconds = 2;
+
     // A reader that accepts nothing for this long does not hold up the end of the process.
     constexpr int outputTimeoutMs = 200;
     constexpr std::size_t maxWriteBytes = 4096; // PIPE_BUF: does not block on a pipe that polls as writable
@@ -194,6 +198,7 @@
     // The line is written in two parts: the unwinder may fail on a damaged stack, and the first part remains.
     void handleFatalSignal(int signal, siginfo_t* info, void* context)
     {
+        alarm(reportTimeoutSeconds);
         bool complete = writeOutput(bufferedLogLines());
         FixedText start;
         start << (complete ? "" : "\n") << R"({"time":")";
@@ -261,6 +266,7 @@
     action.sa_sigaction = &handleFatalSignal;
     action.sa_flags = SA_SIGINFO | SA_ONSTACK | SA_RESETHAND;
     sigfillset(&action.sa_mask);
+    sigdelset(&action.sa_mask, SIGALRM); // its default action ends a report that hangs
     for (const FatalSignal& signal : fatalSignals)
         sigaction(signal.number, &action, nullptr);
     return true;
