Read a pipelined request's bytes in the order in which they arrive

Between the end of an answer and the moment at which the loop parses the pipelined input that waited, bytes that arrive were parsed at once, before that input. A caller that pipelines got 400 for a valid request, or answers in another order than its requests; the timers of one iteration run after its reads, so that a part that arrives while an answer ends is enough. Such bytes are now appended to what waits. A connection with waiting input also counted as idle, and could be closed at a shutdown.

Found by reading for the incident; it frees nothing and is not its cause. The new test fails before (one request malformed) and passes after, with all 60 cases of connection_test.

--- a/connection/ingress.cc
+++ b/connection/ingress.cc
@@ -60,10 +60,11 @@
     IngressConnection(const IngressConnection&) = delete;
     IngressConnection& operator=(const IngressConnection&) = delete;
 
-    // False while a part of the last answer waits to be sent.
+    // False while a part of the last answer waits to be sent, or a pipelined request to be parsed.
     bool isIdle() const
     {
-        return m_state == State::Reading && !m_parser.started() && m_stream->pendingBytes() == 0;
+        return m_state == State::Reading && !m_parser.started() && m_pipelinedInput.empty()
+            && m_stream->pendingBytes() == 0;
     }
 
     // Closes the connection, or answers 408, if the timeout of its state has passed.
@@ -89,7 +90,8 @@
     {
         if (m_state == State::Discarding || m_state == State::Closing)
             return;
-        if (m_state == State::Answering) {
+        // After an answer, input that waited is parsed from the loop, and these bytes follow it.
+        if (m_state == State::Answering || !m_pipelinedInput.empty()) {
             m_pipelinedInput += bytes;
             if (m_pipelinedInput.size() > maxPipelinedBytes)
                 m_stream->pauseReading();
