--- a/connection/testing/ingress_test.cc
+++ b/connection/testing/ingress_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <doctest/doctest.h>
 #include <memory>
+#include <string>
 #include <vector>
 
 using namespace briarwharf;
@@ -59,6 +60,8 @@
         m_stream->write(bytes);
     }
 
+    void write(std::string_view bytes) { m_stream->write(bytes); }
+
     void streamConnected() override
     {
         if (stopReading)
@@ -209,3 +212,30 @@
     });
     CHECK(mostHeld <= 2 * (maxPending + pieceBytes));
 }
+
+// Guards against parsing bytes before those that arrived earlier and wait: a caller got 400 for a valid
+// request, or the answers in another order than its requests.
+TEST_CASE("a pipelined request that arrives in two parts around the end of an answer is read in order")
+{
+    Base base = makeBase();
+    std::vector<std::string> targets;
+    CallerExchange* waiting = nullptr;
+    Ingress ingress(base.get(), {}, [&](const IngressRequest& request, CallerExchange& caller) {
+        targets.push_back(request.head.target);
+        if (targets.size() == 1)
+            waiting = &caller;
+        else
+            caller.answer(200, "", request.head.target);
+    });
+    auto port = ingress.listen({ "127.0.0.1", 0 });
+    REQUIRE(port);
+    RawCaller caller(base.get(), port.value(), "GET /1 HTTP/1.1\r\nHost: test\r\n\r\nGET /2 HTTP/1.1\r\nHo");
+    runUntil(base.get(), [&] { return waiting != nullptr; });
+    // The rest is in the socket when the answer ends, and is read before anything that the answer leaves for
+    // later.
+    caller.write("st: test\r\n\r\nGET /3 HTTP/1.1\r\nHost: test\r\n\r\n");
+    waiting->answer(200, "", "/1");
+    runUntil(base.get(), [&] { return targets.size() == 3 || ingress.counters().malformed > 0; });
+    CHECK(ingress.counters().malformed == 0);
+    CHECK(targets == std::vector<std::string> { "/1", "/2", "/3" });
+}
