Recognise prompt segments with identifiers of any length, and all of them

Cause: parseSegments() returned nothing at all for one identifier over 64 bits, without a line or a counter, and read no more than 64 segments; recordCrash() kept 32 of a crash.

Change: process/promptsegments reads all segments, of several header lines too. An identifier up to 64 bits stays the number that it was, so instances of both versions agree; a longer one is hashed from its canonical digits. A malformed entry costs that entry and is counted (briarwharf_malformed_prompt_segments_total); numbers of tokens that could overflow a sum count as malformed. All segments of a crash are accused. A skipped check of an upstream has a line and a counter now.

--- a/coordination/quarantine.cc
+++ b/coordination/quarantine.cc
@@ -67,7 +67,7 @@
 void SegmentQuarantine::recordCrash(
     std::span<const std::uint64_t> segments, std::uint32_t upstream, MonotonicTime at, MonotonicTime now)
 {
-    for (std::uint64_t segment : segments.first(std::min(segments.size(), m_options.maxSegmentsPerCrash)))
+    for (std::uint64_t segment : segments)
         add(SegmentCrash { segment, upstream, at });
     updateGroups(now);
 }
--- a/coordination/quarantine.h
+++ b/coordination/quarantine.h
@@ -14,10 +14,9 @@
 
 struct QuarantineOptions {
     CrashEvidenceOptions evidence;
-    // Maximum number of segments that one instance accuses of one crash.
-    std::size_t maxSegmentsPerCrash = 32;
-    // Records of 16 bytes in one heartbeat; the others wait for the following heartbeats.
-    std::size_t maxRecordsPerHeartbeat = 64;
+    // Records of 16 bytes in one heartbeat; the others wait for the following heartbeats. Several prompts of
+    // a hundred segments each fit into one.
+    std::size_t maxRecordsPerHeartbeat = 256;
     // Time after which a trial that ended neither in a crash nor in an answer is repeated.
     Milliseconds trialRetryDelay { 30000 };
 };
--- a/coordination/testing/quarantine_test.cc
+++ b/coordination/testing/quarantine_test.cc
@@ -225,3 +225,23 @@
     for (const auto& [id, node] : fleet.nodes)
         CHECK_FALSE(simulation.refusedBy(id));
 }
+
+// Guards against a segment that is never suspected because others stand before it in the prompts.
+TEST_CASE("all segments of a crash are accused, in fleets of several instances")
+{
+    ProgressFleet fleet(3);
+    for (int round = 0; round < 8; ++round)
+        fleet.step();
+    std::vector<std::uint64_t> segments;
+    for (std::uint32_t upstream = 1; upstream <= 3; ++upstream) {
+        segments.clear();
+        for (std::uint64_t number = 0; number < 300; ++number)
+            segments.push_back(1000 * upstream + number);
+        segments.push_back(bad);
+        fleet.nodes.begin()->second.quarantine->recordCrash(segments, upstream, fleet.now, fleet.now);
+        for (int round = 0; round < 4; ++round)
+            fleet.step();
+    }
+    for (const auto& [id, node] : fleet.nodes)
+        CHECK(node.quarantine->refuse(segments, fleet.now).has_value());
+}
--- a/process/crashdetector.cc
+++ b/process/crashdetector.cc
@@ -99,8 +99,13 @@
         return;
     auto check = m_checks.find(upstream);
     if (check == m_checks.end()) {
-        if (m_checks.size() >= maxChecks)
+        if (m_checks.size() >= maxChecks) {
+            ++m_skippedUpstreams;
+            LogLine(LogLevel::Warning, "request", "crash-check-skipped")
+                .field("address", printEndpoint(endpoint))
+                .field("limit", maxChecks);
             return;
+        }
         check = m_checks.emplace(upstream, std::make_unique<Check>(*this, endpoint, upstream)).first;
         m_cleanupTimer.start(checkLifetime);
     }
--- a/process/crashdetector.h
+++ b/process/crashdetector.h
@@ -32,6 +32,9 @@
     // answered.
     void connectionBroke(const Endpoint&, std::uint32_t upstream, std::span<const std::uint64_t> segments);
 
+    // Upstreams that were not looked at because too many broke connections at once.
+    std::uint64_t skippedUpstreams() const { return m_skippedUpstreams; }
+
 private:
     class Check;
 
@@ -40,6 +43,7 @@
     event_base* m_base;
     Callback m_callback;
     std::map<std::uint32_t, std::unique_ptr<Check>> m_checks; // by upstream
+    std::uint64_t m_skippedUpstreams = 0;
     Timer m_cleanupTimer;
 };
 
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -405,6 +405,11 @@
     total("briarwharf_resumes_total", "Streams continued at another upstream.", forwarded.resumes);
     total("briarwharf_quarantine_refusals_total",
         "Requests refused because of a prompt segment that crashes upstreams.", forwarded.quarantined);
+    total("briarwharf_malformed_prompt_segments_total",
+        "Entries of callers' lists of prompt segments that could not be read.", forwarded.malformedSegments);
+    total("briarwharf_crash_checks_skipped_total",
+        "Upstreams that broke connections and were not looked at, as too many did at once.",
+        m_forwarder.crashDetector().skippedUpstreams());
     total("briarwharf_limit_refusals_total", "Requests refused because no upstream takes more at present.",
         forwarded.overLimits);
     total("briarwharf_upstream_pauses_total", "Pauses that upstreams asked for.", forwarded.pauses);
--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -1,6 +1,7 @@
 #include "process/forwardedrequest.h"
 
 #include "base/base.h"
+#include "process/promptsegments.h"
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -72,6 +73,7 @@
     std::uint64_t requestHash = hash64(m_fields.requestId);
     m_pool = RoutingTable::choosePool(*m_route, requestHash);
     m_routedPool = m_table->findPool(m_pool);
+    m_forwarder.m_counters.malformedSegments += m_fields.malformedSegments;
     m_item.segments = std::move(m_fields.segments);
     for (const PromptSegment& segment : m_item.sharedSegments())
         m_sharedSegments.push_back(segment.id);
--- a/process/forwarder.h
+++ b/process/forwarder.h
@@ -42,6 +42,7 @@
     std::uint64_t resumes = 0; // repeats that continued a stream at another upstream
     std::uint64_t callersLeft = 0;
     std::uint64_t quarantined = 0; // refused because of a segment that crashes upstreams
+    std::uint64_t malformedSegments = 0; // entries of callers' lists of segments that were left out
     std::uint64_t pauses = 0; // that upstreams asked for
     std::uint64_t overLimits = 0; // refused because no upstream takes more requests at present
 };
@@ -94,6 +95,7 @@
     // Bytes of incomplete answers that are kept in memory until they are complete.
     std::size_t bufferedBytes() const;
     const ForwarderCounters& counters() const { return m_counters; }
+    const CrashDetector& crashDetector() const { return m_crashDetector; }
     const HttpPoolCounters& connectionCounters() const { return m_connections.counters(); }
     const RoutingTable* routing() const { return m_routing.get(); }
     const UpstreamAvailability& availability() const { return m_availability; }
--- a/process/forwardheaders.cc
+++ b/process/forwardheaders.cc
@@ -1,8 +1,10 @@
 #include "process/forwardheaders.h"
 
 #include "base/number.h"
+#include "process/promptsegments.h"
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace briarwharf {
 
@@ -13,28 +15,12 @@
         "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding",
         "Upgrade", "Content-Length", "Expect" };
 
-    constexpr std::size_t maxPromptSegments = 64;
-
     template <typename Names> bool contains(const Names& names, std::string_view name)
     {
         return std::any_of(names.begin(), names.end(),
             [name](const auto& candidate) { return equalHeaderNames(candidate, name); });
     }
 
-    // Removes the text up to and including the separator, and returns it without the separator and
-    // surrounding spaces.
-    std::string_view takeUntil(std::string_view& text, char separator)
-    {
-        std::size_t end = text.find(separator);
-        std::string_view taken = text.substr(0, end);
-        text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
-        while (!taken.empty() && taken.front() == ' ')
-            taken.remove_prefix(1);
-        while (!taken.empty() && taken.back() == ' ')
-            taken.remove_suffix(1);
-        return taken;
-    }
-
     // Whether the value of the Connection field lists `name`, which then concerns only this connection.
     bool namedByConnection(std::string_view connection, std::string_view name)
     {
@@ -45,21 +31,6 @@
         return false;
     }
 
-    std::vector<PromptSegment> parseSegments(std::string_view text)
-    {
-        std::vector<PromptSegment> segments;
-        while (!text.empty() && segments.size() < maxPromptSegments) {
-            std::string_view entry = takeUntil(text, ',');
-            std::string_view identifier = takeUntil(entry, ':');
-            auto id = parseNumber<std::uint64_t>(identifier, 16);
-            auto tokens = parseNumber<std::int64_t>(entry);
-            if (!id || !tokens || *tokens < 0)
-                return {};
-            segments.push_back({ *id, *tokens });
-        }
-        return segments;
-    }
-
     bool isSetByForwarder(const ForwardingHeaders& headers, std::string_view name)
     {
         return equalHeaderNames(name, headers.key) || equalHeaderNames(name, headers.organisation)
@@ -69,6 +40,23 @@
 
 } // namespace
 
+std::string_view trimmed(std::string_view text)
+{
+    constexpr std::string_view whitespace = " \t";
+    std::size_t begin = text.find_first_not_of(whitespace);
+    if (begin == std::string_view::npos)
+        return {};
+    return text.substr(begin, text.find_last_not_of(whitespace) - begin + 1);
+}
+
+std::string_view takeUntil(std::string_view& text, char separator)
+{
+    std::size_t end = text.find(separator);
+    std::string_view taken = text.substr(0, end);
+    text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+    return trimmed(taken);
+}
+
 CallerFields readCallerFields(const HttpFields& fields, const ForwardingHeaders& headers)
 {
     CallerFields result;
@@ -80,22 +68,16 @@
         result.deadline = Milliseconds(static_cast<std::int64_t>(std::min(*deadline, maxDeadlineMs)));
     std::string_view tokens = fields.find(headers.tokens);
     result.promptTokens = parseNumber<std::int64_t>(takeUntil(tokens, ',')).value_or(0);
-    result.maxOutputTokens = parseNumber<std::int64_t>(tokens).value_or(0);
+    result.maxOutputTokens = parseNumber<std::int64_t>(trimmed(tokens)).value_or(0);
     result.outputHint
         = static_cast<std::int64_t>(parseNumber<double>(fields.find(headers.outputHint)).value_or(0));
-    result.segments = parseSegments(fields.find(headers.promptSegments));
+    PromptSegments prompt = readPromptSegments(fields, headers.promptSegments);
+    result.segments = std::move(prompt.segments);
+    result.malformedSegments = prompt.malformed;
     result.lastEvent = parseNumber<std::uint64_t>(fields.find(headers.lastEvent));
     return result;
 }
 
-std::string printSegments(std::span<const PromptSegment> segments)
-{
-    std::string out;
-    for (const PromptSegment& segment : segments)
-        out += (out.empty() ? "" : ",") + printHex(segment.id);
-    return out;
-}
-
 std::optional<Milliseconds> parseRetryAfter(std::string_view text)
 {
     // The digits beyond these change no time below maxRetryAfter by a millisecond, but could make the number
--- a/process/forwardheaders.h
+++ b/process/forwardheaders.h
@@ -5,7 +5,6 @@
 #include "request/partmemory.h"
 #include "request/request.h"
 #include <optional>
-#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,6 +40,7 @@
     std::string_view key;
     std::optional<Milliseconds> deadline;
     std::vector<PromptSegment> segments;
+    std::size_t malformedSegments = 0; // entries of the caller's list that were left out
     std::int64_t promptTokens = 0;
     std::int64_t maxOutputTokens = 0;
     std::int64_t outputHint = 0;
@@ -50,8 +50,11 @@
 // Views in the result point into `fields`. Values that cannot be parsed count as absent.
 CallerFields readCallerFields(const HttpFields& fields, const ForwardingHeaders&);
 
-// The segments' identifiers as callers write them, separated by commas.
-std::string printSegments(std::span<const PromptSegment>);
+// Without the spaces and tabs around it.
+std::string_view trimmed(std::string_view);
+
+// Removes the text up to and including the separator, and returns it trimmed and without the separator.
+std::string_view takeUntil(std::string_view& text, char separator);
 
 // Values of the header fields that the forwarder sets on a request to an upstream.
 struct UpstreamFields {
--- a/process/testing/forwardheaders_test.cc
+++ b/process/testing/forwardheaders_test.cc
@@ -1,4 +1,5 @@
 #include "process/forwardheaders.h"
+#include "process/promptsegments.h"
 
 #include <doctest/doctest.h>
 
@@ -37,11 +38,65 @@
         { "X-Briarwharf-Tokens", "many" }, { "X-Briarwharf-Deadline-Ms", "-1" }, { "Last-Event-Id", "x" } });
     CallerFields none = readCallerFields(bad.fields, headers);
     CHECK(none.segments.empty());
+    CHECK(none.malformedSegments == 2);
     CHECK(none.promptTokens == 0);
     CHECK_FALSE(none.deadline);
     CHECK_FALSE(none.lastEvent);
 }
 
+// Guards against one unreadable entry that hides all others, and against the last shared segment being taken
+// for the request's own one because the entry behind it cannot be read.
+TEST_CASE("a malformed entry of a prompt's segments costs that entry only")
+{
+    HttpHead head = headWith({ { "X-Briarwharf-Prompt-Parts",
+        "5c1e07a2:800,zz:5,,91bd3f06: 410,:7,12:many,3:-1,4:99999999999999999999,\te4402b7d:250\t," } });
+    CallerFields fields = readCallerFields(head.fields, {});
+    REQUIRE(fields.segments.size() == 3);
+    CHECK(fields.segments[0] == PromptSegment { 0x5c1e07a2, 800 });
+    CHECK(fields.segments[1] == PromptSegment { 0x91bd3f06, 410 });
+    CHECK(fields.segments[2] == PromptSegment { 0xe4402b7d, 250 });
+    CHECK(fields.malformedSegments == 5);
+
+    HttpHead lastUnreadable = headWith({ { "X-Briarwharf-Prompt-Parts", "1:800,2:410,own" } });
+    CallerFields others = readCallerFields(lastUnreadable.fields, {});
+    REQUIRE(others.segments.size() == 3);
+    CHECK(others.segments[1] == PromptSegment { 2, 410 });
+    CHECK(others.segments[2].tokens == 0);
+}
+
+// Guards against segments that are cut off at some number, or listed in a second field, and never recognised.
+TEST_CASE("all segments of a prompt are read, in one field or several")
+{
+    std::string first;
+    for (int number = 1; number <= 1000; ++number)
+        first += std::to_string(number) + ":1,";
+    HttpHead head = headWith(
+        { { "X-Briarwharf-Prompt-Parts", first.c_str() }, { "x-briarwharf-prompt-parts", "bad:1,e:1" } });
+    CallerFields fields = readCallerFields(head.fields, {});
+    REQUIRE(fields.segments.size() == 1002);
+    CHECK(fields.segments[1000].id == 0xbad);
+    CHECK(printSegments(fields.segments).ends_with(",32,+970"));
+}
+
+// Guards against equal identifiers that count as different ones, and against different ones that count as
+// equal.
+TEST_CASE("an identifier of a segment of any length stands for the same 64 bits in each of its forms")
+{
+    CHECK(parseSegmentId("0") == 0);
+    CHECK(parseSegmentId("000000000000000000005C1E07A2") == 0x5c1e07a2);
+    CHECK(parseSegmentId("ffffffffffffffff") == 0xffffffffffffffff);
+    auto longId = parseSegmentId("a7c3509e1f64d2b85c1e07a291bd3f06");
+    REQUIRE(longId);
+    CHECK(parseSegmentId("00A7C3509E1F64D2B85C1E07A291BD3F06") == longId);
+    CHECK(parseSegmentId("a7c3509e1f64d2b85c1e07a291bd3f07") != longId);
+    CHECK(parseSegmentId("b7c3509e1f64d2b85c1e07a291bd3f06") != longId);
+    CHECK(parseSegmentId(std::string(8000, 'f')));
+    for (const char* text : { "", "0x5c", "-1", "+1", "5c 1e", "5c1e07a2-91bd", "g" }) {
+        CAPTURE(text);
+        CHECK_FALSE(parseSegmentId(text));
+    }
+}
+
 TEST_CASE("the request that resumes a stream carries the resume position instead of the caller's")
 {
     ForwardingHeaders headers;
--- a/process/testing/quarantine_test.cc
+++ b/process/testing/quarantine_test.cc
@@ -39,6 +39,20 @@
         startInstances();
     }
 
+    // Checks that after five crashes requests with the segment are refused and sound ones are not.
+    void checkRefused()
+    {
+        pause(contactTime);
+        std::size_t before = reached();
+        for (int round = 0; round < 6; ++round) {
+            auto refused = callBad(round % 2 == 0 ? "/ask/x" : "/chat/x");
+            CHECK(refused->head.status == 503);
+            CHECK(refused->head.fields.has("Retry-After"));
+            CHECK(callSound("/ask/x")->complete);
+        }
+        CHECK(reached() - before <= maxRequestsAfterContactTime);
+    }
+
     // Sends the requests, and sound ones between them, until five engines have crashed.
     void crashEngines()
     {
@@ -64,12 +78,18 @@
 
     // Each goes to another instance, has a last segment of its own, and shares key and first segment with
     // all.
-    std::shared_ptr<CallerAnswer> callBad(const std::string& target) { return callWith(target, "bad:300"); }
+    std::shared_ptr<CallerAnswer> callBad(const std::string& target)
+    {
+        return callWith(target, idPrefix + "bad:300");
+    }
     std::shared_ptr<CallerAnswer> callSound(const std::string& target)
     {
-        return callWith(target, std::to_string(++m_sessions) + "c:300");
+        return callWith(target, idPrefix + std::to_string(++m_sessions) + "c:300");
     }
 
+    std::string idPrefix; // of the identifiers of segments
+    std::string commonSegments = "f1:500"; // at the start of all prompts
+
     void pause(Milliseconds duration)
     {
         bool over = false;
@@ -110,8 +130,8 @@
     {
         ForwardDaemon& daemon = *m_daemons[++m_calls % m_daemons.size()];
         return call(daemon, target, "prompt",
-            "X-Briarwharf-Tokens: 900,20\r\nX-Briarwharf-Prompt-Parts: f1:500," + segment + ","
-                + std::to_string(m_calls) + "e:100\r\n");
+            "X-Briarwharf-Tokens: 900,20\r\nX-Briarwharf-Prompt-Parts: " + commonSegments + "," + segment
+                + "," + idPrefix + std::to_string(m_calls) + "e:100\r\n");
     }
 
     std::vector<ScriptedServer*> m_engines;
@@ -129,15 +149,25 @@
     "served")
 {
     crashEngines();
-    pause(contactTime);
-    std::size_t before = reached();
-    for (int round = 0; round < 6; ++round) {
-        auto refused = callBad(round % 2 == 0 ? "/ask/x" : "/chat/x");
-        CHECK(refused->head.status == 503);
-        CHECK(refused->head.fields.has("Retry-After"));
-        CHECK(callSound("/ask/x")->complete);
-    }
-    CHECK(reached() - before <= maxRequestsAfterContactTime);
+    checkRefused();
+}
+
+// Guards against segments that no instance recognises because their identifiers do not fit 64 bits.
+TEST_CASE_FIXTURE(CrashFixture, "a segment with an identifier of 128 bits that crashes upstreams is refused")
+{
+    idPrefix = "a7c3509e1f64d2b85c1e07a2000000";
+    commonSegments = idPrefix + "f1:500";
+    crashEngines();
+    checkRefused();
+}
+
+// Guards against segments that are not reported because many others stand before them in the prompt.
+TEST_CASE_FIXTURE(CrashFixture, "a segment behind a hundred others that crashes upstreams is refused")
+{
+    for (int number = 0; number < 100; ++number)
+        commonSegments += "," + std::to_string(1000 + number) + "f:20";
+    crashEngines();
+    checkRefused();
 }
 
 // Guards against such requests being sent again because nobody remembers them: not even all instances
