--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -16,6 +16,7 @@
 #include "coordination/peerframe.h"
 #include "coordination/quarantine.h"
 #include "coordination/rateshare.h"
+#include "coordination/recentanswers.h"
 #include "coordination/registryrevision.h"
 #include "coordination/relay.h"
 #include "coordination/store.h"
--- a/coordination/crashevidence.cc
+++ b/coordination/crashevidence.cc
@@ -1,26 +1,41 @@
 #include "coordination/crashevidence.h"
 
 #include <algorithm>
-#include <map>
-#include <set>
+#include <cmath>
 #include <tuple>
 
 namespace briarwharf {
 
 namespace {
 
-    template <typename Crashes> std::set<std::uint32_t> upstreamsOf(const Crashes& crashes)
+    constexpr double roundingSlack = 1e-6; // of sums of shares
+
+    using Upstreams = std::vector<std::uint32_t>; // in ascending order
+
+    template <typename Crashes> Upstreams upstreamsOf(const Crashes& crashes)
     {
-        std::set<std::uint32_t> upstreams;
+        Upstreams upstreams;
+        upstreams.reserve(crashes.size());
         for (const auto& crash : crashes)
-            upstreams.insert(crash.upstream);
+            upstreams.push_back(crash.upstream);
+        std::sort(upstreams.begin(), upstreams.end());
         return upstreams;
     }
 
+    // Whether all of the upstreams are among those of another segment with more crashes.
+    bool isExplained(const Upstreams& upstreams, const std::vector<Upstreams>& others)
+    {
+        return std::any_of(others.begin(), others.end(), [&](const Upstreams& other) {
+            return other.size() > upstreams.size()
+                && std::includes(other.begin(), other.end(), upstreams.begin(), upstreams.end());
+        });
+    }
+
 } // namespace
 
 bool CrashEvidence::add(const SegmentCrash& crash)
 {
+    recordEnd(crash);
     auto found = m_segments.find(crash.segment);
     if (found == m_segments.end()) {
         makeRoom();
@@ -48,8 +63,14 @@
     if (found == m_segments.end())
         return false;
     Segment& segment = found->second;
+    bool isNews = needsAnswer(answer.segment, answer.at);
     segment.answeredAt = std::max(segment.answeredAt, answer.at);
-    return std::erase_if(segment.crashes, [&](const Crash& crash) { return crash.at <= answer.at; }) > 0;
+    std::size_t cleared
+        = std::erase_if(segment.crashes, [&](const Crash& crash) { return crash.at <= answer.at; });
+    if (cleared == 0 && !isNews)
+        return false;
+    recordAnswerTime(answer.at); // only of news, which reach every instance: all weigh the same evidence
+    return true;
 }
 
 bool CrashEvidence::contains(const SegmentCrash& crash) const
@@ -60,16 +81,41 @@
             [&](const Crash& known) { return known.upstream == crash.upstream; });
 }
 
+bool CrashEvidence::needsAnswer(std::uint64_t segment, MonotonicTime at) const
+{
+    auto found = m_segments.find(segment);
+    if (found == m_segments.end() || found->second.crashes.empty())
+        return false;
+    // The report of a crash may come later than an answer that began after it.
+    bool clearsCrash = at >= found->second.crashes.front().at;
+    return clearsCrash || at >= found->second.answeredAt + m_options.answerStep;
+}
+
 void CrashEvidence::expire(MonotonicTime now)
 {
-    std::erase_if(m_segments, [&](const auto& entry) {
-        const Segment& segment = entry.second;
-        if (segment.crashes.empty())
-            return now - segment.answeredAt > m_options.answerRetention;
-        bool suspect = segment.crashes.size() >= m_options.minCrashes;
-        return now - segment.crashes.back().at
-            > (suspect ? m_options.suspectRetention : m_options.crashRetention);
-    });
+    // Upstreams that ended are kept for longer than the crashes that they help to explain.
+    std::erase_if(m_ends, [&](const auto& end) { return now - end.second > 2 * m_options.crashRetention; });
+    Times ends = endTimes();
+    for (auto entry = m_segments.begin(); entry != m_segments.end();)
+        entry = expire(entry->second, ends, now) ? m_segments.erase(entry) : std::next(entry);
+    if (m_segments.empty())
+        m_answerTimes.clear();
+}
+
+// Returns whether nothing is left of the segment.
+bool CrashEvidence::expire(Segment& segment, const Times& ends, MonotonicTime now) const
+{
+    if (segment.crashes.empty())
+        return now - segment.answeredAt > m_options.answerRetention;
+    if (now - segment.crashes.front().at <= m_options.crashRetention)
+        return false;
+    bool isStrong = segment.crashes.size() >= m_options.minCrashes
+        && evidence(segment, ends) >= m_options.strongEvidence - roundingSlack;
+    if (isStrong)
+        return now - segment.crashes.back().at > m_options.suspectRetention;
+    std::erase_if(
+        segment.crashes, [&](const Crash& crash) { return now - crash.at > m_options.crashRetention; });
+    return segment.crashes.empty() && now - segment.answeredAt > m_options.answerRetention;
 }
 
 // Removes the segment with the least evidence, and of several the one that crashed longest ago.
@@ -86,61 +132,135 @@
         [&](const auto& left, const auto& right) { return weight(left) < weight(right); }));
 }
 
-std::size_t CrashEvidence::incidents(const Segment& segment) const
+void CrashEvidence::recordEnd(const SegmentCrash& crash)
 {
-    std::size_t count = 0;
-    MonotonicTime lastCounted;
+    auto found = m_ends.find(crash.upstream);
+    if (found != m_ends.end())
+        found->second = std::min(found->second, crash.at);
+    else if (m_ends.size() < m_options.maxEndedUpstreams)
+        m_ends.emplace(crash.upstream, crash.at);
+}
+
+void CrashEvidence::recordAnswerTime(MonotonicTime at)
+{
+    m_answerTimes.insert(at);
+    if (m_answerTimes.size() > m_options.maxAnswerTimes)
+        m_answerTimes.erase(m_answerTimes.begin());
+}
+
+CrashEvidence::Times CrashEvidence::endTimes() const
+{
+    Times times;
+    times.reserve(m_ends.size());
+    for (const auto& [upstream, at] : m_ends)
+        times.push_back(at);
+    std::sort(times.begin(), times.end());
+    return times;
+}
+
+bool CrashEvidence::wasAnsweredBefore(const Segment& segment) const
+{
+    return segment.answeredAt != MonotonicTime {}
+    && segment.crashes.front().at - segment.answeredAt <= m_options.recentAnswerTime;
+}
+
+bool CrashEvidence::startsIncident(const Crash& crash, MonotonicTime lastCounted) const
+{
+    auto gap = crash.at - lastCounted;
+    if (gap >= m_options.incidentGap)
+        return true;
+    auto answer = m_answerTimes.upper_bound(lastCounted);
+    return gap >= m_options.minIncidentGap && answer != m_answerTimes.end() && *answer < crash.at;
+}
+
+// Of the upstreams that ended together with this one, the share at which the segment waited.
+double CrashEvidence::explainedShare(const Segment& segment, const Crash& crash, const Times& ends) const
+{
+    MonotonicTime from = crash.at - m_options.incidentGap;
+    MonotonicTime to = crash.at + m_options.incidentGap;
+    auto with = std::count_if(segment.crashes.begin(), segment.crashes.end(),
+        [&](const Crash& other) { return other.at >= from && other.at <= to; });
+    auto all = std::distance(
+        std::lower_bound(ends.begin(), ends.end(), from), std::upper_bound(ends.begin(), ends.end(), to));
+    return all <= with ? 1.0 : static_cast<double>(with) / static_cast<double>(all);
+}
+
+// In incidents that only the segment explains.
+double CrashEvidence::evidence(const Segment& segment, const Times& ends) const
+{
+    double sum = wasAnsweredBefore(segment) ? -m_options.recentAnswerEvidence : 0;
+    const Crash* lastCounted = nullptr;
     for (const Crash& crash : segment.crashes) {
-        if (count > 0 && crash.at - lastCounted < m_options.incidentGap)
+        if (lastCounted && !startsIncident(crash, lastCounted->at))
             continue;
-        ++count;
-        lastCounted = crash.at;
+        double share = explainedShare(segment, crash, ends);
+        sum += share < m_options.minExplainedShare ? 0 : share;
+        lastCounted = &crash;
     }
-    return count;
+    // Many upstreams in two incidents, without an answer, make a strong suspicion.
+    constexpr std::size_t manyCrashes = 5;
+    constexpr double minIncidents = 2;
+    if (sum >= minIncidents - roundingSlack && segment.crashes.size() >= manyCrashes)
+        return std::max(sum, m_options.strongEvidence);
+    return sum;
 }
 
-bool CrashEvidence::isSuspect(const Segment& segment, MonotonicTime now) const
+bool CrashEvidence::isSuspect(const Segment& segment, double evidence, MonotonicTime now) const
 {
     if (segment.crashes.size() < m_options.minCrashes)
         return false;
-    return incidents(segment) >= m_options.minCrashes
-        || now - segment.crashes.front().at >= m_options.settleTime;
-}
-
-bool CrashEvidence::isExplained(const Segment& segment) const
-{
-    std::set<std::uint32_t> upstreams = upstreamsOf(segment.crashes);
-    return std::any_of(m_segments.begin(), m_segments.end(), [&](const auto& entry) {
-        if (entry.second.crashes.size() <= segment.crashes.size())
-            return false;
-        std::set<std::uint32_t> others = upstreamsOf(entry.second.crashes);
-        return std::includes(others.begin(), others.end(), upstreams.begin(), upstreams.end());
-    });
+    if (evidence >= m_options.strongEvidence - roundingSlack)
+        return true;
+    return evidence >= m_options.weakEvidence && now - segment.crashes.front().at >= m_options.settleTime;
 }
 
-Milliseconds CrashEvidence::termAfter(std::size_t crashes) const
+Milliseconds CrashEvidence::term(double evidence) const
 {
-    Milliseconds term = m_options.firstTerm;
-    for (std::size_t count = m_options.minCrashes; count < crashes && term < m_options.maxTerm; ++count)
-        term *= 2;
+    if (evidence < m_options.strongEvidence - roundingSlack)
+        return m_options.weakTerm;
+    Milliseconds term = m_options.strongTerm;
+    double further = std::floor(evidence + roundingSlack - m_options.strongEvidence);
+    for (; further >= 1 && term < m_options.maxTerm; further -= 1)
+        term *= m_options.termFactor;
     return std::min(term, m_options.maxTerm);
 }
 
 std::vector<SuspectGroup> CrashEvidence::suspects(MonotonicTime now) const
 {
-    std::map<std::set<std::uint32_t>, SuspectGroup> groups; // by the upstreams that crashed
+    struct Suspect {
+        std::uint64_t id = 0;
+        const Segment* segment = nullptr;
+        double evidence = 0;
+        Upstreams upstreams;
+    };
+    std::vector<Suspect> suspects;
+    std::vector<Upstreams> explaining; // the upstreams of each segment that may explain the crashes of others
+    Times ends = endTimes();
     for (const auto& [id, segment] : m_segments) {
-        if (!isSuspect(segment, now) || isExplained(segment))
+        if (id == noSegment || segment.crashes.size() < m_options.minCrashes)
+            continue;
+        double found = evidence(segment, ends);
+        if (found < m_options.weakEvidence)
+            continue;
+        explaining.push_back(upstreamsOf(segment.crashes));
+        if (isSuspect(segment, found, now))
+            suspects.push_back({ id, &segment, found, explaining.back() });
+    }
+    std::map<Upstreams, SuspectGroup> groups; // by the upstreams that crashed
+    for (const Suspect& suspect : suspects) {
+        if (isExplained(suspect.upstreams, explaining))
             continue;
-        SuspectGroup& group = groups[upstreamsOf(segment.crashes)];
-        group.segments.push_back(id);
-        group.lastCrash = std::max(group.lastCrash, segment.crashes.back().at);
+        SuspectGroup& group = groups[suspect.upstreams];
+        group.segments.push_back(suspect.id);
+        group.lastCrash = std::max(group.lastCrash, suspect.segment->crashes.back().at);
+        group.evidence = std::max(group.evidence, suspect.evidence);
     }
     std::vector<SuspectGroup> result;
     for (auto& [upstreams, group] : groups) {
         std::sort(group.segments.begin(), group.segments.end());
-        group.upstreams.assign(upstreams.begin(), upstreams.end());
-        group.termEnd = group.lastCrash + termAfter(upstreams.size());
+        group.upstreams = upstreams;
+        group.termEnd = group.lastCrash + term(group.evidence);
+        group.isStrong = group.evidence >= m_options.strongEvidence - roundingSlack;
         result.push_back(std::move(group));
     }
     return result;
--- a/coordination/quarantine.cc
+++ b/coordination/quarantine.cc
@@ -10,6 +10,8 @@
 namespace {
 
     constexpr Milliseconds cleanupInterval { 1000 };
+    // More crashes than that without an answer come from many requests, so that the owner has some as well.
+    constexpr std::size_t maxCrashesForOpenTrials = 4;
 
     // The form in which a time is sent to other instances, whose clocks have another origin.
     std::uint32_t ageMilliseconds(MonotonicTime at, MonotonicTime now)
@@ -38,7 +40,8 @@
     {
         LogLine(LogLevel::Warning, "quarantine", event)
             .field("segments", printIdentifiers(group.segments))
-            .field("crashes", group.upstreams.size());
+            .field("crashes", group.upstreams.size())
+            .field("evidence", group.evidence);
     }
 
     bool hasGroupOf(const std::vector<SuspectGroup>& groups, const SuspectGroup& wanted)
@@ -64,19 +67,37 @@
     m_changed = true;
 }
 
+// Tells the fleet also when this instance has seen the segment answered before: the others may not have.
+void SegmentQuarantine::addCrash(const SegmentCrash& crash)
+{
+    add(crash);
+    auto answered = m_recentAnswers.latest(crash.segment);
+    if (answered && m_evidence.needsAnswer(crash.segment, *answered))
+        add(SegmentAnswer { crash.segment, *answered });
+}
+
 void SegmentQuarantine::recordCrash(
     std::span<const std::uint64_t> segments, std::uint32_t upstream, MonotonicTime at, MonotonicTime now)
 {
+    if (segments.empty())
+        add(SegmentCrash { noSegment, upstream, at });
     for (std::uint64_t segment : segments)
-        add(SegmentCrash { segment, upstream, at });
+        addCrash({ segment, upstream, at });
     updateGroups(now);
 }
 
 void SegmentQuarantine::recordAnswer(
     std::span<const std::uint64_t> segments, MonotonicTime began, MonotonicTime now)
 {
-    for (std::uint64_t segment : segments)
+    for (std::uint64_t segment : segments) {
+        m_recentAnswers.add(segment, began);
         add(SegmentAnswer { segment, began });
+    }
+    for (const SuspectGroup& group : m_groups) {
+        Trials& trials = trialsOf(group);
+        if (trials.answering == MonotonicTime {} && began > group.lastCrash)
+            trials.answering = now;
+    }
     updateGroups(now);
 }
 
@@ -85,14 +106,39 @@
     const std::vector<std::uint32_t>& upstreams, MonotonicTime lastCrash, MonotonicTime now)
 {
     MonotonicTime at = lastCrash;
-    for (std::uint32_t upstream : upstreams) {
+    for (std::size_t index = 0; index < std::min(upstreams.size(), m_options.maxRestoredCrashes); ++index) {
         for (std::uint64_t segment : segments)
-            add(SegmentCrash { segment, upstream, at });
+            add(SegmentCrash { segment, upstreams[index], at });
         at -= m_options.evidence.incidentGap;
     }
     updateGroups(now);
 }
 
+SegmentQuarantine::Trials& SegmentQuarantine::trialsOf(const SuspectGroup& group)
+{
+    Trials& trials = m_trials[group.segments];
+    if (trials.lastCrash != group.lastCrash)
+        trials = Trials { group.lastCrash, {}, {} };
+    return trials;
+}
+
+Milliseconds SegmentQuarantine::trialRetryDelay(const SuspectGroup& group) const
+{
+    return group.isStrong ? m_options.strongTrialRetryDelay : m_options.weakTrialRetryDelay;
+}
+
+bool SegmentQuarantine::mayTry(const SuspectGroup& group, const Trials& trials, MonotonicTime now) const
+{
+    if (trials.latest != MonotonicTime {} && now - trials.latest < trialRetryDelay(group))
+        return false;
+    if (m_membership.owns(group.segments.front()))
+        return true;
+    auto ownerTime = group.isStrong ? m_options.strongOwnerTime : m_options.weakOwnerTime;
+    bool isRare = group.upstreams.size() <= maxCrashesForOpenTrials;
+    return isRare && trials.answering != MonotonicTime {}
+    && now - std::max(trials.answering, group.termEnd) >= ownerTime;
+}
+
 std::optional<Milliseconds> SegmentQuarantine::refuse(
     std::span<const std::uint64_t> segments, MonotonicTime now)
 {
@@ -101,11 +147,10 @@
             continue;
         if (now < group.termEnd)
             return toMilliseconds(group.termEnd - now);
-        auto trial = m_trials.find(group.segments);
-        bool isTried = trial != m_trials.end() && now - trial->second < m_options.trialRetryDelay;
-        if (isTried || !m_membership.owns(group.segments.front()))
-            return m_options.trialRetryDelay;
-        m_trials[group.segments] = now;
+        Trials& trials = trialsOf(group);
+        if (!mayTry(group, trials, now))
+            return trialRetryDelay(group);
+        trials.latest = now;
         logChange("trial", group);
     }
     return std::nullopt;
@@ -119,6 +164,7 @@
 
 void SegmentQuarantine::tick(MonotonicTime now)
 {
+    m_recentAnswers.expire(now);
     if (m_evidence.empty())
         return;
     m_evidence.expire(now);
@@ -144,9 +190,9 @@
             logChange("ended", group);
     }
     m_groups = std::move(groups);
-    std::erase_if(m_trials, [&](const auto& trial) {
+    std::erase_if(m_trials, [&](const auto& trials) {
         return std::none_of(m_groups.begin(), m_groups.end(),
-            [&](const SuspectGroup& group) { return group.segments == trial.first && now >= group.termEnd; });
+            [&](const SuspectGroup& group) { return group.segments == trials.first; });
     });
 }
 
@@ -174,7 +220,7 @@
 void SegmentQuarantine::accept(const LinkView&, const HeartbeatT& heartbeat, MonotonicTime now)
 {
     for (const PeerSegmentCrash& crash : heartbeat.segmentCrashes)
-        add(SegmentCrash { crash.segment(), crash.upstream(), now - Milliseconds(crash.ageMs()) });
+        addCrash({ crash.segment(), crash.upstream(), now - Milliseconds(crash.ageMs()) });
     for (const PeerSegmentAnswer& answer : heartbeat.segmentAnswers)
         add(SegmentAnswer { answer.segment(), now - Milliseconds(answer.ageMs()) });
     updateGroups(now);
--- a/coordination/quarantine.h
+++ b/coordination/quarantine.h
@@ -2,6 +2,7 @@
 
 #include "coordination/crashevidence.h"
 #include "coordination/member.h"
+#include "coordination/recentanswers.h"
 #include "coordination/recordspread.h"
 #include <map>
 #include <optional>
@@ -18,7 +19,14 @@
     // a hundred segments each fit into one.
     std::size_t maxRecordsPerHeartbeat = 256;
     // Time after which a trial that ended neither in a crash nor in an answer is repeated.
-    Milliseconds trialRetryDelay { 30000 };
+    Milliseconds weakTrialRetryDelay { 1500 };
+    Milliseconds strongTrialRetryDelay { 30000 };
+    // Only the owner of a quarantine admits a trial for this long after the term, or after upstreams were
+    // first seen to answer since the last crash; then every instance may admit one if there were few crashes.
+    Milliseconds weakOwnerTime { 1000 };
+    Milliseconds strongOwnerTime { 60000 };
+    // A quarantine from before a restart counts as this many crashes at most.
+    std::size_t maxRestoredCrashes = 3;
 };
 
 // Keeps requests that crash the upstreams which answer them away from the upstreams. All instances share
@@ -31,6 +39,7 @@
 public:
     explicit SegmentQuarantine(const Membership&, QuarantineOptions options = {});
 
+    // An empty list: no prompt waited there.
     void recordCrash(
         std::span<const std::uint64_t> segments, std::uint32_t upstream, MonotonicTime at, MonotonicTime now);
     void recordAnswer(std::span<const std::uint64_t> segments, MonotonicTime began, MonotonicTime now);
@@ -41,7 +50,8 @@
 
     // For a request with these segments: the time after which it may be admitted, or an empty value if it is
     // admitted now. When the term of a quarantine has ended, the instance that owns it admits one request as
-    // a trial; a crash then starts a longer term, and an answer ends the quarantine everywhere.
+    // a trial, and later every instance one; a crash then starts a longer term, and an answer ends the
+    // quarantine everywhere.
     std::optional<Milliseconds> refuse(std::span<const std::uint64_t> segments, MonotonicTime now);
     // Whether requests with these segments are refused, except for trials.
     bool isQuarantined(std::span<const std::uint64_t> segments) const;
@@ -49,8 +59,6 @@
     // Call it about every 100 ms.
     void tick(MonotonicTime now);
 
-    // Whether any crash is remembered; if not, answers need not be recorded.
-    bool hasEvidence() const { return !m_evidence.empty(); }
     const std::vector<SuspectGroup>& groups() const { return m_groups; }
 
     void fill(const LinkView&, HeartbeatT&, MonotonicTime now) override;
@@ -61,7 +69,18 @@
 private:
     using Record = std::variant<SegmentCrash, SegmentAnswer>;
 
+    // Since the term of a quarantine ended.
+    struct Trials {
+        MonotonicTime lastCrash; // of the term that ended
+        MonotonicTime answering; // when upstreams were first seen to answer since then
+        MonotonicTime latest;
+    };
+
     template <typename Evidence> void add(const Evidence&);
+    void addCrash(const SegmentCrash&);
+    Milliseconds trialRetryDelay(const SuspectGroup&) const;
+    bool mayTry(const SuspectGroup&, const Trials&, MonotonicTime now) const;
+    Trials& trialsOf(const SuspectGroup&);
     void updateGroups(MonotonicTime now);
     void dropOutdatedRecords(MonotonicTime now);
 
@@ -69,7 +88,8 @@
     QuarantineOptions m_options;
     CrashEvidence m_evidence;
     std::vector<SuspectGroup> m_groups;
-    std::map<std::vector<std::uint64_t>, MonotonicTime> m_trials; // by the segments of the group
+    RecentAnswers m_recentAnswers; // that this instance has seen
+    std::map<std::vector<std::uint64_t>, Trials> m_trials; // by the segments of the group
     RecordSpread<Record> m_records;
     bool m_changed = false; // the evidence, since the groups were determined
     MonotonicTime m_lastCleanup;
--- a/coordination/testing/quarantine_test.cc
+++ b/coordination/testing/quarantine_test.cc
@@ -245,3 +245,36 @@
     for (const auto& [id, node] : fleet.nodes)
         CHECK(node.quarantine->refuse(segments, fleet.now).has_value());
 }
+
+// Guards against an outage that accuses a segment at instances that have not seen it answered.
+TEST_CASE("what one instance has seen answered before counts at all of them")
+{
+    ProgressFleet fleet(7);
+    for (int round = 0; round < 8; ++round)
+        fleet.step();
+    constexpr std::uint64_t popular = 7;
+    const std::uint64_t segments[] { popular };
+    auto& first = *fleet.nodes.begin()->second.quarantine;
+    auto& last = *fleet.nodes.rbegin()->second.quarantine;
+    first.recordAnswer(segments, fleet.now, fleet.now);
+    fleet.step();
+    for (std::uint32_t upstream = 1; upstream <= 6; ++upstream)
+        last.recordCrash(segments, upstream, fleet.now, fleet.now);
+    for (int round = 0; round < 20; ++round) {
+        fleet.step();
+        for (const auto& [id, node] : fleet.nodes)
+            CHECK_FALSE(node.quarantine->isQuarantined(segments));
+    }
+}
+
+// Guards against a quarantine by an earlier version that stays in force for hours after a restart of all.
+TEST_CASE("a restored quarantine counts as three crashes at most, and is tried again within a minute")
+{
+    ProgressFleet fleet(3);
+    SegmentQuarantine& quarantine = *fleet.nodes.begin()->second.quarantine;
+    quarantine.restore({ bad }, { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12 }, fleet.now, fleet.now);
+    const std::uint64_t segments[] { bad };
+    auto retryAfter = quarantine.refuse(segments, fleet.now);
+    REQUIRE(retryAfter);
+    CHECK(*retryAfter <= std::chrono::minutes(1));
+}
--- a/process/crashdetector.cc
+++ b/process/crashdetector.cc
@@ -95,8 +95,6 @@
 void CrashDetector::connectionBroke(
     const Endpoint& endpoint, std::uint32_t upstream, std::span<const std::uint64_t> segments)
 {
-    if (segments.empty())
-        return;
     auto check = m_checks.find(upstream);
     if (check == m_checks.end()) {
         if (m_checks.size() >= maxChecks) {
--- a/process/crashdetector.h
+++ b/process/crashdetector.h
@@ -19,7 +19,7 @@
 class CrashDetector {
 public:
     // Called when the upstream is found to have ended, and again for requests that break there shortly after.
-    // `at`: when the first connection broke.
+    // `segments`: empty if no unanswered request broke there. `at`: when the first connection broke.
     using Callback = std::function<void(
         std::uint32_t upstream, const std::vector<std::uint64_t>& segments, MonotonicTime at)>;
 
@@ -29,7 +29,7 @@
     CrashDetector& operator=(const CrashDetector&) = delete;
 
     // `upstream`: hash of the id and start time of the upstream. `segments`: of a request that it has not
-    // answered.
+    // answered; empty if it had.
     void connectionBroke(const Endpoint&, std::uint32_t upstream, std::span<const std::uint64_t> segments);
 
     // Upstreams that were not looked at because too many broke connections at once.
--- a/process/forwardedanswer.cc
+++ b/process/forwardedanswer.cc
@@ -167,7 +167,7 @@
     m_answerIsSound = true;
     MonotonicTime began = m_firstEventAt == MonotonicTime {} ? now : m_firstEventAt;
     bool success = m_head.status >= 200 && m_head.status < 300;
-    if (success && m_forwarder.m_quarantine.hasEvidence())
+    if (success)
         m_forwarder.m_quarantine.recordAnswer(m_sharedSegments, began, now);
 }
 
--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -321,12 +321,14 @@
 }
 
 // If the upstream has ended, a segment of the prompt may be the cause, unless its answer had gone on for some
-// time.
+// time. That upstreams end while none of the prompts can be the cause tells of other causes.
 void ForwardedRequest::reportBrokenConnection()
 {
-    if (servedByEngines() && !m_answerIsSound)
-        m_forwarder.m_crashDetector.connectionBroke(
-            m_upstream->entry.endpoint, m_upstream->lifetimeHash, m_sharedSegments);
+    if (!servedByEngines())
+        return;
+    std::span<const std::uint64_t> segments = m_sharedSegments;
+    m_forwarder.m_crashDetector.connectionBroke(
+        m_upstream->entry.endpoint, m_upstream->lifetimeHash, m_answerIsSound ? segments.first(0) : segments);
 }
 
 void ForwardedRequest::recordHealth(AttemptEnd end, bool keptConnection)
--- a/process/quarantinearchive.cc
+++ b/process/quarantinearchive.cc
@@ -2,6 +2,7 @@
 
 #include "base/base.h"
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace briarwharf {
@@ -13,6 +14,16 @@
     constexpr Milliseconds settleTime { 500 };
     constexpr Milliseconds retryDelay { 2000 };
 
+    // As many of the upstreams as the evidence is worth: each counts as an incident when the quarantine is
+    // restored, and all that ended in one incident together do not count for more.
+    std::vector<std::uint32_t> savedUpstreamsOf(const SuspectGroup& group)
+    {
+        auto count = static_cast<std::size_t>(std::max(std::lround(group.evidence), 1L));
+        std::vector<std::uint32_t> upstreams = group.upstreams;
+        upstreams.resize(std::min(upstreams.size(), count));
+        return upstreams;
+    }
+
 } // namespace
 
 QuarantineArchive::QuarantineArchive(
@@ -68,7 +79,7 @@
         const SuspectGroup* group = inForce(segments);
         bool isOwner = m_membership.owns(segments.front());
         bool isSettled = now - copy.changedAt >= settleTime;
-        if (group && isOwner && isSettled && copy.savedUpstreams != group->upstreams)
+        if (group && isOwner && isSettled && copy.savedUpstreams != savedUpstreamsOf(*group))
             save(copy, *group, now, wallNow);
         else if (!group && (isOwner || copy.returned))
             remove(copy, segments, now);
@@ -82,8 +93,9 @@
     copy.writing = true;
     copy.nextAttempt = now + retryDelay;
     auto age = std::chrono::duration_cast<WallTime::duration>(now - group.lastCrash);
-    m_source.save({ group.segments, group.upstreams, wallNow - age },
-        [this, segments = group.segments, saved = group.upstreams, restores = m_sourceRestores](
+    std::vector<std::uint32_t> upstreams = savedUpstreamsOf(group);
+    m_source.save({ group.segments, upstreams, wallNow - age },
+        [this, segments = group.segments, saved = upstreams, restores = m_sourceRestores](
             const Status& status) {
             bool isLost = status && restores != m_sourceRestores;
             written(segments, status, isLost ? std::vector<std::uint32_t>() : saved);
