--- a/coordination/crashevidence.h
+++ b/coordination/crashevidence.h
@@ -79,15 +79,15 @@
 //
 // What remains is weighed against other causes, such as an outage of many upstreams, a machine that is lost,
 // or one upstream that fails after the other. Each of these also ends upstreams at which harmless segments
-// wait, so a crash counts for as much as the segment explains:
+// wait, so a crash counts for as much as the segment explains.
 //
-// - Upstreams that end together are one incident. It counts for the share of them at which the segment
-// waited:
-//   the cause of the others explains these as well.
-// - A segment that was answered shortly before waits at upstreams anyway, at many of them if most prompts of
-// a
-//   route share it. The incidents that this makes likely do not count.
-// - Of segments whose crashes are all among those of another, the other one explains them.
+// Upstreams that end together are one incident. It counts for the share of them at which the segment waited,
+// since the cause of the others explains these as well.
+//
+// A segment that was answered shortly before its first crash waits at upstreams anyway, at many of them if
+// most prompts of a route share it. The incidents that this makes likely do not count.
+//
+// Of segments whose crashes are all among those of another, the other one explains them.
 class CrashEvidence {
 public:
     explicit CrashEvidence(CrashEvidenceOptions options = {})
