--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -397,7 +397,7 @@
     return manner;
 }
 
-// Connects to an instance like no decent caller.
+// Opens a connection to an instance that pipelines, splits and breaks off requests at random moments.
 void Soak::startRoughCaller(const Instance& instance)
 {
     m_roughCallers.remove_if([](const auto& caller) { return caller->isDone(); });
--- a/soak/soakupstream.cc
+++ b/soak/soakupstream.cc
@@ -107,7 +107,7 @@
         m_caller.release()->end();
     }
     void answerUnsigned() { m_caller.release()->answer(200, {}, bodyFor(m_request.id)); }
-    // Writes far more than a caller's machine could keep.
+    // Writes more bytes than an instance may keep in memory.
     void answerWithoutEnd()
     {
         if (!std::exchange(m_answerStarted, true))
