--- a/coordination/peer_generated.h
+++ b/coordination/peer_generated.h
@@ -45,6 +45,8 @@
 
 struct PeerUpstreamLimit;
 
+struct PeerUpstreamReport;
+
 struct PeerDeparture;
 
 struct Heartbeat;
@@ -897,6 +899,49 @@
 };
 FLATBUFFERS_STRUCT_END(PeerUpstreamLimit, 12);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) PeerUpstreamReport FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t upstream_;
+  uint16_t ageMs_;
+  uint16_t requests_;
+  uint16_t workPercent_;
+  int16_t padding0__;
+
+ public:
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "briarwharf.PeerUpstreamReport";
+  }
+  PeerUpstreamReport()
+      : upstream_(0),
+        ageMs_(0),
+        requests_(0),
+        workPercent_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  PeerUpstreamReport(uint32_t _upstream, uint16_t _ageMs, uint16_t _requests, uint16_t _workPercent)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        ageMs_(flatbuffers::EndianScalar(_ageMs)),
+        requests_(flatbuffers::EndianScalar(_requests)),
+        workPercent_(flatbuffers::EndianScalar(_workPercent)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint32_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint16_t ageMs() const {
+    return flatbuffers::EndianScalar(ageMs_);
+  }
+  uint16_t requests() const {
+    return flatbuffers::EndianScalar(requests_);
+  }
+  uint16_t workPercent() const {
+    return flatbuffers::EndianScalar(workPercent_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PeerUpstreamReport, 12);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PeerDeparture FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t upstream_;
@@ -1348,6 +1393,8 @@
   std::vector<briarwharf::PeerUpstreamLimit> upstreamLimits{};
   uint64_t storeEra = 0;
   std::vector<briarwharf::PeerDeparture> departures{};
+  uint64_t evacuationsRevision = 0;
+  std::vector<briarwharf::PeerUpstreamReport> upstreamReports{};
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1386,7 +1433,9 @@
     VT_SEGMENTANSWERS = 54,
     VT_UPSTREAMLIMITS = 56,
     VT_STOREERA = 58,
-    VT_DEPARTURES = 60
+    VT_DEPARTURES = 60,
+    VT_EVACUATIONSREVISION = 62,
+    VT_UPSTREAMREPORTS = 64
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1466,6 +1515,12 @@
   const flatbuffers::Vector<const briarwharf::PeerDeparture *> *departures() const {
     return GetPointer<const flatbuffers::Vector<const briarwharf::PeerDeparture *> *>(VT_DEPARTURES);
   }
+  uint64_t evacuationsRevision() const {
+    return GetField<uint64_t>(VT_EVACUATIONSREVISION, 0);
+  }
+  const flatbuffers::Vector<const briarwharf::PeerUpstreamReport *> *upstreamReports() const {
+    return GetPointer<const flatbuffers::Vector<const briarwharf::PeerUpstreamReport *> *>(VT_UPSTREAMREPORTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1504,6 +1559,9 @@
            VerifyField<uint64_t>(verifier, VT_STOREERA, 8) &&
            VerifyOffset(verifier, VT_DEPARTURES) &&
            verifier.VerifyVector(departures()) &&
+           VerifyField<uint64_t>(verifier, VT_EVACUATIONSREVISION, 8) &&
+           VerifyOffset(verifier, VT_UPSTREAMREPORTS) &&
+           verifier.VerifyVector(upstreamReports()) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1593,6 +1651,12 @@
   void add_departures(flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerDeparture *>> departures) {
     fbb_.AddOffset(Heartbeat::VT_DEPARTURES, departures);
   }
+  void add_evacuationsRevision(uint64_t evacuationsRevision) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_EVACUATIONSREVISION, evacuationsRevision, 0);
+  }
+  void add_upstreamReports(flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerUpstreamReport *>> upstreamReports) {
+    fbb_.AddOffset(Heartbeat::VT_UPSTREAMREPORTS, upstreamReports);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1631,8 +1695,11 @@
     flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerSegmentAnswer *>> segmentAnswers = 0,
     flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerUpstreamLimit *>> upstreamLimits = 0,
     uint64_t storeEra = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerDeparture *>> departures = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerDeparture *>> departures = 0,
+    uint64_t evacuationsRevision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerUpstreamReport *>> upstreamReports = 0) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_evacuationsRevision(evacuationsRevision);
   builder_.add_storeEra(storeEra);
   builder_.add_directoryRevision(directoryRevision);
   builder_.add_routingVersion(routingVersion);
@@ -1641,6 +1708,7 @@
   builder_.add_revision(revision);
   builder_.add_acknowledged(acknowledged);
   builder_.add_sequence(sequence);
+  builder_.add_upstreamReports(upstreamReports);
   builder_.add_departures(departures);
   builder_.add_upstreamLimits(upstreamLimits);
   builder_.add_segmentAnswers(segmentAnswers);
@@ -1689,7 +1757,9 @@
     const std::vector<briarwharf::PeerSegmentAnswer> *segmentAnswers = nullptr,
     const std::vector<briarwharf::PeerUpstreamLimit> *upstreamLimits = nullptr,
     uint64_t storeEra = 0,
-    const std::vector<briarwharf::PeerDeparture> *departures = nullptr) {
+    const std::vector<briarwharf::PeerDeparture> *departures = nullptr,
+    uint64_t evacuationsRevision = 0,
+    const std::vector<briarwharf::PeerUpstreamReport> *upstreamReports = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::Member>>(*members) : 0;
   auto loadReports__ = loadReports ? _fbb.CreateVectorOfStructs<briarwharf::LoadReport>(*loadReports) : 0;
   auto usageSums__ = usageSums ? _fbb.CreateVectorOfStructs<briarwharf::UsageSum>(*usageSums) : 0;
@@ -1699,6 +1769,7 @@
   auto segmentAnswers__ = segmentAnswers ? _fbb.CreateVectorOfStructs<briarwharf::PeerSegmentAnswer>(*segmentAnswers) : 0;
   auto upstreamLimits__ = upstreamLimits ? _fbb.CreateVectorOfStructs<briarwharf::PeerUpstreamLimit>(*upstreamLimits) : 0;
   auto departures__ = departures ? _fbb.CreateVectorOfStructs<briarwharf::PeerDeparture>(*departures) : 0;
+  auto upstreamReports__ = upstreamReports ? _fbb.CreateVectorOfStructs<briarwharf::PeerUpstreamReport>(*upstreamReports) : 0;
   return briarwharf::CreateHeartbeat(
       _fbb,
       sequence,
@@ -1726,7 +1797,9 @@
       segmentAnswers__,
       upstreamLimits__,
       storeEra,
-      departures__);
+      departures__,
+      evacuationsRevision,
+      upstreamReports__);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3455,6 +3528,7 @@
   uint64_t directoryRevision = 0;
   bool acceptsCompressed = false;
   bool acceptsCompressedList = false;
+  uint64_t evacuationsRevision = 0;
 };
 
 struct DirectoryFetch FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3467,7 +3541,8 @@
     VT_ROUTINGVERSION = 4,
     VT_DIRECTORYREVISION = 6,
     VT_ACCEPTSCOMPRESSED = 8,
-    VT_ACCEPTSCOMPRESSEDLIST = 10
+    VT_ACCEPTSCOMPRESSEDLIST = 10,
+    VT_EVACUATIONSREVISION = 12
   };
   uint64_t routingVersion() const {
     return GetField<uint64_t>(VT_ROUTINGVERSION, 0);
@@ -3481,12 +3556,16 @@
   bool acceptsCompressedList() const {
     return GetField<uint8_t>(VT_ACCEPTSCOMPRESSEDLIST, 0) != 0;
   }
+  uint64_t evacuationsRevision() const {
+    return GetField<uint64_t>(VT_EVACUATIONSREVISION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ROUTINGVERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_DIRECTORYREVISION, 8) &&
            VerifyField<uint8_t>(verifier, VT_ACCEPTSCOMPRESSED, 1) &&
            VerifyField<uint8_t>(verifier, VT_ACCEPTSCOMPRESSEDLIST, 1) &&
+           VerifyField<uint64_t>(verifier, VT_EVACUATIONSREVISION, 8) &&
            verifier.EndTable();
   }
   DirectoryFetchT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3510,6 +3589,9 @@
   void add_acceptsCompressedList(bool acceptsCompressedList) {
     fbb_.AddElement<uint8_t>(DirectoryFetch::VT_ACCEPTSCOMPRESSEDLIST, static_cast<uint8_t>(acceptsCompressedList), 0);
   }
+  void add_evacuationsRevision(uint64_t evacuationsRevision) {
+    fbb_.AddElement<uint64_t>(DirectoryFetch::VT_EVACUATIONSREVISION, evacuationsRevision, 0);
+  }
   explicit DirectoryFetchBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3526,8 +3608,10 @@
     uint64_t routingVersion = 0,
     uint64_t directoryRevision = 0,
     bool acceptsCompressed = false,
-    bool acceptsCompressedList = false) {
+    bool acceptsCompressedList = false,
+    uint64_t evacuationsRevision = 0) {
   DirectoryFetchBuilder builder_(_fbb);
+  builder_.add_evacuationsRevision(evacuationsRevision);
   builder_.add_directoryRevision(directoryRevision);
   builder_.add_routingVersion(routingVersion);
   builder_.add_acceptsCompressedList(acceptsCompressedList);
@@ -3550,6 +3634,7 @@
   bool draining = false;
   int64_t started = 0;
   uint64_t revision = 0;
+  uint32_t coldMs = 0;
 };
 
 struct DirectoryUpstream FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3566,7 +3651,8 @@
     VT_SLOTS = 12,
     VT_DRAINING = 14,
     VT_STARTED = 16,
-    VT_REVISION = 18
+    VT_REVISION = 18,
+    VT_COLDMS = 20
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -3592,6 +3678,9 @@
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
   }
+  uint32_t coldMs() const {
+    return GetField<uint32_t>(VT_COLDMS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -3606,6 +3695,7 @@
            VerifyField<uint8_t>(verifier, VT_DRAINING, 1) &&
            VerifyField<int64_t>(verifier, VT_STARTED, 8) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_COLDMS, 4) &&
            verifier.EndTable();
   }
   DirectoryUpstreamT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3641,6 +3731,9 @@
   void add_revision(uint64_t revision) {
     fbb_.AddElement<uint64_t>(DirectoryUpstream::VT_REVISION, revision, 0);
   }
+  void add_coldMs(uint32_t coldMs) {
+    fbb_.AddElement<uint32_t>(DirectoryUpstream::VT_COLDMS, coldMs, 0);
+  }
   explicit DirectoryUpstreamBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3661,10 +3754,12 @@
     uint32_t slots = 0,
     bool draining = false,
     int64_t started = 0,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    uint32_t coldMs = 0) {
   DirectoryUpstreamBuilder builder_(_fbb);
   builder_.add_revision(revision);
   builder_.add_started(started);
+  builder_.add_coldMs(coldMs);
   builder_.add_slots(slots);
   builder_.add_failureDomain(failureDomain);
   builder_.add_address(address);
@@ -3683,7 +3778,8 @@
     uint32_t slots = 0,
     bool draining = false,
     int64_t started = 0,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    uint32_t coldMs = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
@@ -3697,7 +3793,8 @@
       slots,
       draining,
       started,
-      revision);
+      revision,
+      coldMs);
 }
 
 flatbuffers::Offset<DirectoryUpstream> CreateDirectoryUpstream(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryUpstreamT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3797,6 +3894,8 @@
   std::vector<uint8_t> compressedDocument{};
   bool busy = false;
   std::vector<uint8_t> compressedList{};
+  uint64_t evacuationsRevision = 0;
+  std::vector<std::string> evacuations{};
   DirectoryPushT() = default;
   DirectoryPushT(const DirectoryPushT &o);
   DirectoryPushT(DirectoryPushT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3818,7 +3917,9 @@
     VT_REMOVED = 14,
     VT_COMPRESSEDDOCUMENT = 16,
     VT_BUSY = 18,
-    VT_COMPRESSEDLIST = 20
+    VT_COMPRESSEDLIST = 20,
+    VT_EVACUATIONSREVISION = 22,
+    VT_EVACUATIONS = 24
   };
   uint64_t routingVersion() const {
     return GetField<uint64_t>(VT_ROUTINGVERSION, 0);
@@ -3847,6 +3948,12 @@
   const flatbuffers::Vector<uint8_t> *compressedList() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_COMPRESSEDLIST);
   }
+  uint64_t evacuationsRevision() const {
+    return GetField<uint64_t>(VT_EVACUATIONSREVISION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *evacuations() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_EVACUATIONS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ROUTINGVERSION, 8) &&
@@ -3865,6 +3972,10 @@
            VerifyField<uint8_t>(verifier, VT_BUSY, 1) &&
            VerifyOffset(verifier, VT_COMPRESSEDLIST) &&
            verifier.VerifyVector(compressedList()) &&
+           VerifyField<uint64_t>(verifier, VT_EVACUATIONSREVISION, 8) &&
+           VerifyOffset(verifier, VT_EVACUATIONS) &&
+           verifier.VerifyVector(evacuations()) &&
+           verifier.VerifyVectorOfStrings(evacuations()) &&
            verifier.EndTable();
   }
   DirectoryPushT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3903,6 +4014,12 @@
   void add_compressedList(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> compressedList) {
     fbb_.AddOffset(DirectoryPush::VT_COMPRESSEDLIST, compressedList);
   }
+  void add_evacuationsRevision(uint64_t evacuationsRevision) {
+    fbb_.AddElement<uint64_t>(DirectoryPush::VT_EVACUATIONSREVISION, evacuationsRevision, 0);
+  }
+  void add_evacuations(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> evacuations) {
+    fbb_.AddOffset(DirectoryPush::VT_EVACUATIONS, evacuations);
+  }
   explicit DirectoryPushBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3924,11 +4041,15 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<briarwharf::DirectoryRemoval>>> removed = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> compressedDocument = 0,
     bool busy = false,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> compressedList = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> compressedList = 0,
+    uint64_t evacuationsRevision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> evacuations = 0) {
   DirectoryPushBuilder builder_(_fbb);
+  builder_.add_evacuationsRevision(evacuationsRevision);
   builder_.add_revision(revision);
   builder_.add_from(from);
   builder_.add_routingVersion(routingVersion);
+  builder_.add_evacuations(evacuations);
   builder_.add_compressedList(compressedList);
   builder_.add_compressedDocument(compressedDocument);
   builder_.add_removed(removed);
@@ -3948,12 +4069,15 @@
     const std::vector<flatbuffers::Offset<briarwharf::DirectoryRemoval>> *removed = nullptr,
     const std::vector<uint8_t> *compressedDocument = nullptr,
     bool busy = false,
-    const std::vector<uint8_t> *compressedList = nullptr) {
+    const std::vector<uint8_t> *compressedList = nullptr,
+    uint64_t evacuationsRevision = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *evacuations = nullptr) {
   auto routingDocument__ = routingDocument ? _fbb.CreateVector<uint8_t>(*routingDocument) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::DirectoryUpstream>>(*upstreams) : 0;
   auto removed__ = removed ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::DirectoryRemoval>>(*removed) : 0;
   auto compressedDocument__ = compressedDocument ? _fbb.CreateVector<uint8_t>(*compressedDocument) : 0;
   auto compressedList__ = compressedList ? _fbb.CreateVector<uint8_t>(*compressedList) : 0;
+  auto evacuations__ = evacuations ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*evacuations) : 0;
   return briarwharf::CreateDirectoryPush(
       _fbb,
       routingVersion,
@@ -3964,7 +4088,9 @@
       removed__,
       compressedDocument__,
       busy,
-      compressedList__);
+      compressedList__,
+      evacuationsRevision,
+      evacuations__);
 }
 
 flatbuffers::Offset<DirectoryPush> CreateDirectoryPush(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryPushT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4488,7 +4614,9 @@
         segmentAnswers(o.segmentAnswers),
         upstreamLimits(o.upstreamLimits),
         storeEra(o.storeEra),
-        departures(o.departures) {
+        departures(o.departures),
+        evacuationsRevision(o.evacuationsRevision),
+        upstreamReports(o.upstreamReports) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new briarwharf::MemberT(*members_) : nullptr); }
 }
@@ -4520,6 +4648,8 @@
   std::swap(upstreamLimits, o.upstreamLimits);
   std::swap(storeEra, o.storeEra);
   std::swap(departures, o.departures);
+  std::swap(evacuationsRevision, o.evacuationsRevision);
+  std::swap(upstreamReports, o.upstreamReports);
   return *this;
 }
 
@@ -4558,6 +4688,8 @@
   { auto _e = upstreamLimits(); if (_e) { _o->upstreamLimits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->upstreamLimits[_i] = *_e->Get(_i); } } }
   { auto _e = storeEra(); _o->storeEra = _e; }
   { auto _e = departures(); if (_e) { _o->departures.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->departures[_i] = *_e->Get(_i); } } }
+  { auto _e = evacuationsRevision(); _o->evacuationsRevision = _e; }
+  { auto _e = upstreamReports(); if (_e) { _o->upstreamReports.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->upstreamReports[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4594,6 +4726,8 @@
   auto _upstreamLimits = _o->upstreamLimits.size() ? _fbb.CreateVectorOfStructs(_o->upstreamLimits) : 0;
   auto _storeEra = _o->storeEra;
   auto _departures = _o->departures.size() ? _fbb.CreateVectorOfStructs(_o->departures) : 0;
+  auto _evacuationsRevision = _o->evacuationsRevision;
+  auto _upstreamReports = _o->upstreamReports.size() ? _fbb.CreateVectorOfStructs(_o->upstreamReports) : 0;
   return briarwharf::CreateHeartbeat(
       _fbb,
       _sequence,
@@ -4621,7 +4755,9 @@
       _segmentAnswers,
       _upstreamLimits,
       _storeEra,
-      _departures);
+      _departures,
+      _evacuationsRevision,
+      _upstreamReports);
 }
 
 inline PingRequestT *PingRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5259,6 +5395,7 @@
   { auto _e = directoryRevision(); _o->directoryRevision = _e; }
   { auto _e = acceptsCompressed(); _o->acceptsCompressed = _e; }
   { auto _e = acceptsCompressedList(); _o->acceptsCompressedList = _e; }
+  { auto _e = evacuationsRevision(); _o->evacuationsRevision = _e; }
 }
 
 inline flatbuffers::Offset<DirectoryFetch> DirectoryFetch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryFetchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5273,12 +5410,14 @@
   auto _directoryRevision = _o->directoryRevision;
   auto _acceptsCompressed = _o->acceptsCompressed;
   auto _acceptsCompressedList = _o->acceptsCompressedList;
+  auto _evacuationsRevision = _o->evacuationsRevision;
   return briarwharf::CreateDirectoryFetch(
       _fbb,
       _routingVersion,
       _directoryRevision,
       _acceptsCompressed,
-      _acceptsCompressedList);
+      _acceptsCompressedList,
+      _evacuationsRevision);
 }
 
 inline DirectoryUpstreamT *DirectoryUpstream::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5298,6 +5437,7 @@
   { auto _e = draining(); _o->draining = _e; }
   { auto _e = started(); _o->started = _e; }
   { auto _e = revision(); _o->revision = _e; }
+  { auto _e = coldMs(); _o->coldMs = _e; }
 }
 
 inline flatbuffers::Offset<DirectoryUpstream> DirectoryUpstream::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryUpstreamT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5316,6 +5456,7 @@
   auto _draining = _o->draining;
   auto _started = _o->started;
   auto _revision = _o->revision;
+  auto _coldMs = _o->coldMs;
   return briarwharf::CreateDirectoryUpstream(
       _fbb,
       _id,
@@ -5325,7 +5466,8 @@
       _slots,
       _draining,
       _started,
-      _revision);
+      _revision,
+      _coldMs);
 }
 
 inline DirectoryRemovalT *DirectoryRemoval::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5364,7 +5506,9 @@
         revision(o.revision),
         compressedDocument(o.compressedDocument),
         busy(o.busy),
-        compressedList(o.compressedList) {
+        compressedList(o.compressedList),
+        evacuationsRevision(o.evacuationsRevision),
+        evacuations(o.evacuations) {
   upstreams.reserve(o.upstreams.size());
   for (const auto &upstreams_ : o.upstreams) { upstreams.emplace_back((upstreams_) ? new briarwharf::DirectoryUpstreamT(*upstreams_) : nullptr); }
   removed.reserve(o.removed.size());
@@ -5381,6 +5525,8 @@
   std::swap(compressedDocument, o.compressedDocument);
   std::swap(busy, o.busy);
   std::swap(compressedList, o.compressedList);
+  std::swap(evacuationsRevision, o.evacuationsRevision);
+  std::swap(evacuations, o.evacuations);
   return *this;
 }
 
@@ -5402,6 +5548,8 @@
   { auto _e = compressedDocument(); if (_e) { _o->compressedDocument.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->compressedDocument.begin()); } }
   { auto _e = busy(); _o->busy = _e; }
   { auto _e = compressedList(); if (_e) { _o->compressedList.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->compressedList.begin()); } }
+  { auto _e = evacuationsRevision(); _o->evacuationsRevision = _e; }
+  { auto _e = evacuations(); if (_e) { _o->evacuations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evacuations[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<DirectoryPush> DirectoryPush::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryPushT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5421,6 +5569,8 @@
   auto _compressedDocument = _o->compressedDocument.size() ? _fbb.CreateVector(_o->compressedDocument) : 0;
   auto _busy = _o->busy;
   auto _compressedList = _o->compressedList.size() ? _fbb.CreateVector(_o->compressedList) : 0;
+  auto _evacuationsRevision = _o->evacuationsRevision;
+  auto _evacuations = _o->evacuations.size() ? _fbb.CreateVectorOfStrings(_o->evacuations) : 0;
   return briarwharf::CreateDirectoryPush(
       _fbb,
       _routingVersion,
@@ -5431,7 +5581,9 @@
       _removed,
       _compressedDocument,
       _busy,
-      _compressedList);
+      _compressedList,
+      _evacuationsRevision,
+      _evacuations);
 }
 
 inline DirectoryListT::DirectoryListT(const DirectoryListT &o)
