--- a/process/testing/forwardfixture.cc
+++ b/process/testing/forwardfixture.cc
@@ -187,7 +187,8 @@
         request.body = std::make_shared<const std::string>(body);
     request.maxIdle = Milliseconds(-1); // a connection of its own
     auto exchange = m_pool.start({ "127.0.0.1", port }, request, *answer);
-    REQUIRE(exchange);
+    if (!exchange)
+        FAIL(exchange.error().message);
     answer->exchange = std::move(exchange.value());
     return answer;
 }
