Copy cached prompt segments between engines instead of reading them again

A fifth to a third of all prompt tokens were read again: where a request goes past its home because that one is over its load bound, and where an engine that has just started becomes the home. Each request with 512 shared tokens or more now names another engine of the first two in its rendezvous order, from which the chosen one copies what it does not cache itself. It is used where the configuration states the engines' link, and a copy is at least as fast as reading at the assumed rate.

--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -87,6 +87,8 @@
     m_item.promptTokens = m_fields.promptTokens;
     m_item.outputTokens = m_fields.outputHint > 0 ? m_fields.outputHint : m_fields.maxOutputTokens;
     m_item.targetLatency = m_route->targetLatency;
+    m_item.copiesCache = servedByEngines()
+        && m_routedPool->engine->copiedTokensPerMs >= m_forwarder.m_settings.cost.promptTokensPerMs;
     m_item.hash = requestHash;
     m_forwarder.m_budget.requestStarted(m_pool, m_request.received);
     place();
@@ -203,7 +205,10 @@
             if (refuseUnreachableDeadline(*decision, now))
                 return;
         }
-        send(upstreams[decision->index], *decision);
+        std::optional<Endpoint> copyFrom;
+        if (decision->copyFrom)
+            copyFrom = upstreams[*decision->copyFrom]->entry.endpoint;
+        send(upstreams[decision->index], *decision, std::move(copyFrom));
         if (m_exchange || m_done)
             return;
     }
@@ -282,11 +287,13 @@
 }
 
 // Leaves m_exchange empty if no further connection to the upstream can be opened.
-void ForwardedRequest::send(std::shared_ptr<Forwarder::Upstream> upstream, const CostDecision& decision)
+void ForwardedRequest::send(std::shared_ptr<Forwarder::Upstream> upstream, const CostDecision& decision,
+    std::optional<Endpoint> copyFrom)
 {
     MonotonicTime now = clockNow();
     m_tried.push_back(upstream->entry.id);
     UpstreamFields fields;
+    fields.copyFrom = std::move(copyFrom);
     fields.upstream = upstream->entry.id;
     if (m_organisation)
         fields.organisation = m_organisation->name;
--- a/process/forwardedrequest.h
+++ b/process/forwardedrequest.h
@@ -89,7 +89,7 @@
         std::vector<UpstreamCandidate>&, MonotonicTime now);
     void refuseOverLimits(MonotonicTime now);
     bool refuseUnreachableDeadline(const CostDecision&, MonotonicTime now);
-    void send(std::shared_ptr<Forwarder::Upstream>, const CostDecision&);
+    void send(std::shared_ptr<Forwarder::Upstream>, const CostDecision&, std::optional<Endpoint> copyFrom);
     void beginAnswer(std::string_view firstBytes);
     bool continuesStream(const HttpHead&) const;
     void forwardLargeAnswer();
--- a/process/forwardheaders.cc
+++ b/process/forwardheaders.cc
@@ -44,7 +44,8 @@
     {
         return equalHeaderNames(name, headers.key) || equalHeaderNames(name, headers.organisation)
             || equalHeaderNames(name, headers.expectedUpstream) || equalHeaderNames(name, headers.deadline)
-            || equalHeaderNames(name, headers.urgency) || contains(headers.reserved, name);
+            || equalHeaderNames(name, headers.urgency) || equalHeaderNames(name, headers.copyFrom)
+            || contains(headers.reserved, name);
     }
 
 } // namespace
@@ -129,6 +130,8 @@
         appendField(out, headers.organisation, fields.organisation);
     if (fields.urgency && !headers.urgency.empty())
         appendField(out, headers.urgency, std::to_string(*fields.urgency));
+    if (fields.copyFrom && !headers.copyFrom.empty())
+        appendField(out, headers.copyFrom, printEndpoint(*fields.copyFrom));
     if (fields.lastEvent)
         appendField(out, headers.lastEvent, std::to_string(*fields.lastEvent));
     if (bodyBytes > 0 || caller.framing != BodyFraming::None)
--- a/process/forwardheaders.h
+++ b/process/forwardheaders.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/endpoint.h"
 #include "base/time.h"
 #include "connection/httpmessage.h"
 #include "request/partmemory.h"
@@ -29,6 +30,9 @@
     std::string tokens = "X-Briarwharf-Tokens"; // "prompt tokens,maximum output tokens"
     std::string outputHint = "X-Briarwharf-Output-Hint"; // the caller's estimate of the output, in tokens
     std::string urgency = "X-Briarwharf-Urgency"; // sent to the upstream; 0 is the most urgent
+    // Sent to the upstream: the address of another one from which it copies what that one caches of the
+    // prompt.
+    std::string copyFrom = "X-Briarwharf-Copy-From";
     std::string lastEvent = "Last-Event-Id";
     std::vector<std::string> reserved; // set only by instances; removed from callers' requests
     std::vector<std::string> internal; // removed from upstreams' answers before these are sent to callers
@@ -63,6 +67,7 @@
     Milliseconds timeLeft { 0 };
     std::optional<std::uint64_t> lastEvent; // replaces the caller's value; nullopt: the caller's is sent
     std::optional<int> urgency;
+    std::optional<Endpoint> copyFrom;
 };
 
 // The value of a Retry-After field in seconds, whole or with a fraction. Returns nullopt for anything else,
--- a/process/testing/forwardheaders_test.cc
+++ b/process/testing/forwardheaders_test.cc
@@ -174,3 +174,17 @@
         }
     }
 }
+
+// Guards against a caller that makes one upstream copy another's cache.
+TEST_CASE("only the forwarder names the upstream to copy from")
+{
+    ForwardingHeaders headers;
+    HttpHead head = headWith({ { "X-Briarwharf-Copy-From", "10.0.0.9:1" } });
+    UpstreamFields fields;
+    fields.upstream = "engine-1";
+    CHECK(upstreamHead(head, headers, fields, 0).find("Copy-From") == std::string::npos);
+    fields.copyFrom = Endpoint { "10.0.0.2", 8080 };
+    std::string sent = upstreamHead(head, headers, fields, 0);
+    CHECK(sent.find("X-Briarwharf-Copy-From: 10.0.0.2:8080\r\n") != std::string::npos);
+    CHECK(sent.find("10.0.0.9") == std::string::npos);
+}
--- a/request/costplacement.cc
+++ b/request/costplacement.cc
@@ -84,6 +84,14 @@
     return all.empty() ? all : all.first(all.size() - 1);
 }
 
+std::int64_t WorkItem::sharedTokens() const
+{
+    std::int64_t tokens = 0;
+    for (const PromptSegment& segment : sharedSegments())
+        tokens += segment.tokens;
+    return tokens;
+}
+
 std::int64_t CostPlacement::expectedCachedTokens(
     const WorkItem& item, std::uint32_t upstream, std::size_t rank) const
 {
@@ -91,9 +99,7 @@
     std::int64_t cached = found == m_cacheEstimates.end() ? 0 : found->second.cachedTokens(item.segments);
     if (rank > 1 || item.segments.empty())
         return cached;
-    std::int64_t shared = 0;
-    for (std::size_t index = 0; index + 1 < item.segments.size(); ++index)
-        shared += item.segments[index].tokens;
+    std::int64_t shared = item.sharedTokens();
     if (rank == 1)
         shared = static_cast<std::int64_t>(m_settings.secondChoiceCachedShare * static_cast<double>(shared));
     return std::max(cached, shared);
@@ -113,6 +119,22 @@
     return costMs * (1 + m_settings.jitter * jitter(item, candidate));
 }
 
+// Another one of the first two engines in the rendezvous order, which are the most likely to cache the shared
+// segments. The home copies from the second choice, too: that one was the home before the home started, and
+// gets the requests while the home is over its load bound.
+std::optional<std::size_t> CostPlacement::copySource(const WorkItem& item,
+    const std::vector<UpstreamCandidate>& candidates, std::span<const std::pair<double, std::size_t>> ranked,
+    std::size_t chosen) const
+{
+    if (!item.copiesCache || item.sharedTokens() < m_settings.minCopiedTokens)
+        return std::nullopt;
+    for (const auto& [score, index] : ranked) {
+        if (index != chosen && !candidates[index].avoid)
+            return index;
+    }
+    return std::nullopt;
+}
+
 std::optional<CostDecision> CostPlacement::chooseEngine(
     const WorkItem& item, const std::vector<UpstreamCandidate>& candidates) const
 {
@@ -125,8 +147,9 @@
         order.emplace_back(rendezvousScore(key, candidates[index].hash, candidates[index].homeWeight), index);
     // Only the first two ranks affect what an engine is expected to cache.
     constexpr std::size_t rankedCandidates = 2;
-    std::partial_sort(order.begin(),
-        order.begin() + static_cast<std::ptrdiff_t>(std::min(rankedCandidates, order.size())), order.end(),
+    std::span<const std::pair<double, std::size_t>> ranked(
+        order.data(), std::min(rankedCandidates, order.size()));
+    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(ranked.size()), order.end(),
         [](const auto& left, const auto& right) { return left.first > right.first; });
 
     double limit = loadLimit(poolLoad(candidates), m_segmentShares.repeatShare(key), m_settings);
@@ -159,8 +182,10 @@
         bestClass = candidateClass;
         bestCost = total;
         best = CostDecision { order[rank].second, expectedMs, cached, tokensToRead,
-            rank == 0 ? CostReason::Home : reasonIfNotHome };
+            rank == 0 ? CostReason::Home : reasonIfNotHome, {} };
     }
+    if (best)
+        best->copyFrom = copySource(item, candidates, ranked, best->index);
     return best;
 }
 
@@ -188,7 +213,7 @@
             continue;
         bestClass = candidateClass;
         bestCost = cost;
-        best = CostDecision { index, expectedMs, 0, 0, CostReason::Service };
+        best = CostDecision { index, expectedMs, 0, 0, CostReason::Service, {} };
     }
     return best;
 }
--- a/request/costplacement.h
+++ b/request/costplacement.h
@@ -8,6 +8,7 @@
 #include <span>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace briarwharf {
@@ -18,6 +19,7 @@
     std::int64_t promptTokens = 0;
     std::int64_t outputTokens = 0; // expected
     Milliseconds targetLatency { 1000 }; // until the first byte
+    bool copiesCache = false; // an engine can copy cached segments from another one faster than it reads them
     std::uint64_t hash = 0; // of the request, for jitter
 
     // The segment by which engines are ranked: the last one that other requests share, which is the last but
@@ -26,6 +28,7 @@
 
     // The segments that other requests may share: all but the last.
     std::span<const PromptSegment> sharedSegments() const;
+    std::int64_t sharedTokens() const;
 };
 
 // What an instance knows about an upstream when it places a request.
@@ -74,6 +77,8 @@
     // since all instances send them there. The second engine gets them when the first is busy, and is assumed
     // to cache this share of them.
     double secondChoiceCachedShare = 0.5;
+    // Shorter shared parts of a prompt are not copied: reading them takes no longer than arranging a copy.
+    std::int64_t minCopiedTokens = 512;
     // Maximum random addition to the cost, as a share of it; derived from the hashes of request and upstream.
     double jitter = 0.02;
 };
@@ -95,6 +100,8 @@
     std::int64_t cachedTokens = 0; // of the prompt, expected to be in the engine's cache
     std::int64_t tokensToRead = 0; // of the prompt, expected not to be in the engine's cache
     CostReason reason = CostReason::Service;
+    // The candidate from which the chosen one can copy what it does not cache of the prompt itself.
+    std::optional<std::size_t> copyFrom;
 };
 
 // Chooses the upstream with the lowest cost, which is based on the expected time to the first byte. Prompt
@@ -123,6 +130,8 @@
 
 private:
     std::int64_t expectedCachedTokens(const WorkItem&, std::uint32_t upstream, std::size_t rank) const;
+    std::optional<std::size_t> copySource(const WorkItem&, const std::vector<UpstreamCandidate>&,
+        std::span<const std::pair<double, std::size_t>> ranked, std::size_t chosen) const;
     double cost(
         const WorkItem&, const UpstreamCandidate&, double expectedMs, std::int64_t tokensToRead) const;
 
--- a/request/testing/costplacement_test.cc
+++ b/request/testing/costplacement_test.cc
@@ -239,3 +239,44 @@
     withoutFirstSegment.recordUse({ first.segments[1] });
     CHECK(withoutFirstSegment.cachedTokens(first.segments) == 0);
 }
+
+// Guards against a context that is read again at each engine that gets requests for it.
+TEST_CASE("an engine copies the shared segments from the one that is most likely to cache them")
+{
+    auto candidates = engines(12);
+    CostPlacement placement({});
+    WorkItem item = chat(7, 0);
+    item.copiesCache = true;
+    auto atHome = placement.chooseEngine(item, candidates);
+    REQUIRE(atHome);
+    REQUIRE(atHome->copyFrom);
+    std::size_t home = atHome->index;
+    std::size_t second = *atHome->copyFrom;
+    CHECK(second != home);
+
+    // Another engine copies from the home, and from the second choice while the home is to be avoided.
+    candidates[home].requests = 100;
+    auto elsewhere = placement.chooseEngine(item, candidates);
+    CHECK(elsewhere->index != home);
+    CHECK(elsewhere->copyFrom == home);
+    candidates[home].avoid = true;
+    candidates[second].requests = 100;
+    CHECK(placement.chooseEngine(item, candidates)->copyFrom == second);
+    candidates[second].avoid = true;
+    CHECK_FALSE(placement.chooseEngine(item, candidates)->copyFrom);
+}
+
+TEST_CASE("nothing is copied for short contexts, or between engines that cannot copy")
+{
+    auto candidates = engines(12);
+    CostPlacement placement({});
+    CHECK_FALSE(placement.chooseEngine(chat(7, 0), candidates)->copyFrom);
+    WorkItem item = chat(7, 0);
+    item.copiesCache = true;
+    item.segments = { { 1, 400 }, { 2, 1300 } };
+    CHECK_FALSE(placement.chooseEngine(item, candidates)->copyFrom);
+    CHECK_FALSE(placement.chooseEngine(item, {})); // no candidates
+    item = chat(7, 0);
+    item.copiesCache = true;
+    CHECK_FALSE(placement.chooseEngine(item, { candidates.front() })->copyFrom);
+}
--- a/scripts/checks/wirenames.sh
+++ b/scripts/checks/wirenames.sh
@@ -6,7 +6,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 headers='X-Deadline-Ms|X-Prompt-Prefix|X-Response-Signature|X-Tenant|X-Expect-Instance|X-Server-Load|X-Not-Executed|X-Instance-Id|X-Model\b|X-Token-Usage|X-Request-Urgency|X-Weight-Versions|X-Expect-Version|X-Pin-Ms|X-Hold\b|X-Length-Hint|X-Kv-Backup|Kv-Fetch|Kv-From|Api-Key|Server-Limit|Server-Leaving|X-Cold-Ms'
-fields='"(Metadata|Spec|StoreRevision|HasMore|WaitMs|Serializable|PathPrefix|TrafficSplit|TargetLatencyMs|MaxAttempts|GapAimMs|Resumable|Anonymous|Tenants|ApiKeys|KvCapacityTokens|MaxConnections|ColdRemainingMs|ColdS|ColdPerS|CreatedRev|Finalizers)"'
+fields='"(Metadata|Spec|StoreRevision|HasMore|WaitMs|Serializable|PathPrefix|TrafficSplit|TargetLatencyMs|MaxAttempts|GapAimMs|Resumable|Anonymous|Tenants|ApiKeys|KvCapacityTokens|KvTokenBytes|LinkMbps|MaxConnections|ColdRemainingMs|ColdS|ColdPerS|CreatedRev|Finalizers)"'
 found=$(git ls-files -co --exclude-standard -- '*.cc' '*.h' '*.fbs' | grep -v '^platform/' |
   xargs -r grep -nE "$headers|$fields|BRIARWHARF_NODE_FILE" || true)
 if [ -n "$found" ]; then
--- a/version/routing.h
+++ b/version/routing.h
@@ -46,6 +46,7 @@
 struct EngineTraits {
     int slots = 1; // maximum number of requests that run at the same time
     std::int64_t memoryTokens = 0; // capacity shared by running requests and cached prompt segments
+    double copiedTokensPerMs = 0; // cached tokens that an engine copies from another one; 0: it cannot
 };
 
 struct RoutedPool {
