Bound the rate of calls in the test of pauses

Seen from outside: the case failed 3 of 3 times in runs of the whole process_test beside load (REQUIRE(exchange): no connection could be opened). It calls in a loop without a wait for 2 s, each time on a new connection, and the number of calls depended on the machine's speed: 31,509 assertions in a run beside a build, 2,745 in another. The loop now has at least 1 ms between rounds, at most 6,000 calls. The check is unchanged. Not reproduced here: the case passed in all runs (3 before, one after, beside load about 20; with 700 descriptors, too, which rules out descriptors).

--- a/process/testing/upstreamavailability_test.cc
+++ b/process/testing/upstreamavailability_test.cc
@@ -9,6 +9,7 @@
 #include <poll.h>
 #include <set>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace briarwharf;
@@ -262,9 +263,13 @@
     callUntilReached(fixture, daemon, pausing);
     CHECK(fixture.admin(daemon, "/metrics")->body.find("briarwharf_upstream_pauses_total 1")
         != std::string::npos);
+    // Each call is a new connection. Without a bound on their rate, a fast machine runs out of ports.
+    constexpr Milliseconds minInterval { 1 };
     while (arrivals.size() < 2) {
+        MonotonicTime next = clockNow() + minInterval;
         for (const char* target : { "/read/x", "/book/x", "/chat/x" })
             fixture.call(daemon, target);
+        std::this_thread::sleep_until(next);
     }
     CHECK(arrivals[1] - arrivals[0] >= pause);
 }
