Follow evacuated failure domains and send their upstreams nothing

Cause: an operator's request to evacuate a failure domain was not obeyed at all.

Change: coordination/evacuations keeps the list in the order of the registry's revisions; platform/source follows the kind if [directory] evacuations is true; directoryrelay passes the list on with the fields that peer.fbs has; the forwarder leaves the domains' upstreams out of the pools and shares the code path of an upstream that leaves (unwritten requests are placed again, idle connections closed). An evacuation that a restored registry lacks is kept for 30 s. An instance with the setting takes no requests before it knows the list, for at most 5 s.

Ruled out: telling peers of kept evacuations. A peer that started after the restore would need their remaining time in heartbeats, a new field; each instance that knew them keeps them itself. Raising the revision for peers with each answer of the store: every instance would fetch after each of them.

--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -6,6 +6,7 @@
 #include "coordination/crashevidence.h"
 #include "coordination/directory.h"
 #include "coordination/directoryrelay.h"
+#include "coordination/evacuations.h"
 #include "coordination/inprogress.h"
 #include "coordination/lease.h"
 #include "coordination/loadtable.h"
--- a/coordination/directoryrelay.cc
+++ b/coordination/directoryrelay.cc
@@ -52,7 +52,8 @@
 
 bool DirectoryRelay::isAhead(const Versions& versions) const
 {
-    return versions.routing > m_routingVersion || versions.directory > m_directoryRevision;
+    return versions.routing > m_routingVersion || versions.directory > m_directoryRevision
+        || versions.evacuations > m_evacuations.revision;
 }
 
 void DirectoryRelay::tick(MonotonicTime now)
@@ -98,6 +99,7 @@
     DirectoryFetchT fetch;
     fetch.routingVersion = m_routingVersion;
     fetch.directoryRevision = m_directoryRevision;
+    fetch.evacuationsRevision = m_evacuations.revision;
     fetch.acceptsCompressed = true;
     fetch.acceptsCompressedList = true;
     m_outbox.send(*chosenId, fetch);
@@ -124,6 +126,11 @@
         addDocument(peer, fetch.acceptsCompressed, push, now);
     if (directory.revision() > fetch.directoryRevision)
         addList(peer, fetch, directory, push, now);
+    // A few names, which a peer gets also while it waits for a long document.
+    if (m_evacuations.revision > fetch.evacuationsRevision) {
+        push.evacuationsRevision = m_evacuations.revision;
+        push.evacuations.assign(m_evacuations.domains.begin(), m_evacuations.domains.end());
+    }
     m_outbox.send(peer, std::move(push));
 }
 
@@ -213,6 +220,8 @@
         sender->second.unanswered = false;
     DirectoryUpdate update;
     update.routingVersion = push.routingVersion;
+    update.evacuations.revision = push.evacuationsRevision;
+    update.evacuations.domains.insert(push.evacuations.begin(), push.evacuations.end());
     update.routingDocument.assign(push.routingDocument.begin(), push.routingDocument.end());
     if (!push.compressedDocument.empty()) {
         std::string compressed(push.compressedDocument.begin(), push.compressedDocument.end());
@@ -240,6 +249,7 @@
     Peer& peer = m_peers[link.peer];
     heartbeat.routingVersion = m_routingVersion;
     heartbeat.directoryRevision = m_directoryRevision;
+    heartbeat.evacuationsRevision = m_evacuations.revision;
     if (m_confirmedAt) {
         constexpr std::int64_t bound = 0x7fffffff;
         heartbeat.headConfirmedMs
@@ -266,7 +276,8 @@
 void DirectoryRelay::accept(const LinkView& link, const HeartbeatT& heartbeat, MonotonicTime now)
 {
     Peer& peer = m_peers[link.peer];
-    peer.reportedVersions = { heartbeat.routingVersion, heartbeat.directoryRevision };
+    peer.reportedVersions
+        = { heartbeat.routingVersion, heartbeat.directoryRevision, heartbeat.evacuationsRevision };
     for (const PeerDeparture& departure : heartbeat.departures)
         m_receivedDepartures.push_back(
             { departure.upstream(), departure.started(), departure.revision(), departure.draining() });
--- a/coordination/directoryrelay.h
+++ b/coordination/directoryrelay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/directory.h"
+#include "coordination/evacuations.h"
 #include "coordination/member.h"
 #include "coordination/outbox.h"
 #include "coordination/recordspread.h"
@@ -58,14 +59,16 @@
     std::uint64_t routingVersion = 0; // 0: no document
     std::string routingDocument;
     std::optional<DirectoryChanges> changes;
+    EvacuationList evacuations; // revision 0: no list
 };
 
-// Transfers the configuration of forwarded routes and the list of upstreams between instances, for those that
-// do not get them from the source. Heartbeats carry the versions; an instance that is behind queries one
-// peer.
+// Transfers the configuration of forwarded routes, the list of upstreams and the list of evacuated failure
+// domains between instances, for those that do not get them from the source. Heartbeats carry the versions;
+// an instance that is behind queries one peer.
 //
 //   relay.setRouting(version, document);
 //   relay.setDirectoryRevision(directory.revision());
+//   relay.setEvacuations(evacuated.list());
 //   relay.tick(now);                                      // queries a peer if that is due
 //   relay.receive(peer, fetch, directory, now);           // answers a peer's query
 //   auto update = relay.receive(peer, push);              // evaluates a peer's answer
@@ -73,9 +76,10 @@
 public:
     DirectoryRelay(DirectoryRelayOptions, const Membership&, Outbox&);
 
-    // Set the versions in force here; the document is kept for peers.
+    // Set the versions in force here; the document and the list of evacuated domains are kept for peers.
     void setRouting(std::uint64_t version, std::string document);
     void setDirectoryRevision(std::uint64_t revision) { m_directoryRevision = revision; }
+    void setEvacuations(const EvacuationList& list) { m_evacuations = list; }
 
     // The source reported that there is nothing newer. `requestedAt` is when the request was sent.
     void confirm(MonotonicTime requestedAt);
@@ -108,10 +112,12 @@
     struct Versions {
         std::uint64_t routing = 0;
         std::uint64_t directory = 0;
+        std::uint64_t evacuations = 0;
         bool operator==(const Versions&) const = default;
         bool includes(const Versions& other) const
         {
-            return routing >= other.routing && directory >= other.directory;
+            return routing >= other.routing && directory >= other.directory
+                && evacuations >= other.evacuations;
         }
     };
     struct Peer {
@@ -135,7 +141,7 @@
     };
     using FetchOrder = std::tuple<bool, bool, MonotonicTime, std::uint64_t>;
 
-    Versions ownVersions() const { return { m_routingVersion, m_directoryRevision }; }
+    Versions ownVersions() const { return { m_routingVersion, m_directoryRevision, m_evacuations.revision }; }
     bool isAhead(const Versions&) const;
     void fetchFromPeer(MonotonicTime now);
     void updateDuty(MonotonicTime now);
@@ -159,6 +165,7 @@
     std::map<std::string, Peer, std::less<>> m_peers;
     std::uint64_t m_routingVersion = 0;
     std::uint64_t m_directoryRevision = 0;
+    EvacuationList m_evacuations;
     std::string m_document;
     std::string m_compressed; // m_document in compressed form; empty until it is needed
     // The last compressed document that a peer sent, kept until it is in force here or another one arrives.
--- a/daemon/briarwharfd_main.cc
+++ b/daemon/briarwharfd_main.cc
@@ -55,6 +55,7 @@
     platform::SourceOptions options;
     options.store = settings.store.endpoint;
     options.instanceName = settings.instance.id;
+    options.evacuations = settings.directory.evacuations;
     std::string peers = printEndpoint(settings.listen.peers);
     options.self = { peers, peers, settings.instance.failureDomain };
     ForwardDaemon daemon(base, settings, file, std::make_unique<platform::PlatformSource>(base, options));
--- a/process/directorysource.h
+++ b/process/directorysource.h
@@ -29,6 +29,8 @@
     std::function<void(const std::vector<ListedInstance>&)> instances;
     // The saved quarantines, soon after the start and when the source was restored from an older copy.
     std::function<void(const std::vector<SavedQuarantine>&)> quarantines;
+    // The evacuated failure domains, or the changes to them; only if the settings ask for them.
+    std::function<void(const EvacuationChanges&)> evacuations;
 };
 
 struct DirectoryCounters {
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -122,6 +122,7 @@
     , m_directory(directoryOptions(m_settings))
     , m_forwarder(base, forwarderSettings(m_settings), m_source->headers(),
           { m_inProgress, m_health, m_quarantine, m_limits }, m_metrics)
+    , m_evacuations(m_settings.directory.evacuations, { m_relay, m_directory, m_inProgress, m_forwarder })
     , m_callers(base, ingressLimits(m_settings),
           [this](IngressRequest request, CallerExchange& caller) {
               m_forwarder.handle(std::move(request), caller);
@@ -167,6 +168,10 @@
         [this](const std::vector<ListedInstance>& instances) { m_mesh.seed(instances); },
         [this](const std::vector<SavedQuarantine>& saved) {
             m_quarantineArchive.restore(saved, clockNow(), std::chrono::system_clock::now());
+        },
+        [this](const EvacuationChanges& changes) {
+            m_evacuations.apply(changes);
+            logReadiness();
         } });
     return ok();
 }
@@ -197,6 +202,8 @@
 
 void ForwardDaemon::applyUpdate(DirectoryUpdate update, std::string_view peer)
 {
+    // First, so that no request goes to an evacuated domain when the rest makes this instance ready.
+    m_evacuations.learn(update.evacuations, peer);
     if (update.changes)
         applyChanges(*update.changes, peer);
     if (update.routingVersion <= m_relay.routingVersion())
@@ -307,6 +314,8 @@
     m_mesh.tick();
     exchangeDepartures();
     m_relay.tick(now);
+    m_evacuations.tick(now);
+    logReadiness();
     m_quarantine.tick(now);
     m_limits.tick(now);
     m_quarantineArchive.tick(now, std::chrono::system_clock::now());
@@ -340,8 +349,8 @@
             return caller.answer(200, "Content-Type: application/json\r\n", text);
     }
     answerText(caller, 404,
-        "use /healthz, /readyz, /metrics, /show/routes, /show/upstreams, /show/quarantine or "
-        "/show/instances\n");
+        "use /healthz, /readyz, /metrics, /show/routes, /show/upstreams, /show/quarantine, "
+        "/show/evacuations or /show/instances\n");
 }
 
 std::string ForwardDaemon::showText(std::string_view resource) const
@@ -359,15 +368,16 @@
         for (const auto& [id, entry] : m_directory.upstreams()) {
             auto hash = static_cast<std::uint32_t>(hash64(id));
             std::uint32_t lifetimeHash = upstreamLifetimeHash(entry);
-            rows.push_back({ { "id", id }, { "pool", entry.pool },
-                { "address", printEndpoint(entry.endpoint) }, { "domain", entry.failureDomain },
-                { "draining", entry.draining }, { "lapsed", entry.lapsed },
-                { "usable", m_health.usable(hash, now) }, { "requests", m_inProgress.own(hash).requests },
-                { "requests_elsewhere", m_inProgress.others(hash).requests },
-                { "limit_per_second", m_limits.limit(lifetimeHash) },
-                { "leaving", m_forwarder.availability().isLeaving(lifetimeHash) },
-                { "stale", m_forwarder.availability().isStale(lifetimeHash) },
-                { "pause_left_ms", m_forwarder.availability().pauseLeft(lifetimeHash, now).count() } });
+            rows.push_back(
+                { { "id", id }, { "pool", entry.pool }, { "address", printEndpoint(entry.endpoint) },
+                    { "domain", entry.failureDomain }, { "draining", entry.draining },
+                    { "lapsed", entry.lapsed }, { "evacuated", m_forwarder.isEvacuated(entry) },
+                    { "usable", m_health.usable(hash, now) }, { "requests", m_inProgress.own(hash).requests },
+                    { "requests_elsewhere", m_inProgress.others(hash).requests },
+                    { "limit_per_second", m_limits.limit(lifetimeHash) },
+                    { "leaving", m_forwarder.availability().isLeaving(lifetimeHash) },
+                    { "stale", m_forwarder.availability().isStale(lifetimeHash) },
+                    { "pause_left_ms", m_forwarder.availability().pauseLeft(lifetimeHash, now).count() } });
         }
     } else if (resource == "quarantine") {
         MonotonicTime now = clockNow();
@@ -378,6 +388,8 @@
             rows.push_back({ { "segments", segments }, { "crashes", group.upstreams.size() },
                 { "left_ms", std::max<std::int64_t>(0, toMilliseconds(group.termEnd - now).count()) } });
         }
+    } else if (resource == "evacuations") {
+        rows = m_evacuations.rows();
     } else if (resource == "instances") {
         for (const auto& [id, member] : m_mesh.membership().members())
             rows.push_back({ { "id", id }, { "domain", member.failureDomain },
@@ -453,6 +465,7 @@
         static_cast<double>(m_forwarder.availability().staleUpstreams()));
     m_metrics.set("briarwharf_paused_upstreams", "Upstreams that asked this instance for a pause.",
         static_cast<double>(m_forwarder.availability().pausedUpstreams(clockNow())));
+    m_evacuations.report(m_metrics);
     m_metrics.set("briarwharf_requests_in_progress", "Requests that wait for their answer's end.",
         static_cast<double>(m_forwarder.requestsInProgress()));
     m_metrics.set("briarwharf_buffered_answer_bytes", "Bytes of incomplete answers in memory.",
--- a/process/forwarddaemon.h
+++ b/process/forwarddaemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/directorysource.h"
+#include "process/evacuationservice.h"
 #include "process/forwarder.h"
 #include "process/peermesh.h"
 #include "process/quarantinearchive.h"
@@ -75,6 +76,7 @@
     UpstreamDirectory m_directory;
     ForwardMetrics m_metrics;
     Forwarder m_forwarder;
+    EvacuationService m_evacuations;
     Ingress m_callers;
     Ingress m_admin;
     Ticker m_ticker;
--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -561,9 +561,9 @@
     return m_forwarder.hasUsableUpstream(m_pool, m_tried, now);
 }
 
-bool ForwardedRequest::isUnwrittenAt(const Forwarder::Upstream& upstream) const
+const Forwarder::Upstream* ForwardedRequest::unwrittenUpstream() const
 {
-    return m_upstream.get() == &upstream && m_exchange && !m_exchange->written();
+    return m_exchange && !m_exchange->written() ? m_upstream.get() : nullptr;
 }
 
 void ForwardedRequest::placeAgain()
@@ -600,7 +600,8 @@
         m_forwarder.m_inProgress.answerStarted(m_upstream->hash, m_decision.tokensToRead);
     m_forwarder.m_inProgress.ended(m_upstream->hash);
     m_forwarder.attemptFinished(m_pool, clockNow() - m_sentAt);
-    if (m_forwarder.m_availability.isLeaving(m_upstream->lifetimeHash))
+    if (m_forwarder.m_availability.isLeaving(m_upstream->lifetimeHash)
+        || m_forwarder.isEvacuated(m_upstream->entry))
         m_forwarder.m_connections.closeIdle(m_upstream->entry.endpoint);
     m_upstream.reset();
     m_headReceived = false;
--- a/process/forwardedrequest.h
+++ b/process/forwardedrequest.h
@@ -35,8 +35,8 @@
 
     bool isDone() const { return m_done; }
 
-    // Whether the current attempt is at the upstream and nothing of it was handed to the network.
-    bool isUnwrittenAt(const Forwarder::Upstream&) const;
+    // The upstream of the current attempt if nothing of it was handed to the network; otherwise null.
+    const Forwarder::Upstream* unwrittenUpstream() const;
     // Ends the current attempt, of which nothing was written, and chooses another upstream.
     void placeAgain();
 
--- a/process/forwarder.cc
+++ b/process/forwarder.cc
@@ -102,7 +102,7 @@
         bool removed = entry == entries.end();
         if (removed || entry->second.started != known->second->entry.started)
             m_placement.removeUpstream(known->second->hash);
-        if (removed || entry->second.draining)
+        if (removed || entry->second.draining || isEvacuated(entry->second))
             m_connections.closeIdle(known->second->entry.endpoint);
         if (removed && known->second->entry.started == 0) // its next lifetime will look the same
             m_availability.forget(known->second->lifetimeHash);
@@ -138,12 +138,24 @@
     for (const auto& [id, upstream] : m_upstreams) {
         std::uint32_t lifetime = upstream->lifetimeHash;
         bool usable = !upstream->entry.draining && !m_availability.isLeaving(lifetime)
-            && !m_availability.isStale(lifetime);
+            && !m_availability.isStale(lifetime) && !isEvacuated(upstream->entry);
         if (usable)
             m_pools[upstream->entry.pool].upstreams.push_back(upstream);
     }
 }
 
+void Forwarder::setEvacuatedDomains(std::set<std::string> domains)
+{
+    m_awaitsEvacuatedDomains = false;
+    m_evacuatedDomains = std::move(domains);
+    updatePools();
+    for (const auto& [id, upstream] : m_upstreams) {
+        if (isEvacuated(upstream->entry))
+            m_connections.closeIdle(upstream->entry.endpoint);
+    }
+    placeUnwrittenAgain([this](const Upstream& upstream) { return isEvacuated(upstream.entry); });
+}
+
 bool Forwarder::setLeaving(const Upstream& upstream)
 {
     if (!m_availability.setLeaving(upstream.lifetimeHash))
@@ -177,10 +189,16 @@
 }
 
 void Forwarder::placeUnwrittenAgain(const Upstream& upstream)
+{
+    placeUnwrittenAgain([&upstream](const Upstream& other) { return &other == &upstream; });
+}
+
+void Forwarder::placeUnwrittenAgain(const std::function<bool(const Upstream&)>& isGivenUp)
 {
     for (auto request = m_requests.begin(); request != m_requests.end();) {
         auto& current = **request++;
-        if (current.isUnwrittenAt(upstream))
+        const Upstream* upstream = current.unwrittenUpstream();
+        if (upstream && isGivenUp(*upstream))
             current.placeAgain();
     }
 }
--- a/process/forwarder.h
+++ b/process/forwarder.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -78,6 +79,10 @@
 
     void setRouting(std::shared_ptr<const RoutingTable>);
     void setUpstreams(const std::map<std::string, UpstreamEntry>&, std::uint64_t revision);
+    // Sends nothing more to the upstreams of these failure domains. What is in progress there goes on.
+    void setEvacuatedDomains(std::set<std::string>);
+    // Refuses requests until setEvacuatedDomains() is called.
+    void awaitEvacuatedDomains() { m_awaitsEvacuatedDomains = true; }
     void setInstances(std::size_t instances);
     // From now on, refuses requests that are not expected to end by `deadline`, so that none is cut off.
     // Requests that must not run twice, and from `estimateUntil` on all, are refused even if only their
@@ -91,8 +96,13 @@
     void endRequests();
     void setBudget(const FleetRetryBudgetSettings& settings) { m_budget.setSettings(settings); }
 
-    // Whether both a configuration and a list of upstreams are in force.
-    bool isReady() const { return m_routing && m_directoryRevision > 0; }
+    bool hasRoutingAndUpstreams() const { return m_routing && m_directoryRevision > 0; }
+    // Whether a configuration, a list of upstreams and, if awaited, the evacuated domains are in force.
+    bool isReady() const { return hasRoutingAndUpstreams() && !m_awaitsEvacuatedDomains; }
+    bool isEvacuated(const UpstreamEntry& entry) const
+    {
+        return m_evacuatedDomains.count(entry.failureDomain) == 1;
+    }
 
     void handle(IngressRequest, CallerExchange&);
 
@@ -147,8 +157,9 @@
     // Another upstream answered at the address of this one.
     void setStale(const Upstream&);
     void updatePools();
-    // Finds another upstream for the requests to this one whose connection is still being opened.
+    // Finds another upstream for the requests to these ones whose connection is still being opened.
     void placeUnwrittenAgain(const Upstream&);
+    void placeUnwrittenAgain(const std::function<bool(const Upstream&)>& isGivenUp);
     void attemptFinished(const std::string& pool, std::chrono::nanoseconds duration);
     void finished(ForwardedRequest&);
     void checkTimeouts();
@@ -172,12 +183,14 @@
     ForwarderCounters m_counters;
     std::shared_ptr<const RoutingTable> m_routing;
     std::uint64_t m_directoryRevision = 0;
+    std::set<std::string> m_evacuatedDomains;
+    bool m_awaitsEvacuatedDomains = false;
     std::size_t m_instances = 1;
     std::size_t m_bufferedBytes = 0; // of all requests
     std::optional<MonotonicTime> m_shutdownDeadline; // set while this instance shuts down
     MonotonicTime m_shutdownEstimateUntil;
     std::map<std::string, std::shared_ptr<Upstream>> m_upstreams; // by id
-    std::unordered_map<std::string, Pool> m_pools; // by name, without draining, leaving and stale upstreams
+    std::unordered_map<std::string, Pool> m_pools; // by name, without upstreams that get no requests
     std::unordered_map<std::string, PoolRate> m_poolRates; // by name
     bool m_weightsInUse = false; // an upstream had a limit when the weights were last determined
     std::list<std::unique_ptr<ForwardedRequest>> m_requests;
--- a/process/settings.cc
+++ b/process/settings.cc
@@ -123,6 +123,16 @@
         };
     }
 
+    template <typename Section> Assign boolean(Section Settings::*section, bool Section::*member)
+    {
+        return [=](Settings& settings, const std::string& value) -> std::string {
+            if (value != "true" && value != "false")
+                return "true or false";
+            settings.*section.*member = value == "true";
+            return {};
+        };
+    }
+
     std::string assignSource(Settings& settings, const std::string& value)
     {
         if (value != "log" && value != "platform")
@@ -214,6 +224,10 @@
                 "choice, "
                 "0 to 60000.",
                 "1700", false, duration(&S::directory, &S::Directory::lapseHold, Ms(0), Ms(60000)) },
+            { "directory", "evacuations",
+                "Whether to follow the evacuated failure domains and send their upstreams nothing, true or "
+                "false.",
+                "false", false, boolean(&S::directory, &S::Directory::evacuations) },
             { "fleet", "seeds", "Other instances as IP:PORT, separated by commas; the ports are ignored.", "",
                 false, assignSeeds },
             { "fleet", "retry_ratio", "Retries for each request, as a ratio over all instances, 0 to 1.",
--- a/process/settings.h
+++ b/process/settings.h
@@ -36,6 +36,7 @@
         // For this long, an upstream that lapsed (its entry disappeared from the list without a drain) is
         // chosen only if no other one is available.
         Milliseconds lapseHold { 1700 };
+        bool evacuations = false; // send nothing to upstreams of failure domains that the operator evacuates
     } directory;
 
     struct Fleet {
