--- a/coordination/testing/directoryrelay_test.cc
+++ b/coordination/testing/directoryrelay_test.cc
@@ -27,9 +27,17 @@
     Membership membership;
     DirectoryRelay relay { {}, membership, outbox };
     UpstreamDirectory directory { {} };
+    EvacuatedDomains evacuated { {} };
 
+    void applyEvacuations(const EvacuationChanges& changes, MonotonicTime now)
+    {
+        evacuated.apply(changes, now);
+        relay.setEvacuations(evacuated.list());
+    }
     void applyUpdate(const DirectoryUpdate& update, MonotonicTime now)
     {
+        evacuated.learn(update.evacuations, now);
+        relay.setEvacuations(evacuated.list());
         if (update.changes) {
             directory.apply(*update.changes, now);
             relay.setDirectoryRevision(directory.revision());
@@ -264,6 +272,30 @@
     CHECK(net.at("ahead").directory.revision() == 70);
 }
 
+// Guards against an evacuation that only the instances obey which read the registry, against one that stays
+// in force after its end, and against an instance that starts without it while the registry is unavailable.
+TEST_CASE("instances that do not read the registry learn of an evacuation and of its end from a peer")
+{
+    FakeNetwork net;
+    Node& reading = net.at("reading");
+    reading.load(7, 70, net.now);
+    net.at("other").load(7, 70, net.now);
+    for (const char* name : { "other", "started" }) {
+        CAPTURE(name);
+        reading.applyEvacuations({ 0, 100, { "z0" }, {}, true }, net.now);
+        CHECK(reading.relay.urgent({ name }, net.now));
+        net.heartbeat("reading", name);
+        net.step(Milliseconds(300));
+        net.step(Milliseconds(300));
+        CHECK(net.at(name).evacuated.inForce() == std::set<std::string> { "z0" });
+    }
+    reading.applyEvacuations({ 100, 110, {}, { "z0" }, true }, net.now);
+    net.heartbeat("reading", "other");
+    net.step(Milliseconds(300));
+    net.step(Milliseconds(300));
+    CHECK(net.at("other").evacuated.inForce().empty());
+}
+
 TEST_CASE("a peer that does not answer is skipped")
 {
     FakeNetwork net;
--- a/process/testing/forwardfixture.cc
+++ b/process/testing/forwardfixture.cc
@@ -56,6 +56,15 @@
     }
 }
 
+void FakeDirectory::publishEvacuations(std::vector<std::string> domains)
+{
+    evacuations = EvacuationChanges { 0, ++revision, std::move(domains), {}, true };
+    for (auto* follower : followers) {
+        if (!unreachable)
+            follower->evacuations(*evacuations);
+    }
+}
+
 void FakeDirectory::publishRestored()
 {
     std::uint64_t generation = generationOf(revision) + 1;
@@ -82,6 +91,8 @@
     m_callbacks.routing(m_directory.routing, std::to_string(m_directory.routing.version));
     m_callbacks.upstreams({ 0, m_directory.revision, m_directory.upstreams, {} });
     m_callbacks.quarantines(m_directory.quarantines);
+    if (m_directory.evacuations)
+        m_callbacks.evacuations(*m_directory.evacuations);
 }
 
 void FakeSource::save(const SavedQuarantine& quarantine, std::function<void(Status)> done)
@@ -157,6 +168,7 @@
     settings.instance.id = "entry-" + std::to_string(m_daemons.size() + 1);
     settings.instance.failureDomain = "a";
     settings.directory.source = "platform";
+    settings.directory.evacuations = followsEvacuations;
     settings.listen.callers = { "127.0.0.1", 0 };
     settings.listen.admin = { "127.0.0.1", 0 };
     m_peerAddresses.push_back({ ownLoopbackAddress(m_peerAddresses.size() + 1), peerPort });
--- a/process/testing/forwardfixture.h
+++ b/process/testing/forwardfixture.h
@@ -15,11 +15,13 @@
     std::vector<UpstreamEntry> upstreams;
     std::uint64_t revision = 1;
     std::vector<SavedQuarantine> quarantines;
+    std::optional<EvacuationChanges> evacuations; // nullopt: not reported
     bool unreachable = false; // publishes nothing and confirms nothing
     std::vector<DirectoryCallbacks*> followers;
 
     void publishRouting();
     void publishUpstreams();
+    void publishEvacuations(std::vector<std::string> domains);
     // The contents are those of an older copy; the saved quarantines are listed again.
     void publishRestored();
 };
@@ -104,6 +106,7 @@
     FakeDirectory directory;
     // Of the daemons started from now on.
     Milliseconds shutdownGrace { 8000 };
+    bool followsEvacuations = false;
     std::string settingsFile; // read by reload(); may be empty
 
     static constexpr const char* host = "desk.example";
--- a/process/testing/upstreamavailability_test.cc
+++ b/process/testing/upstreamavailability_test.cc
@@ -346,3 +346,34 @@
     CHECK(first->head.status == 200);
     CHECK(fixture.admin(daemon, "/show/upstreams")->body.find("\"usable\":true") != std::string::npos);
 }
+
+// Guards against requests that reach an evacuated domain because their connection was still being opened.
+TEST_CASE("requests of which nothing was written are placed again when their domain is evacuated")
+{
+    ForwardFixture fixture;
+    FullListener listener;
+    fixture.addEntry("desk-1", listener.endpoint());
+    ForwardDaemon& daemon = fixture.startDaemon();
+    fixture.waitReady(daemon);
+    auto begun = fixture.send(daemon, "/once/x");
+    fixture.runUntil([&] { return listener.hasReceivedRequest(); });
+    listener.fillQueue();
+    std::vector<std::shared_ptr<CallerAnswer>> waiting(3);
+    for (auto& answer : waiting)
+        answer = fixture.send(daemon, "/once/x");
+    fixture.runUntil([&] { return daemon.forwarder().counters().requests == 4; });
+    ScriptedServer& other = fixture.addUpstream("desk-2", answering(200, ""));
+    fixture.directory.upstreams.back().failureDomain = "z1";
+    fixture.directory.publishUpstreams();
+    fixture.directory.publishEvacuations({ "a" }); // that of desk-1
+    for (const auto& answer : waiting) {
+        fixture.runUntil([&] { return answer->done(); });
+        CHECK(answer->head.status == 200);
+    }
+    CHECK(other.requests().size() == 3);
+    CHECK_FALSE(begun->done());
+    listener.answer("HTTP/1.1 200 OK\r\nX-Briarwharf-Request-Id: request-1\r\n"
+                    "X-Briarwharf-Signature: signed\r\nContent-Length: 0\r\n\r\n");
+    fixture.runUntil([&] { return begun->done(); });
+    CHECK(begun->head.status == 200);
+}
