Test that requests placed again by an evacuation do not wait for a time-out

Cause: the test passed also without placing unwritten requests again, as their connections timed out and were tried elsewhere.

Change: it also checks that the upstream does not count as unusable, which three timed-out connections cause.

--- a/process/testing/upstreamavailability_test.cc
+++ b/process/testing/upstreamavailability_test.cc
@@ -372,6 +372,8 @@
     }
     CHECK(other.requests().size() == 3);
     CHECK_FALSE(begun->done());
+    // Their connections did not have to time out first.
+    CHECK(fixture.admin(daemon, "/show/upstreams")->body.find("\"usable\":false") == std::string::npos);
     listener.answer("HTTP/1.1 200 OK\r\nX-Briarwharf-Request-Id: request-1\r\n"
                     "X-Briarwharf-Signature: signed\r\nContent-Length: 0\r\n\r\n");
     fixture.runUntil([&] { return begun->done(); });
