Let an instance wait 2.5 s for news before it watches the store by itself

An instance that nobody tells of a change knows it 2.5 s and a read later, within the 3 s that fleets of this size have.

--- a/coordination/directoryrelay.h
+++ b/coordination/directoryrelay.h
@@ -29,7 +29,7 @@
     // An instance whose state has not been confirmed as the newest for `confirmationTimeout` watches the
     // source itself. It stops `selfWatchDuration` after the last moment at which the peers' confirmation was
     // older than `freshConfirmationAge`.
-    Milliseconds confirmationTimeout { 2200 };
+    Milliseconds confirmationTimeout { 2500 };
     Milliseconds freshConfirmationAge { 1500 };
     Milliseconds selfWatchDuration { 4000 };
     // A document or list of upstreams that is longer than this is sent to at most `maxConcurrentLongPushes`
