Keep the requests to a cold upstream within the rate it can take

An upstream that has just started takes few requests and ends well above its rate. The entries, answers and pools that state it were not read, so that 32 to 35 requests reached one in a second in which 30.5 are allowed.

LimitAllowance keeps a second bound without any message: the requests that the bound allows in its window are divided among the instances by their rank in a hash order. UpstreamLimits applies it next to a stated limit. Placement keeps a cold upstream's rank, gives it no requests but those of its own segments, and none beyond its allowance.

Ruled out: random spans in which each instance may send one request. In the second in which a herd begins, an instance may use the span that ends and the one that begins, so that their mean has to stay at half the bound less the deviations; ranks keep to the bound exactly and use more of it. Shares that follow the demand were ruled out because a herd is over before news of it arrive.

--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -3,6 +3,7 @@
 // The public header of the coordination library.
 
 #include "coordination/claim.h"
+#include "coordination/coldstart.h"
 #include "coordination/crashevidence.h"
 #include "coordination/directory.h"
 #include "coordination/directoryrelay.h"
--- a/coordination/directory.cc
+++ b/coordination/directory.cc
@@ -8,6 +8,14 @@
 
 namespace briarwharf {
 
+void updateColdRemaining(DirectoryChanges& changes, MonotonicTime now)
+{
+    for (UpstreamEntry& entry : changes.entries) {
+        if (entry.coldRemaining)
+            entry.coldRemaining = std::max(Milliseconds(0), toMilliseconds(entry.coldUntil - now));
+    }
+}
+
 UpstreamDirectory::UpstreamDirectory(DirectoryOptions options)
     : m_options(options)
 {
@@ -119,6 +127,12 @@
     if (found != m_upstreams.end() && found->second.revision > listed.revision)
         return false;
     UpstreamEntry entry = listed;
+    entry.coldUntil = entry.coldRemaining ? now + *entry.coldRemaining : MonotonicTime {};
+    // A remaining time that was read before has been running out since then.
+    if (found != m_upstreams.end() && found->second.revision == listed.revision) {
+        entry.coldRemaining = found->second.coldRemaining;
+        entry.coldUntil = found->second.coldUntil;
+    }
     bool isEarlierStart = found != m_upstreams.end() && listed.started < found->second.started
         && generationOf(listed.revision) > generationOf(found->second.revision);
     if (isEarlierStart && listed.started != 0) {
--- a/coordination/directory.h
+++ b/coordination/directory.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -13,6 +14,9 @@
 
 namespace briarwharf {
 
+// A longer remaining time counts as this one: no upstream takes longer to warm up.
+constexpr Milliseconds maxColdTime { 600'000 };
+
 // An upstream as it registered itself.
 struct UpstreamEntry {
     std::string id; // may be reused after a restart; `started` then differs
@@ -25,6 +29,9 @@
     bool lapsed = false;
     std::int64_t started = 0; // Unix milliseconds; 0: not stated
     std::uint64_t revision = 0; // the registry's revision at which the entry last changed
+    // How much longer the upstream is cold, when the entry was written or sent; nullopt: not stated.
+    std::optional<Milliseconds> coldRemaining;
+    MonotonicTime coldUntil; // the same by this instance's clock; set by the directory
 
     bool operator==(const UpstreamEntry&) const = default;
 };
@@ -52,6 +59,9 @@
     std::vector<RemovedUpstream> removed;
 };
 
+// Sets the remaining cold times to those at `now`, by the times that the directory recorded.
+void updateColdRemaining(DirectoryChanges&, MonotonicTime now);
+
 struct DirectoryOptions {
     // An entry that disappears without a drain may be missing only because the upstream could not reach the
     // registry. It is kept as lapsed for this time. Upstreams that did leave continue to serve for longer
--- a/coordination/directorymessage.cc
+++ b/coordination/directorymessage.cc
@@ -25,6 +25,7 @@
         message->draining = entry.draining;
         message->started = entry.started;
         message->revision = entry.revision;
+        message->coldMs = static_cast<std::uint32_t>(entry.coldRemaining.value_or(Milliseconds(0)).count());
         return message;
     }
 
@@ -43,6 +44,8 @@
         entry.draining = message.draining;
         entry.started = message.started;
         entry.revision = message.revision;
+        if (message.coldMs > 0)
+            entry.coldRemaining = std::min(maxColdTime, Milliseconds(message.coldMs));
         return entry;
     }
 
--- a/coordination/directoryrelay.cc
+++ b/coordination/directoryrelay.cc
@@ -17,6 +17,13 @@
     // Approximate size of an uncompressed entry of the list of upstreams.
     constexpr std::size_t entryBytes = 128;
 
+    DirectoryChanges changesAt(const UpstreamDirectory& directory, std::uint64_t from, MonotonicTime now)
+    {
+        DirectoryChanges changes = directory.changesSince(from);
+        updateColdRemaining(changes, now);
+        return changes;
+    }
+
 } // namespace
 
 DirectoryRelay::DirectoryRelay(DirectoryRelayOptions options, const Membership& membership, Outbox& outbox)
@@ -140,7 +147,7 @@
     bool needsAll = fetch.directoryRevision == 0 && isLong(directory.upstreams().size());
     DirectoryChanges changes;
     if (!needsAll)
-        changes = directory.changesSince(fetch.directoryRevision);
+        changes = changesAt(directory, fetch.directoryRevision, now);
     if (!needsAll && !isLong(changes.entries.size() + changes.removed.size()))
         return addChanges(changes, push);
     LongPush* permit = acquirePushPermit(peer, now);
@@ -150,15 +157,16 @@
     }
     permit->versions.directory = directory.revision();
     if (!fetch.acceptsCompressedList)
-        return addChanges(needsAll ? directory.changesSince(0) : changes, push);
-    std::string list = needsAll ? compressedList(directory) : compressChanges(changes);
+        return addChanges(needsAll ? changesAt(directory, 0, now) : changes, push);
+    std::string list = needsAll ? compressedList(directory, now) : compressChanges(changes);
     push.compressedList.assign(list.begin(), list.end());
 }
 
-const std::string& DirectoryRelay::compressedList(const UpstreamDirectory& directory)
+// Remaining cold times in a list that is kept may be too long, never too short.
+const std::string& DirectoryRelay::compressedList(const UpstreamDirectory& directory, MonotonicTime now)
 {
     if (m_compressedListRevision != directory.revision())
-        m_compressedList = compressChanges(directory.changesSince(0));
+        m_compressedList = compressChanges(changesAt(directory, 0, now));
     m_compressedListRevision = directory.revision();
     return m_compressedList;
 }
--- a/coordination/directoryrelay.h
+++ b/coordination/directoryrelay.h
@@ -146,7 +146,7 @@
     LongPush* acquirePushPermit(const std::string& peer, MonotonicTime now);
     const std::string& compressedDocument();
     bool isLong(std::size_t entries) const;
-    const std::string& compressedList(const UpstreamDirectory&);
+    const std::string& compressedList(const UpstreamDirectory&, MonotonicTime now);
 
     DirectoryRelayOptions m_options;
     const Membership& m_membership;
--- a/coordination/limitallowance.cc
+++ b/coordination/limitallowance.cc
@@ -8,10 +8,9 @@
 
 namespace {
 
-    // The bound that the sum over all instances keeps to.
-    constexpr double boundWindow = 4; // seconds
-    constexpr double boundFactor = 1.5;
-    constexpr double boundExtra = 5; // requests
+    // The bound on a stated limit that the sum over all instances keeps to.
+    constexpr LimitBound statedBound;
+    constexpr double boundWindow = 4; // seconds; that of the bound
 
     // Share of a limit that the instances use at most.
     constexpr double maxUsedShare = 0.95;
@@ -33,7 +32,16 @@
 
     constexpr Milliseconds maxRetryAfter { 60000 };
 
-    double boundOf(double limit) { return boundFactor * limit * boundWindow + boundExtra; }
+    // Share of a bound that instances without messages use. For some seconds after an instance has joined or
+    // was removed, the others may disagree on its rank.
+    constexpr double aloneUsedShare = 0.9;
+    // Requests that are sent further apart than the window may arrive within it. This is the window, as a
+    // multiple of its length, in which an instance keeps to its part.
+    constexpr double arrivalScatter = 1.25;
+    // A bucket holds less than one request more than this, so that it never passes on another one.
+    constexpr double partOfNextRequest = 0.99;
+
+    double boundOf(double limit) { return statedBound.requests(limit); }
 
     // Requests that all buckets together may hold.
     double bucketSum(double limit) { return boundOf(limit) - maxUsedShare * limit * boundWindow; }
@@ -50,6 +58,8 @@
 
 } // namespace
 
+double LimitBound::windowSeconds() const { return seconds(window); }
+
 LimitAllowance::LimitAllowance(std::uint64_t phase)
     : m_phase(phase)
     , m_credit(unitInterval(phase))
@@ -107,11 +117,36 @@
     m_size = 1 + bucketTime * m_rate;
     if (m_ownBucket)
         m_size = std::min(m_size, 1 + (bucketSum(limit) - instances) * share);
+    refill(now);
+}
+
+void LimitAllowance::refill(MonotonicTime now)
+{
     double elapsed = m_updated == MonotonicTime {} ? 0 : seconds(now - m_updated);
     m_updated = now;
     m_tokens = std::min(m_tokens + m_rate * elapsed, m_size);
 }
 
+void LimitAllowance::updateAlone(
+    double limit, const LimitBound& bound, const InstanceRank& place, MonotonicTime now)
+{
+    double usable = std::floor(aloneUsedShare * bound.requests(limit));
+    double participants = std::min(usable, static_cast<double>(place.instances));
+    bool isFirstUpdate = m_updated == MonotonicTime {};
+    m_ownBucket = true;
+    m_rate = m_size = 0;
+    if (static_cast<double>(place.rank) < participants) {
+        // A bucket passes on at most its size and what flows in during the window.
+        double perWindow = std::floor(usable / participants) + partOfNextRequest;
+        double window = arrivalScatter * bound.windowSeconds();
+        m_size = std::max(1.0, perWindow - limit / participants * window);
+        m_rate = std::min(limit / participants, (perWindow - m_size) / window);
+    }
+    refill(now);
+    if (isFirstUpdate)
+        m_tokens = m_size;
+}
+
 bool LimitAllowance::takeFromBucket()
 {
     if (m_tokens < 1)
--- a/coordination/limitallowance.h
+++ b/coordination/limitallowance.h
@@ -17,6 +17,23 @@
     double surge = 1;
 };
 
+// How far the requests of all instances to an upstream may exceed a limit.
+struct LimitBound {
+    Milliseconds window { 4000 };
+    double factor = 1.5; // of the requests that the limit allows in the window
+    double extra = 5; // requests
+
+    double windowSeconds() const;
+    // Requests in any span of time as long as the window.
+    double requests(double limit) const { return factor * limit * windowSeconds() + extra; }
+};
+
+// The place of an instance in the order in which the fleet's instances may use a limit.
+struct InstanceRank {
+    std::size_t rank = 0; // from 0
+    std::size_t instances = 1; // in the fleet
+};
+
 // What one instance may send to an upstream that limits the requests of all instances together, so that they
 // keep the limit for any demand: in no span of 4 s more than 1.5 times what it allows and 5 requests.
 //
@@ -25,6 +42,10 @@
 // bound. Larger fleets admit the same ratio of the demand everywhere. The use of the limit leaves room for
 // the random fluctuation of the sum. An instance there that knows nothing of the others may send one request
 // in a few spans of time, which differ from instance to instance.
+//
+// A bound that has to hold without any message uses updateAlone() in place of update(): each instance has a
+// bucket that depends only on its rank. If the bound is below one request per instance, the first ranks have
+// one request each and the others none.
 class LimitAllowance {
 public:
     // `phase` is a hash that differs between instances and upstreams.
@@ -33,6 +54,13 @@
     // Call it about every 100 ms. `limit` is in requests per second.
     void update(double limit, const LimitedDemand&, MonotonicTime now);
 
+    // The same without knowledge of the demand. The sum over all instances keeps to the bound for any demand,
+    // as long as no two of them have the same rank.
+    void updateAlone(double limit, const LimitBound&, const InstanceRank&, MonotonicTime now);
+
+    // Whether take() would succeed, after updateAlone().
+    bool isReady() const { return m_tokens >= 1; }
+
     // Whether a request may be sent now; deducts it.
     bool take(MonotonicTime now);
 
@@ -50,6 +78,7 @@
 
     double passedOnDemand(double own, MonotonicTime now);
     void updateBucket(double limit, const LimitedDemand&, MonotonicTime now);
+    void refill(MonotonicTime now);
     bool takeFromBucket();
     bool takeAlone(MonotonicTime now);
 
--- a/coordination/upstreamlimits.cc
+++ b/coordination/upstreamlimits.cc
@@ -121,6 +121,7 @@
         demand.total = m_shares.totalDemand(upstream) / unitsPerRequest;
         allowance.update(limit(upstream), demand, now);
     }
+    tickCold(now);
 }
 
 // By how much the demand of the fleet exceeds what the estimates for the single upstreams show yet.
@@ -134,18 +135,25 @@
 
 bool UpstreamLimits::admit(std::uint32_t upstream, MonotonicTime now)
 {
+    ColdLimit* cold = coldLimit(upstream, now);
+    bool isColdLimitReached = cold && !cold->allowance.isReady();
     auto allowance = m_allowances.find(upstream);
-    if (allowance == m_allowances.end())
-        return true;
-    m_shares.recordDemand(upstream, unitsPerRequest);
-    m_shares.recordDemand(allUpstreams, unitsPerRequest);
-    return allowance->second.take(now);
+    if (allowance != m_allowances.end()) {
+        m_shares.recordDemand(upstream, unitsPerRequest);
+        m_shares.recordDemand(allUpstreams, unitsPerRequest);
+        if (isColdLimitReached || !allowance->second.take(now))
+            return false;
+    }
+    return !isColdLimitReached && (!cold || cold->allowance.take(now));
 }
 
-Milliseconds UpstreamLimits::retryAfter(std::uint32_t upstream, MonotonicTime /* now */) const
+Milliseconds UpstreamLimits::retryAfter(std::uint32_t upstream, MonotonicTime now) const
 {
     auto allowance = m_allowances.find(upstream);
-    return allowance == m_allowances.end() ? Milliseconds(0) : allowance->second.retryAfter();
+    Milliseconds wait = allowance == m_allowances.end() ? Milliseconds(0) : allowance->second.retryAfter();
+    if (const ColdLimit* cold = coldLimit(upstream, now))
+        wait = std::max(wait, std::min(cold->allowance.retryAfter(), coldTimeLeft(upstream, now)));
+    return wait;
 }
 
 void UpstreamLimits::setUpstreams(const std::vector<std::uint32_t>& upstreams, MonotonicTime now)
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -43,6 +43,14 @@
         return budget;
     }
 
+    UpstreamLimitsOptions limitsOptions(const Settings& settings)
+    {
+        UpstreamLimitsOptions options;
+        options.coldBound.factor = settings.fleet.coldBurstRatio;
+        options.coldBound.extra = settings.fleet.coldBurstRequests;
+        return options;
+    }
+
     ForwarderSettings forwarderSettings(const Settings& settings)
     {
         ForwarderSettings result;
@@ -118,7 +126,7 @@
     , m_health(healthOptions())
     , m_quarantine(m_mesh.membership())
     , m_quarantineArchive(m_mesh.membership(), m_quarantine, *m_source)
-    , m_limits(m_mesh.membership())
+    , m_limits(m_mesh.membership(), limitsOptions(m_settings))
     , m_directory(directoryOptions(m_settings))
     , m_forwarder(base, forwarderSettings(m_settings), m_source->headers(),
           { m_inProgress, m_health, m_quarantine, m_limits }, m_metrics)
@@ -365,6 +373,7 @@
                 { "usable", m_health.usable(hash, now) }, { "requests", m_inProgress.own(hash).requests },
                 { "requests_elsewhere", m_inProgress.others(hash).requests },
                 { "limit_per_second", m_limits.limit(lifetimeHash) },
+                { "cold_left_ms", m_limits.coldTimeLeft(lifetimeHash, now).count() },
                 { "leaving", m_forwarder.availability().isLeaving(lifetimeHash) },
                 { "stale", m_forwarder.availability().isStale(lifetimeHash) },
                 { "pause_left_ms", m_forwarder.availability().pauseLeft(lifetimeHash, now).count() } });
@@ -446,6 +455,8 @@
         static_cast<double>(m_quarantine.groups().size()));
     m_metrics.set("briarwharf_limited_upstreams", "Upstreams that limit the requests they take.",
         static_cast<double>(m_limits.limitedUpstreams()));
+    m_metrics.set("briarwharf_cold_upstreams", "Upstreams that have just started and take few requests.",
+        static_cast<double>(m_limits.coldUpstreams(clockNow())));
     m_metrics.set("briarwharf_leaving_upstreams",
         "Listed upstreams that stated in an answer that they leave.",
         static_cast<double>(m_forwarder.availability().leavingUpstreams()));
@@ -489,6 +500,7 @@
     configureLogging(m_settings.log.level, LogFlush::Buffered);
     m_source->setEndpoint(m_settings.store.endpoint);
     m_forwarder.setBudget(budgetOf(m_settings));
+    m_limits.setColdBound(m_settings.fleet.coldBurstRatio, m_settings.fleet.coldBurstRequests);
     seedFromSettings();
     LogLine(LogLevel::Info, "process", "reloaded").field("needs_restart", needsRestart);
 }
--- a/process/forwardedanswer.cc
+++ b/process/forwardedanswer.cc
@@ -77,13 +77,15 @@
         .field("per_second", after);
 }
 
-// Any value but 1 is ignored, because a lifetime that leaves is not used again.
+// Any value of `leaving` but 1 is ignored, because a lifetime that leaves is not used again.
 void ForwardedRequest::recordAvailability(const HttpHead& head)
 {
     if (head.fields.find(m_forwarder.m_headers.leaving) == "1" && m_forwarder.setLeaving(*m_upstream))
         LogLine(LogLevel::Info, "upstream", "leaving")
             .field("id", m_fields.requestId)
             .field("upstream", m_upstream->entry.id);
+    if (auto remaining = parseColdTime(head.fields.find(m_forwarder.m_headers.coldFor)))
+        m_forwarder.recordCold(*m_upstream, *remaining);
     auto pause = head.status == 503 ? parseRetryAfter(head.fields.find("Retry-After")) : std::nullopt;
     if (pause && m_forwarder.pause(*m_upstream, *pause))
         LogLine(LogLevel::Info, "upstream", "pause")
--- a/process/forwarder.cc
+++ b/process/forwarder.cc
@@ -86,7 +86,12 @@
     m_done.clear();
 }
 
-void Forwarder::setRouting(std::shared_ptr<const RoutingTable> table) { m_routing = std::move(table); }
+void Forwarder::setRouting(std::shared_ptr<const RoutingTable> table)
+{
+    m_routing = std::move(table);
+    for (const auto& [id, upstream] : m_upstreams)
+        setCold(*upstream, clockNow());
+}
 
 void Forwarder::setInstances(std::size_t instances)
 {
@@ -129,9 +134,55 @@
     m_health.setUpstreams(hashes);
     m_limits.setUpstreams(lifetimeHashes, clockNow());
     m_availability.setUpstreams(lifetimeHashes, clockNow());
+    updateColdStarts(clockNow());
     updatePools();
 }
 
+// Requests per second that the upstream takes while it is cold; 0: it is never cold.
+double Forwarder::coldPerSecond(const Upstream& upstream) const
+{
+    const RoutedPool* pool = m_routing ? m_routing->findPool(upstream.entry.pool) : nullptr;
+    return pool ? pool->coldPerSecond : 0;
+}
+
+void Forwarder::updateColdStarts(MonotonicTime now)
+{
+    std::vector<ListedStart> starts;
+    for (const auto& [id, upstream] : m_upstreams) {
+        const UpstreamEntry& entry = upstream->entry;
+        ListedStart start { upstream->lifetimeHash };
+        if (entry.coldRemaining)
+            start.coldUntil = entry.coldUntil;
+        if (const RoutedPool* pool = m_routing ? m_routing->findPool(entry.pool) : nullptr)
+            start.coldDuration = pool->coldDuration;
+        starts.push_back(start);
+    }
+    m_coldStarts.setUpstreams(starts, now);
+    for (const auto& [id, upstream] : m_upstreams)
+        setCold(*upstream, now);
+}
+
+void Forwarder::setCold(const Upstream& upstream, MonotonicTime now)
+{
+    double perSecond = coldPerSecond(upstream);
+    bool wasCold = m_limits.isCold(upstream.lifetimeHash, now);
+    m_limits.setCold(
+        { upstream.lifetimeHash, perSecond, m_coldStarts.coldUntil(upstream.lifetimeHash) }, now);
+    if (wasCold || !m_limits.isCold(upstream.lifetimeHash, now))
+        return;
+    LogLine(LogLevel::Info, "upstream", "cold")
+        .field("upstream", upstream.entry.id)
+        .field("per_second", perSecond)
+        .field("left_ms", m_limits.coldTimeLeft(upstream.lifetimeHash, now).count());
+}
+
+void Forwarder::recordCold(const Upstream& upstream, Milliseconds remaining)
+{
+    MonotonicTime now = clockNow();
+    m_coldStarts.answered(upstream.lifetimeHash, remaining, now);
+    setCold(upstream, now);
+}
+
 void Forwarder::updatePools()
 {
     m_pools.clear();
@@ -237,12 +288,14 @@
     result.hash = upstream.hash;
     result.sameDomain = upstream.entry.failureDomain == m_settings.failureDomain;
     result.avoid = upstream.entry.lapsed || now < upstream.avoidUntil || !m_health.usable(upstream.hash, now);
-    result.available = !m_availability.isPaused(upstream.lifetimeHash, now);
+    result.available = !m_availability.isPaused(upstream.lifetimeHash, now)
+        && m_limits.isWithinColdLimit(upstream.lifetimeHash, now);
     result.slots = upstream.entry.slots;
     result.requests = own.requests + others.requests;
     result.pendingPromptTokens = own.promptTokens + others.promptTokens;
     result.homeWeight = upstream.homeWeight;
-    result.limited = m_limits.limit(upstream.lifetimeHash) > 0;
+    result.cold = m_limits.isCold(upstream.lifetimeHash, now);
+    result.limited = result.cold || m_limits.limit(upstream.lifetimeHash) > 0;
     result.slowness = upstream.decayedSlowness(now);
     return result;
 }
--- a/process/forwarder.h
+++ b/process/forwarder.h
@@ -141,6 +141,12 @@
     Milliseconds retryAfter(const std::string& pool, MonotonicTime now) const;
     UpstreamCandidate candidate(const Upstream&, MonotonicTime now) const;
     std::size_t connectionLimit(const RoutedPool*) const;
+    double coldPerSecond(const Upstream&) const;
+    void updateColdStarts(MonotonicTime now);
+    // Applies a change of the time until which the upstream is cold.
+    void setCold(const Upstream&, MonotonicTime now);
+    // An answer of the upstream states that it stays cold for this long.
+    void recordCold(const Upstream&, Milliseconds remaining);
     // Both return whether the upstream's statement is news.
     bool setLeaving(const Upstream&);
     bool pause(const Upstream&, Milliseconds duration);
@@ -169,6 +175,7 @@
     FleetRetryBudget m_budget;
     FirstByteForecast m_forecast;
     UpstreamAvailability m_availability;
+    ColdStarts m_coldStarts;
     ForwarderCounters m_counters;
     std::shared_ptr<const RoutingTable> m_routing;
     std::uint64_t m_directoryRevision = 0;
--- a/process/forwardheaders.cc
+++ b/process/forwardheaders.cc
@@ -1,9 +1,11 @@
 #include "process/forwardheaders.h"
 
 #include "base/number.h"
+#include "coordination/directory.h"
 #include "process/promptsegments.h"
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 namespace briarwharf {
@@ -104,6 +106,15 @@
     return std::chrono::ceil<Milliseconds>(duration);
 }
 
+std::optional<Milliseconds> parseColdTime(std::string_view text)
+{
+    auto milliseconds = parseNumber<double>(text);
+    if (!milliseconds || !(*milliseconds > 0))
+        return std::nullopt;
+    double limited = std::min(std::ceil(*milliseconds), static_cast<double>(maxColdTime.count()));
+    return Milliseconds(static_cast<std::int64_t>(limited));
+}
+
 std::string upstreamHead(const HttpHead& caller, const ForwardingHeaders& headers,
     const UpstreamFields& fields, std::size_t bodyBytes)
 {
@@ -146,7 +157,7 @@
     for (std::size_t index = 0; index < answer.fields.size(); ++index) {
         HttpFields::Field field = answer.fields.at(index);
         bool isInternal = equalHeaderNames(field.name, headers.leaving)
-            || contains(headers.internal, field.name)
+            || equalHeaderNames(field.name, headers.coldFor) || contains(headers.internal, field.name)
             || (answer.status >= firstServerError && equalHeaderNames(field.name, "Retry-After"));
         if (isInternal || contains(connectionFields, field.name)
             || (!connection.empty() && namedByConnection(connection, field.name)))
--- a/process/forwardheaders.h
+++ b/process/forwardheaders.h
@@ -24,6 +24,7 @@
     // the field.
     std::string rateLimit = "X-Briarwharf-Rate-Limit";
     std::string leaving = "X-Briarwharf-Leaving"; // 1 on an upstream's answers: it takes no new requests
+    std::string coldFor = "X-Briarwharf-Cold-Ms"; // on an upstream's answers: how much longer it is cold
     std::string signature = "X-Briarwharf-Signature"; // on upstreams' 2xx answers; empty: not required
     std::string promptSegments = "X-Briarwharf-Prompt-Parts"; // "id:tokens,..." with hexadecimal ids
     std::string tokens = "X-Briarwharf-Tokens"; // "prompt tokens,maximum output tokens"
@@ -71,6 +72,10 @@
 std::optional<Milliseconds> parseRetryAfter(std::string_view);
 constexpr Milliseconds maxRetryAfter { std::chrono::hours(365 * 24) };
 
+// The time for which an upstream says that it stays cold, up to maxColdTime. Returns nullopt for text that is
+// no positive number.
+std::optional<Milliseconds> parseColdTime(std::string_view);
+
 // Request line and header lines for an upstream: the caller's, without the key, the fields that concern one
 // connection and those that the forwarder sets, and then the forwarder's own.
 std::string upstreamHead(
--- a/process/settings.cc
+++ b/process/settings.cc
@@ -223,6 +223,16 @@
             { "fleet", "retry_slack",
                 "Retries in a window in addition to the ratio, over all instances, 0 to 100000.", "50", false,
                 real(&S::fleet, &S::Fleet::retrySlack, 0, 100000) },
+            { "fleet", "cold_burst_ratio",
+                "Requests to a cold upstream in any second, as a ratio of the rate that it can take, over "
+                "all "
+                "instances, 0 to 100.",
+                "1.5", false, real(&S::fleet, &S::Fleet::coldBurstRatio, 0, 100) },
+            { "fleet", "cold_burst_requests",
+                "Requests to a cold upstream in any second in addition to the ratio, over all instances, 0 "
+                "to "
+                "100000.",
+                "5", false, real(&S::fleet, &S::Fleet::coldBurstRequests, 0, 100000) },
             { "operator", "token_hash", "SHA-256 of the operators' token, 64 hex digits.", exampleHash, true,
                 assignTokenHash },
             { "limits", "max_body_bytes", "Maximum size of a request body, 1024 to 67108864.", "4194304",
--- a/process/settings.h
+++ b/process/settings.h
@@ -43,6 +43,10 @@
         std::vector<Endpoint> seeds;
         double retryRatio = 0.2; // retries for each request, over the window and all instances
         Milliseconds retryWindow { 10000 }; // time over which retries are counted
+        // In any second, a cold upstream gets at most this many times its rate, and this many requests more,
+        // from all instances together.
+        double coldBurstRatio = 1.5;
+        double coldBurstRequests = 5;
         double retrySlack = 50; // retries in a window that all instances together may add to the ratio
     } fleet;
 
--- a/request/costplacement.cc
+++ b/request/costplacement.cc
@@ -151,8 +151,9 @@
         int candidateClass = preferenceClass(candidate, limit);
         if (rank == 0)
             reasonIfNotHome = reasons[candidateClass];
-        // An upstream with a limit keeps what it takes for the segments that it caches.
-        if (candidate.limited && rank >= rankedCandidates)
+        // An upstream with a limit keeps what it takes for the segments that it caches, which for a cold one
+        // are those of which it is the home.
+        if (candidate.limited && rank >= (candidate.cold ? 1 : rankedCandidates))
             candidateClass = std::max(candidateClass, 1);
         if (candidateClass > bestClass || (candidateClass == bestClass && total >= bestCost))
             continue;
@@ -169,7 +170,8 @@
 {
     if (candidates.empty())
         return std::nullopt;
-    double limit = minLoadLimit(poolLoad(candidates), m_settings);
+    PoolLoad pool = poolLoad(candidates);
+    double limit = minLoadLimit(pool, m_settings);
     std::optional<CostDecision> best;
     int bestClass = std::numeric_limits<int>::max();
     double bestCost = 0;
@@ -179,7 +181,10 @@
             continue;
         // Requests beyond the slots wait for a whole service time; requests within the slots share the
         // capacity of the upstream.
-        double load = static_cast<double>(candidate.requests) / std::max(1, candidate.slots);
+        double requests = candidate.requests;
+        if (candidate.cold) // its few requests attract no others
+            requests = std::max(requests, pool.mean);
+        double load = requests / std::max(1, candidate.slots);
         double expectedMs = m_settings.serviceTimeMs * candidate.slowness * (1 + load * load);
         double cost = (expectedMs + (candidate.sameDomain ? 0 : m_settings.crossDomainPenaltyMs))
             * (1 + m_settings.jitter * jitter(item, candidate));
--- a/request/costplacement.h
+++ b/request/costplacement.h
@@ -37,7 +37,10 @@
     int requests = 0; // in progress from all instances
     std::int64_t pendingPromptTokens = 0; // of requests from all instances whose answer has not begun
     double homeWeight = 1; // in the rendezvous order of prompt segments
-    bool limited = false; // states how many requests it takes
+    bool limited = false; // states how many requests it takes, or is cold
+    // Has just started. It keeps its rank and gets the requests of its own segments, but no others because it
+    // has few requests in progress.
+    bool cold = false;
     // Takes a request now. An upstream that does not is never chosen, but keeps its rank in the rendezvous
     // order, so that the segments of the others keep theirs.
     bool available = true;
--- a/version/routing.h
+++ b/version/routing.h
@@ -52,6 +52,10 @@
     std::string name;
     int maxConnections = 0; // maximum to one upstream, for all callers together; 0: no limit
     std::optional<EngineTraits> engine; // absent for pools of plain services
+    // Requests per second that a cold upstream takes from all instances together; 0: the pool has no cold
+    // upstreams.
+    double coldPerSecond = 0;
+    Milliseconds coldDuration { 0 }; // time for which an upstream stays cold after its start
 };
 
 struct RoutedOrganisation {
