--- a/coordination/testing/directory_test.cc
+++ b/coordination/testing/directory_test.cc
@@ -1,5 +1,6 @@
 #include "base/hash.h"
 #include "coordination/coordination.h"
+#include "coordination/directorymessage.h"
 
 #include <doctest/doctest.h>
 
@@ -198,3 +199,38 @@
     CHECK_FALSE(directory.upstreams().at("a").draining);
     CHECK(directory.upstreams().at("b").draining);
 }
+
+// Guards against an upstream that stays cold because its entry is read again, and against one that warms up
+// later at instances that get the list from a peer.
+TEST_CASE("a remaining cold time runs out from when the entry was read first, also for peers")
+{
+    UpstreamDirectory directory = loaded();
+    UpstreamEntry cold = entry("d", 11);
+    cold.coldRemaining = Milliseconds(3000);
+    directory.apply({ 10, 11, { cold }, {} }, start);
+    MonotonicTime later = start + Milliseconds(2000);
+    CHECK_FALSE(directory.apply({ 0, 11, { entry("a", 3), entry("b", 4), entry("c", 5), cold }, {} }, later));
+    CHECK(directory.upstreams().at("d").coldUntil == start + Milliseconds(3000));
+
+    DirectoryChanges changes = directory.changesSince(10);
+    updateColdRemaining(changes, later);
+    auto received = decompressChanges(compressChanges(changes));
+    REQUIRE(received);
+    REQUIRE(received.value().entries.size() == 1);
+    CHECK(received.value().entries[0].coldRemaining == Milliseconds(1000));
+    updateColdRemaining(changes, start + Milliseconds(9000));
+    CHECK_FALSE(decompressChanges(compressChanges(changes)).value().entries[0].coldRemaining);
+
+    cold.revision = 12;
+    cold.coldRemaining = Milliseconds(800);
+    CHECK(directory.apply({ 11, 12, { cold }, {} }, later));
+    CHECK(directory.upstreams().at("d").coldUntil == later + Milliseconds(800));
+}
+
+// Guards against a peer's time that makes an upstream cold for ever.
+TEST_CASE("a huge cold time from a peer is cut to the maximum")
+{
+    DirectoryChanges changes { 0, 1, { entry("a", 1) }, {} };
+    changes.entries[0].coldRemaining = Milliseconds(4'000'000'000);
+    CHECK(decompressChanges(compressChanges(changes)).value().entries[0].coldRemaining == maxColdTime);
+}
--- a/process/testing/forwardheaders_test.cc
+++ b/process/testing/forwardheaders_test.cc
@@ -174,3 +174,13 @@
         }
     }
 }
+
+// Guards against an upstream that is cold for ever because of what an answer states.
+TEST_CASE("a cold time is a positive number of milliseconds up to the maximum")
+{
+    CHECK(parseColdTime("1500") == Milliseconds(1500));
+    CHECK(parseColdTime("0.5") == Milliseconds(1));
+    CHECK(parseColdTime("1e300") == Milliseconds(600000));
+    for (const char* none : { "", "0", "-1", "nan", "soon", "1 s", "-inf" })
+        CHECK_FALSE(parseColdTime(none));
+}
--- a/request/testing/costplacement_test.cc
+++ b/request/testing/costplacement_test.cc
@@ -239,3 +239,55 @@
     withoutFirstSegment.recordUse({ first.segments[1] });
     CHECK(withoutFirstSegment.cachedTokens(first.segments) == 0);
 }
+
+// Guards against cold upstreams that draw the requests of other contexts because they are empty, and against
+// homes that move while an upstream is cold.
+TEST_CASE("a cold upstream keeps the requests of its own segments and attracts no others")
+{
+    constexpr std::size_t upstreams = 12;
+    CostPlacement placement({});
+    for (std::uint64_t segment = 1; segment <= 300; ++segment) {
+        WorkItem item;
+        item.segments = { { segment, 8000 }, { segment + 100000, 100 } };
+        item.promptTokens = 8100;
+        item.hash = segment;
+        std::vector<UpstreamCandidate> candidates(upstreams);
+        for (std::size_t index = 0; index < upstreams; ++index) {
+            candidates[index].hash = static_cast<std::uint32_t>(index * 7919 + 1);
+            candidates[index].slots = 24;
+        }
+        std::size_t home = placement.chooseEngine(item, candidates)->index;
+        for (UpstreamCandidate& candidate : candidates)
+            candidate.requests = 12;
+        // A third of the pool has come back, without any work.
+        for (std::size_t index = 0; index < upstreams; index += 3) {
+            candidates[index].requests = 0;
+            candidates[index].cold = candidates[index].limited = true;
+        }
+        CHECK(placement.chooseEngine(item, candidates)->index == home);
+        candidates[home].available = false; // beyond its allowance
+        CHECK(placement.chooseEngine(item, candidates)->index % 3 != 0);
+    }
+}
+
+// Guards against a cold plain service that gets all requests because it has none.
+TEST_CASE("a cold plain service is not preferred for having no requests")
+{
+    constexpr int requests = 400;
+    CostPlacement placement({});
+    int toCold = 0;
+    for (int number = 0; number < requests; ++number) {
+        std::vector<UpstreamCandidate> candidates(3);
+        for (std::size_t index = 0; index < candidates.size(); ++index) {
+            candidates[index].hash = static_cast<std::uint32_t>(index + 1);
+            candidates[index].slots = 6;
+            candidates[index].requests = 3;
+        }
+        candidates[0].requests = 0;
+        candidates[0].cold = candidates[0].limited = true;
+        WorkItem item;
+        item.hash = hash64(std::to_string(number));
+        toCold += placement.chooseService(item, candidates)->index == 0 ? 1 : 0;
+    }
+    CHECK(toCold < requests / 2);
+}
