Spill a share of a loaded home's requests in large fleets

Cause: above 12 instances, the numbers of the others' requests are over a second old. All instances compare the same old number with the same bound, so that they stop and return together, and the load of a hot context's home swings around the bound.

Change: SpillControl, a proportional and integral controller for each upstream, decides which share of the requests the first two engines in their order get; a hash of request and upstream selects them. Tree links report a change of 3 or more requests at one upstream after 100 ms instead of 400 ms. A full mesh is served as before. New cases: 60 instances in calm, 120 in a burst of 2.5 times.

--- a/coordination/inprogress.cc
+++ b/coordination/inprogress.cc
@@ -237,6 +237,26 @@
     return due && (link->second.changesLeft || link->second.sentChangeCount != m_changeCount);
 }
 
+bool InProgressTable::hasLargeChange(const Link& link) const
+{
+    auto changed = [&](const auto& entry) {
+        UpstreamWorkload difference = workloadFor(link, entry.first) - workloadOf(link.sent, entry.first);
+        return std::abs(difference.requests) >= m_options.largeChange;
+    };
+    return std::any_of(m_own.begin(), m_own.end(), changed)
+        || std::any_of(m_tree.begin(), m_tree.end(), changed)
+        || std::any_of(link.sent.begin(), link.sent.end(), changed);
+}
+
+bool InProgressTable::urgentAtOnce(const LinkView& view, MonotonicTime) const
+{
+    if (fullMesh() || !view.isTreeLink)
+        return false;
+    auto link = m_links.find(view.peer);
+    return link != m_links.end() && link->second.sentChangeCount != m_changeCount
+        && hasLargeChange(link->second);
+}
+
 void InProgressTable::linkDown(const std::string& peer, MonotonicTime)
 {
     m_links.erase(peer);
--- a/coordination/inprogress.h
+++ b/coordination/inprogress.h
@@ -25,6 +25,10 @@
     // of this at each hop on average. A tree link carries at most maxEntriesPerHeartbeat entries of 8 bytes
     // in this time, whatever the number of upstreams.
     Milliseconds minTreeInterval { 400 };
+    // A change of an upstream's requests by at least this number is not delayed by minTreeInterval, but only
+    // by MembershipOptions::minImmediateInterval, since one second of a hot context's requests overloads
+    // its engine. The number of entries in minTreeInterval has the same bound.
+    int largeChange = 3;
 };
 
 // How much work all other instances have in progress at each upstream. In a full mesh, each instance sends
@@ -45,12 +49,16 @@
     // The workload of all other instances whose heartbeats arrive, directly or through the tree.
     UpstreamWorkload others(std::uint32_t upstream) const;
 
+    // Whether all instances exchange their workloads directly, without the hops of the aggregation tree.
+    bool fullMesh() const;
+
     // Excludes links without a heartbeat for `linkTtl`. Call it before a round of decisions.
     void refresh(MonotonicTime now);
 
     void fill(const LinkView&, HeartbeatT&, MonotonicTime now) override;
     void accept(const LinkView&, const HeartbeatT&, MonotonicTime now) override;
     bool urgent(const LinkView&, MonotonicTime now) const override;
+    bool urgentAtOnce(const LinkView&, MonotonicTime now) const override;
     void linkDown(const std::string& peer, MonotonicTime now) override;
 
 private:
@@ -81,7 +89,7 @@
         std::uint64_t tieBreaker = 0;
     };
 
-    bool fullMesh() const;
+    bool hasLargeChange(const Link&) const;
     Contribution contributionOf(const std::string& peer, const Link&, MonotonicTime now) const;
     UpstreamWorkload workloadFor(const Link&, std::uint32_t upstream) const;
     std::vector<Change> changesFor(const Link&) const;
--- a/coordination/member.cc
+++ b/coordination/member.cc
@@ -872,20 +872,25 @@
 void Membership::sendDueHeartbeats(MonotonicTime now)
 {
     for (auto& [peer, link] : m_links) {
-        auto age = now - link.lastSent;
-        if (age < m_options.minHeartbeatInterval)
-            continue;
-        bool due = age >= m_options.heartbeatInterval || link.urgent;
-        if (!due) {
-            LinkView linkView = view(peer, link);
-            due = std::any_of(m_sections.begin(), m_sections.end(),
-                [&](const HeartbeatSection* section) { return section->urgent(linkView, now); });
-        }
-        if (due)
+        if (isDue(peer, link, now))
             sendHeartbeat(peer, link, now);
     }
 }
 
+bool Membership::isDue(const std::string& peer, const Link& link, MonotonicTime now) const
+{
+    auto age = now - link.lastSent;
+    if (age < m_options.minImmediateInterval)
+        return false;
+    LinkView linkView = view(peer, link);
+    bool atOnce = age < m_options.minHeartbeatInterval;
+    if (!atOnce && (age >= m_options.heartbeatInterval || link.urgent))
+        return true;
+    return std::any_of(m_sections.begin(), m_sections.end(), [&](const HeartbeatSection* section) {
+        return section->urgentAtOnce(linkView, now) || (!atOnce && section->urgent(linkView, now));
+    });
+}
+
 void Membership::sendHeartbeat(const std::string& peer, Link& link, MonotonicTime now)
 {
     HeartbeatT heartbeat;
--- a/coordination/member.h
+++ b/coordination/member.h
@@ -32,6 +32,8 @@
     Milliseconds heartbeatInterval { 1000 };
     // Minimum time between two heartbeats on a link, also when the next one is urgent.
     Milliseconds minHeartbeatInterval { 200 };
+    // The same for news that a section calls urgent at once; such news reach a fleet of 87 within a second.
+    Milliseconds minImmediateInterval { 100 };
     Milliseconds silenceTimeout { 3200 }; // three heartbeat intervals and a margin
     // Time without a linked parent in the aggregation tree after which a substitute parent is dialled.
     Milliseconds substituteParentDelay { 1000 };
@@ -77,6 +79,8 @@
     virtual void accept(const LinkView&, const HeartbeatT&, MonotonicTime now) = 0;
     // Whether the next heartbeat should be sent before its interval ends.
     virtual bool urgent(const LinkView&, MonotonicTime) const { return false; }
+    // Whether it should be sent even before minHeartbeatInterval.
+    virtual bool urgentAtOnce(const LinkView&, MonotonicTime) const { return false; }
     virtual void linkUp(const std::string& /* peer */, MonotonicTime) { }
     virtual void linkDown(const std::string& /* peer */, MonotonicTime) { }
 };
@@ -262,6 +266,7 @@
     void expireProbes(MonotonicTime now);
     void retryDeadMember(MonotonicTime now);
     void sendDueHeartbeats(MonotonicTime now);
+    bool isDue(const std::string& peer, const Link&, MonotonicTime now) const;
     void compensateForPause(MonotonicTime now);
     bool receivedWithin(const std::string& id, Milliseconds, MonotonicTime now) const;
     LinkView view(const std::string& peer, const Link&) const;
--- a/coordination/testing/inprogress_test.cc
+++ b/coordination/testing/inprogress_test.cc
@@ -169,6 +169,32 @@
     }
 }
 
+// Guards against a hot context whose requests stay unknown for the interval of each hop of the tree, and
+// against early heartbeats for each request.
+TEST_CASE("only a large change of an upstream's requests is sent before the interval for changes")
+{
+    ProgressFleet fleet(40);
+    for (int round = 0; round < 60; ++round)
+        fleet.step();
+    auto child = std::find_if(fleet.nodes.begin(), fleet.nodes.end(),
+        [](const auto& node) { return !node.second.membership->parent().empty(); });
+    REQUIRE(child != fleet.nodes.end());
+    InProgressTable& work = *child->second.work;
+    std::string parent = child->second.membership->parent();
+    LinkView link { parent };
+    link.isTreeLink = true;
+    work.started(engine, 640);
+    work.started(engine, 640);
+    CHECK_FALSE(work.urgentAtOnce(link, fleet.now));
+    work.started(engine, 640);
+    CHECK(work.urgentAtOnce(link, fleet.now));
+    link.isTreeLink = false;
+    CHECK_FALSE(work.urgentAtOnce(link, fleet.now));
+    link.isTreeLink = true;
+    fleet.step(Milliseconds(100));
+    CHECK_FALSE(work.urgentAtOnce(link, fleet.now)); // sent
+}
+
 // Guards against control traffic that grows with the number of upstreams.
 TEST_CASE("at the target's size no instance sends more control traffic than its budget")
 {
--- a/process/forwarder.cc
+++ b/process/forwarder.cc
@@ -247,6 +247,15 @@
     return result;
 }
 
+// In a full mesh, peers' requests are known within a heartbeat, and the load bound alone keeps it.
+void Forwarder::observeLoads(const std::vector<UpstreamCandidate>& candidates, MonotonicTime now)
+{
+    if (m_inProgress.fullMesh())
+        m_placement.forgetLoads();
+    else
+        m_placement.observeLoads(candidates, now);
+}
+
 // Connections to one upstream of the pool that this instance may open; 0: the pool sets no limit.
 std::size_t Forwarder::connectionLimit(const RoutedPool* pool) const
 {
--- a/process/forwarder.h
+++ b/process/forwarder.h
@@ -140,6 +140,7 @@
     // Estimated time until an upstream of the pool takes a request; 0: one may take it now, or there is none.
     Milliseconds retryAfter(const std::string& pool, MonotonicTime now) const;
     UpstreamCandidate candidate(const Upstream&, MonotonicTime now) const;
+    void observeLoads(const std::vector<UpstreamCandidate>&, MonotonicTime now);
     std::size_t connectionLimit(const RoutedPool*) const;
     // Both return whether the upstream's statement is news.
     bool setLeaving(const Upstream&);
--- a/process/testing/staleplacement_test.cc
+++ b/process/testing/staleplacement_test.cc
@@ -178,6 +178,8 @@
             engine.pendingPromptTokens = own.promptTokens + others.promptTokens;
         }
         CostPlacement& placement = m_placements.at(id);
+        if (!work.fullMesh())
+            placement.observeLoads(m_engines, fleet.now);
         auto decision = placement.chooseEngine(item, m_engines);
         REQUIRE(decision);
         placement.recordPlacement(item, m_engines[decision->index].hash, cacheTokens);
@@ -228,6 +230,8 @@
 
 const FleetSize smallFleet { 7, 12, 90 };
 const FleetSize fleetOf87 { 87, 90, 690 };
+const FleetSize fleetOf60 { 60, 60, 325 };
+const FleetSize fleetOf120 { 120, 112, 784 };
 const FleetSize fleetOf295 { 295, 110, 850 };
 
 // A run by hand has as many seeds as BRIARWHARF_SEEDS says, prints each day, and plays all of them with 295
@@ -288,6 +292,24 @@
     checkLargeFleets("steady", day);
 }
 
+// Guards against a moderate skew of the contexts that brings single engines over the bound in calm.
+TEST_CASE("LIMIT: an engine's part of a calm day stays within the bound at 60 instances")
+{
+    checkFleet(fleetOf60, "calm", [](PlacedPool& pool) { pool.run(Milliseconds(15000)); });
+}
+
+// Guards against the same in a burst of 2.5 times the usual demand, which ends at once.
+TEST_CASE("LIMIT: an engine's part of the demand stays within the bound in a burst at 120 instances")
+{
+    checkFleet(fleetOf120, "burst of 2.5", [](PlacedPool& pool) {
+        pool.run(Milliseconds(7000));
+        pool.requestsPerSecond *= 2.5;
+        pool.run(Milliseconds(6000));
+        pool.requestsPerSecond /= 2.5;
+        pool.run(Milliseconds(6000));
+    });
+}
+
 // Guards against engines that are loaded beyond the bound while the news of a jump of the demand travel.
 TEST_CASE("LIMIT: an engine's part of the demand stays within the bound in a burst")
 {
--- a/request/costplacement.cc
+++ b/request/costplacement.cc
@@ -44,13 +44,13 @@
         return std::max(limit, minLoadLimit(load, settings));
     }
 
-    // Candidates in three classes: 0 is usable, 1 is over the load limit, 2 is to be avoided. A candidate of
-    // a lower class is preferred at any cost.
-    int preferenceClass(const UpstreamCandidate& candidate, double limit)
+    // Candidates in three classes: 0 is usable, 1 is over the load limit or does not admit the request, 2 is
+    // to be avoided. A candidate of a lower class is preferred at any cost.
+    int preferenceClass(const UpstreamCandidate& candidate, double limit, bool admitted)
     {
         if (candidate.avoid)
             return 2;
-        return candidate.requests + 1 > limit ? 1 : 0;
+        return !admitted || candidate.requests + 1 > limit ? 1 : 0;
     }
 
     double jitter(const WorkItem& item, const UpstreamCandidate& candidate)
@@ -68,6 +68,7 @@
 
 CostPlacement::CostPlacement(CostSettings settings)
     : m_settings(settings)
+    , m_spill(settings.spill)
 {
 }
 
@@ -113,6 +114,15 @@
     return costMs * (1 + m_settings.jitter * jitter(item, candidate));
 }
 
+void CostPlacement::observeLoads(const std::vector<UpstreamCandidate>& candidates, MonotonicTime now)
+{
+    if (candidates.empty())
+        return;
+    double mean = poolLoad(candidates).mean;
+    for (const UpstreamCandidate& candidate : candidates)
+        m_spill.observe(candidate.hash, candidate.requests, mean, now);
+}
+
 std::optional<CostDecision> CostPlacement::chooseEngine(
     const WorkItem& item, const std::vector<UpstreamCandidate>& candidates) const
 {
@@ -148,7 +158,8 @@
                                 + m_settings.delayPerRequestMs * candidate.requests)
             * candidate.slowness;
         double total = cost(item, candidate, expectedMs, tokensToRead);
-        int candidateClass = preferenceClass(candidate, limit);
+        bool admitted = rank >= rankedCandidates || m_spill.admits(candidate.hash, item.hash);
+        int candidateClass = preferenceClass(candidate, limit, admitted);
         if (rank == 0)
             reasonIfNotHome = reasons[candidateClass];
         // An upstream with a limit keeps what it takes for the segments that it caches.
@@ -183,7 +194,7 @@
         double expectedMs = m_settings.serviceTimeMs * candidate.slowness * (1 + load * load);
         double cost = (expectedMs + (candidate.sameDomain ? 0 : m_settings.crossDomainPenaltyMs))
             * (1 + m_settings.jitter * jitter(item, candidate));
-        int candidateClass = preferenceClass(candidate, limit);
+        int candidateClass = preferenceClass(candidate, limit, true);
         if (candidateClass > bestClass || (candidateClass == bestClass && cost >= bestCost))
             continue;
         bestClass = candidateClass;
@@ -202,6 +213,10 @@
     found->second.recordUse(item.segments);
 }
 
-void CostPlacement::removeUpstream(std::uint32_t upstream) { m_cacheEstimates.erase(upstream); }
+void CostPlacement::removeUpstream(std::uint32_t upstream)
+{
+    m_cacheEstimates.erase(upstream);
+    m_spill.remove(upstream);
+}
 
 } // namespace briarwharf
--- a/request/costplacement.h
+++ b/request/costplacement.h
@@ -3,6 +3,7 @@
 #include "base/time.h"
 #include "request/partmemory.h"
 #include "request/segmentshare.h"
+#include "request/spillcontrol.h"
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -74,6 +75,7 @@
     // since all instances send them there. The second engine gets them when the first is busy, and is assumed
     // to cache this share of them.
     double secondChoiceCachedShare = 0.5;
+    SpillSettings spill; // for observeLoads()
     // Maximum random addition to the cost, as a share of it; derived from the hashes of request and upstream.
     double jitter = 0.02;
 };
@@ -109,6 +111,13 @@
 public:
     explicit CostPlacement(CostSettings);
 
+    // For a fleet whose news of the other instances' requests are old: takes the loads that decide which
+    // share of the requests the first two engines in their order get. Call it with all candidates before
+    // each chooseEngine(), or never.
+    void observeLoads(const std::vector<UpstreamCandidate>&, MonotonicTime now);
+    // Must be called when the news are no longer old.
+    void forgetLoads() { m_spill.clear(); }
+
     // Both return an empty value if no candidate is available.
     std::optional<CostDecision> chooseEngine(const WorkItem&, const std::vector<UpstreamCandidate>&) const;
     std::optional<CostDecision> chooseService(const WorkItem&, const std::vector<UpstreamCandidate>&) const;
@@ -128,6 +137,7 @@
 
     CostSettings m_settings;
     SegmentShares m_segmentShares;
+    SpillControl m_spill;
     std::unordered_map<std::uint32_t, PromptCacheEstimate> m_cacheEstimates; // by upstream
 };
 
--- a/request/request.h
+++ b/request/request.h
@@ -58,5 +58,6 @@
 #include "request/residence.h"
 #include "request/retry.h"
 #include "request/segmentshare.h"
+#include "request/spillcontrol.h"
 #include "request/upstreamavailability.h"
 #include "request/urgency.h"
