--- a/bench/costplacement_bench_main.cc
+++ b/bench/costplacement_bench_main.cc
@@ -1,5 +1,5 @@
-// Measures the time of a CostPlacement decision for pools of several sizes, with a fixed seed. Prints one
-// line per pool size.
+// Measures the time of a CostPlacement decision of a large fleet for pools of several sizes, with a fixed
+// seed. Prints one line per pool size.
 
 #include "base/base.h"
 #include "request/request.h"
@@ -14,6 +14,7 @@
 constexpr std::uint64_t seed = 1;
 constexpr int decisions = 200000;
 constexpr std::int64_t memoryTokens = 500000;
+constexpr Milliseconds interval { 100 }; // between decisions, as the loads' controllers see it
 
 WorkItem randomItem(Random& random)
 {
@@ -46,6 +47,7 @@
     auto start = std::chrono::steady_clock::now();
     for (int decision = 0; decision < decisions; ++decision) {
         const WorkItem& item = items[static_cast<std::size_t>(decision) % items.size()];
+        placement.observeLoads(candidates, MonotonicTime(interval * decision));
         auto chosen = placement.chooseEngine(item, candidates);
         sum += chosen->index;
         placement.recordPlacement(item, candidates[chosen->index].hash, memoryTokens);
--- a/process/testing/staleplacement_test.cc
+++ b/process/testing/staleplacement_test.cc
@@ -56,6 +56,8 @@
         m_engines.resize(engines);
         for (std::size_t index = 0; index < engines; ++index)
             m_engines[index].hash = static_cast<std::uint32_t>(hash64("engine-" + std::to_string(index)));
+        for (const UpstreamCandidate& engine : m_engines)
+            m_hashes.push_back(engine.hash);
         constexpr int startRounds = 30;
         for (int round = 0; round < startRounds; ++round)
             fleet.step();
@@ -73,6 +75,15 @@
         }
     }
 
+    // The last engines end, with the requests there, and are no candidates any more.
+    void crashEngines(std::size_t count)
+    {
+        m_engines.resize(m_engines.size() - count);
+        for (Running& running : m_running)
+            running.endsAt = running.engine < m_engines.size() ? running.endsAt : fleet.now;
+        endRequests();
+    }
+
     // Of the requests in `window`, the share that reached an engine with more than twice the mean and three
     // requests; the largest of all windows since `from`.
     double largestOverloadedShare(MonotonicTime from) const
@@ -198,7 +209,7 @@
     {
         std::erase_if(m_running, [this](Running& running) {
             InProgressTable& work = *fleet.nodes.at(running.instance).work;
-            std::uint32_t engine = m_engines[running.engine].hash;
+            std::uint32_t engine = m_hashes[running.engine];
             bool ended = running.endsAt <= fleet.now;
             if (!running.answerStarted && (ended || running.firstByteAt <= fleet.now)) {
                 work.answerStarted(engine, running.tokensToRead);
@@ -216,6 +227,7 @@
     std::vector<std::string> m_instances;
     std::map<std::string, CostPlacement> m_placements;
     std::vector<UpstreamCandidate> m_engines;
+    std::vector<std::uint32_t> m_hashes; // also of the engines that crashed
     std::vector<int> m_held; // requests at each engine
     std::vector<Running> m_running;
     std::vector<Arrival> m_arrivals;
@@ -310,6 +322,16 @@
     });
 }
 
+// Guards against a common second choice of the contexts whose home crashed.
+TEST_CASE("LIMIT: an engine's part of the demand stays within the bound when a tenth of the engines crash")
+{
+    checkFleet(fleetOf87, "crash", [](PlacedPool& pool) {
+        pool.run(Milliseconds(7000));
+        pool.crashEngines(9);
+        pool.run(Milliseconds(8000));
+    });
+}
+
 // Guards against engines that are loaded beyond the bound while the news of a jump of the demand travel.
 TEST_CASE("LIMIT: an engine's part of the demand stays within the bound in a burst")
 {
