--- a/process/testing/staleplacement_test.cc
+++ b/process/testing/staleplacement_test.cc
@@ -56,6 +56,8 @@
         m_engines.resize(engines);
         for (std::size_t index = 0; index < engines; ++index)
             m_engines[index].hash = static_cast<std::uint32_t>(hash64("engine-" + std::to_string(index)));
+        for (const UpstreamCandidate& engine : m_engines)
+            m_hashes.push_back(engine.hash);
         constexpr int startRounds = 30;
         for (int round = 0; round < startRounds; ++round)
             fleet.step();
@@ -73,6 +75,15 @@
         }
     }
 
+    // The last engines end, with the requests there, and are no candidates any more.
+    void crashEngines(std::size_t count)
+    {
+        m_engines.resize(m_engines.size() - count);
+        for (Running& running : m_running)
+            running.endsAt = running.engine < m_engines.size() ? running.endsAt : fleet.now;
+        endRequests();
+    }
+
     // Of the requests in `window`, the share that reached an engine with more than twice the mean and three
     // requests; the largest of all windows since `from`.
     double largestOverloadedShare(MonotonicTime from) const
@@ -178,6 +189,8 @@
             engine.pendingPromptTokens = own.promptTokens + others.promptTokens;
         }
         CostPlacement& placement = m_placements.at(id);
+        if (!work.fullMesh())
+            placement.observeLoads(m_engines, fleet.now);
         auto decision = placement.chooseEngine(item, m_engines);
         REQUIRE(decision);
         placement.recordPlacement(item, m_engines[decision->index].hash, cacheTokens);
@@ -196,7 +209,7 @@
     {
         std::erase_if(m_running, [this](Running& running) {
             InProgressTable& work = *fleet.nodes.at(running.instance).work;
-            std::uint32_t engine = m_engines[running.engine].hash;
+            std::uint32_t engine = m_hashes[running.engine];
             bool ended = running.endsAt <= fleet.now;
             if (!running.answerStarted && (ended || running.firstByteAt <= fleet.now)) {
                 work.answerStarted(engine, running.tokensToRead);
@@ -214,6 +227,7 @@
     std::vector<std::string> m_instances;
     std::map<std::string, CostPlacement> m_placements;
     std::vector<UpstreamCandidate> m_engines;
+    std::vector<std::uint32_t> m_hashes; // also of the engines that crashed
     std::vector<int> m_held; // requests at each engine
     std::vector<Running> m_running;
     std::vector<Arrival> m_arrivals;
@@ -228,6 +242,8 @@
 
 const FleetSize smallFleet { 7, 12, 90 };
 const FleetSize fleetOf87 { 87, 90, 690 };
+const FleetSize fleetOf60 { 60, 60, 325 };
+const FleetSize fleetOf120 { 120, 112, 784 };
 const FleetSize fleetOf295 { 295, 110, 850 };
 
 // A run by hand has as many seeds as BRIARWHARF_SEEDS says, prints each day, and plays all of them with 295
@@ -288,6 +304,34 @@
     checkLargeFleets("steady", day);
 }
 
+// Guards against a moderate skew of the contexts that brings single engines over the bound in calm.
+TEST_CASE("LIMIT: an engine's part of a calm day stays within the bound at 60 instances")
+{
+    checkFleet(fleetOf60, "calm", [](PlacedPool& pool) { pool.run(Milliseconds(15000)); });
+}
+
+// Guards against the same in a burst of 2.5 times the usual demand, which ends at once.
+TEST_CASE("LIMIT: an engine's part of the demand stays within the bound in a burst at 120 instances")
+{
+    checkFleet(fleetOf120, "burst of 2.5", [](PlacedPool& pool) {
+        pool.run(Milliseconds(7000));
+        pool.requestsPerSecond *= 2.5;
+        pool.run(Milliseconds(6000));
+        pool.requestsPerSecond /= 2.5;
+        pool.run(Milliseconds(6000));
+    });
+}
+
+// Guards against a common second choice of the contexts whose home crashed.
+TEST_CASE("LIMIT: an engine's part of the demand stays within the bound when a tenth of the engines crash")
+{
+    checkFleet(fleetOf87, "crash", [](PlacedPool& pool) {
+        pool.run(Milliseconds(7000));
+        pool.crashEngines(9);
+        pool.run(Milliseconds(8000));
+    });
+}
+
 // Guards against engines that are loaded beyond the bound while the news of a jump of the demand travel.
 TEST_CASE("LIMIT: an engine's part of the demand stays within the bound in a burst")
 {
