Add a rig of hostile crowds against the daemon as a process

Cause: callers that nobody controls ended a process: out of memory. Nothing checked that.

Change: hostile_test starts briarwharfd on loopback with the smallest machine's limits (112 MB, 300 connections of callers). Each case checks that the process lives, that its peak memory stays under 98 MB (seven eighths of the machine, the rest is the system's), that descriptors stay under two for each connection of a caller plus 100, and that an ordinary call is answered afterwards. No case checks a time or a share of served requests.

--- /dev/null
+++ b/hostile/testing/rig.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "connection/connection.h"
+#include "connection/testing/loop.h"
+#include "platform/testing/standinstore.h"
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <sys/types.h>
+
+namespace briarwharf {
+
+// What one caller sends and how it reads.
+struct CallerScript {
+    std::string opening; // sent first
+    std::string piece; // sent `pieces` times after it
+    std::size_t pieces = 0;
+    std::string closing; // sent last; the connection stays open
+    bool reads = true; // false: the answers stay unread
+};
+
+// One connection to the daemon that sends its script without waiting for answers.
+class ScriptedCaller : public TcpStreamEvents {
+public:
+    ScriptedCaller(event_base*, const Endpoint&, CallerScript);
+
+    // Whether everything was sent, or the connection has ended.
+    bool isDone() const { return m_ended || (m_closingSent && m_stream->pendingBytes() == 0); }
+    bool hasEnded() const { return m_ended; }
+    // Status of the first answer; 0: none.
+    int status() const;
+    std::size_t bytesSent() const { return m_sent - (m_stream ? m_stream->pendingBytes() : 0); }
+
+    void streamConnected() override;
+    void streamReceived(std::string_view) override;
+    void streamEnded() override { m_ended = true; }
+    void streamFailed(std::string_view) override { m_ended = true; }
+    void streamDrained() override { sendMore(); }
+
+private:
+    void sendMore();
+
+    CallerScript m_script;
+    std::unique_ptr<TcpStream> m_stream;
+    std::string m_received; // the beginning of the first answer
+    std::size_t m_sent = 0;
+    bool m_closingSent = false;
+    bool m_ended = false;
+};
+
+// One daemon as a process of its own. The store, the upstream and the callers run in this process.
+//
+//   HostileRig rig({ .memoryMb = 112 });
+//   rig.runCrowd(200, script);
+//   CHECK(rig.isAlive());
+//   CHECK(rig.peakMemoryBytes() < bound);
+class HostileRig {
+public:
+    struct Options {
+        int memoryMb = 112; // passed on if the daemon knows the setting
+        int maxConnections = 1500;
+    };
+    explicit HostileRig(const Options&);
+    ~HostileRig(); // ends the daemon, by its process id
+    HostileRig(const HostileRig&) = delete;
+    HostileRig& operator=(const HostileRig&) = delete;
+
+    // Adds callers with this script and runs until each has sent all or its connection has ended, or nothing
+    // more moves. The connections stay open.
+    void runCrowd(std::size_t callers, const CallerScript&);
+    // Sends one request and returns the status of its answer; 0: none came in time.
+    int call(const std::string& method, const std::string& target, const std::string& body = {});
+    // Starts requests with this body at once and returns how many were answered with 200.
+    std::size_t callTogether(std::size_t requests, const std::string& body);
+    void run(Milliseconds);
+
+    // Head of a request up to the fields of its body.
+    std::string requestHead(const std::string& method, const std::string& target);
+
+    bool isAlive();
+    std::size_t peakMemoryBytes() const; // highest resident size so far
+    std::size_t openDescriptors() const;
+
+private:
+    void writeSettings(const Options&, const Endpoint& store);
+    void startDaemon();
+    void waitUntilReady();
+    std::string fullRequest(const std::string& method, const std::string& target, const std::string& body);
+
+    Base m_base;
+    platform::StandinStore m_store;
+    Ingress m_upstream;
+    Endpoint m_callers;
+    Endpoint m_admin;
+    std::string m_folder;
+    pid_t m_pid = 0;
+    bool m_ended = false;
+    std::uint64_t m_requests = 0;
+    std::list<ScriptedCaller> m_crowd;
+};
+
+} // namespace briarwharf
