Limit the memory that a process holds for callers, upstreams and peers

Cause: bodies, answers and heads had constants for limits or none, counted sizes, and were copied. Unfinished bodies refused everyone else. Unread answers to pipelined requests grew without a limit. A byte every ten seconds kept a body open for ever.

Change: one MemoryBudget per process, from [limits] memory_mb, counts what is allocated, by kind. Under pressure the connections that hold most and move least are refused (503, Retry-After) or closed; requests in progress are not. A body has a minimum rate with grace. A pipelined request waits until earlier answers are sent. Bodies grow by half and are written to upstreams without a copy. Freed blocks go back to the system. [limits] max_fds lowers max_connections; at the limit a new connection displaces the oldest unused one. IngressConnection has files of its own.

Ruled out: refusing whoever comes when the budget is full (silent bodies then refuse ordinary calls); closing the largest (ordinary uploads are); limits for each address (hostile and ordinary callers share few).

--- a/connection/connection.h
+++ b/connection/connection.h
@@ -19,6 +19,7 @@
 #include "connection/httpserver.h"
 #include "connection/httpstore.h"
 #include "connection/ingress.h"
+#include "connection/memorybudget.h"
 #include "connection/peerlink.h"
 #include "connection/tcpstream.h"
 #include "connection/upstreamclient.h"
--- a/connection/httpmessage.h
+++ b/connection/httpmessage.h
@@ -6,6 +6,7 @@
 #include <http_parser.h>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace briarwharf {
@@ -33,6 +34,9 @@
     void add(std::string_view name, std::string_view value);
     void clear();
 
+    // Memory allocated for the fields.
+    std::size_t heldBytes() const { return m_bytes.capacity() + m_entries.capacity() * sizeof(Entry); }
+
 private:
     friend class HttpParser;
     struct Entry {
@@ -63,6 +67,9 @@
     BodyFraming framing = BodyFraming::None;
     std::uint64_t contentLength = 0; // with BodyFraming::Length
     bool keepAlive = true; // whether the connection may be reused, according to the message
+
+    // Memory allocated for the head.
+    std::size_t heldBytes() const { return method.capacity() + target.capacity() + fields.heldBytes(); }
 };
 
 // The standard reason phrase of a status code ("Not Found").
@@ -122,6 +129,9 @@
     bool started() const { return m_started; }
     bool headDone() const { return m_headDone; }
     const HttpHead& head() const { return m_head; }
+    // Leaves an empty head behind. Called after the message is complete.
+    HttpHead takeHead() { return std::exchange(m_head, {}); }
+    std::size_t heldBytes() const { return m_head.heldBytes() + m_reason.capacity(); }
 
 private:
     static int onUrl(http_parser*, const char*, std::size_t);
--- a/connection/httppool.cc
+++ b/connection/httppool.cc
@@ -16,6 +16,9 @@
     // A body up to this size is appended to the head, so that both are sent in one write.
     constexpr std::size_t maxJoinedBodyBytes = 16 * 1024;
 
+    // What a connection without a head or buffers takes: the objects and the three events of its stream.
+    constexpr std::size_t connectionBytes = 2048;
+
     // Identifiers of the latest requests on a connection.
     class RecentIdentifiers {
     public:
@@ -61,7 +64,9 @@
         : m_pool(pool)
         , m_endpoint(std::move(endpoint))
         , m_parser(HttpParser::Kind::Answer, pool.m_options.maxHeadBytes)
+        , m_memory(pool.m_options.memory, MemoryKind::Upstreams)
     {
+        m_memory.set(connectionBytes);
     }
 
     ~PooledConnection() override
@@ -103,6 +108,7 @@
         m_skippingAnswer = false;
         if (m_stream->isConnected())
             sendRequest();
+        countHeld();
         return exchange;
     }
 
@@ -139,6 +145,7 @@
             std::size_t used = m_parser.feed(bytes, *this);
             if (m_closed)
                 return;
+            countHeld();
             if (m_parser.failed())
                 return failExchange(ExchangeFailureKind::Invalid, "the answer is not valid HTTP");
             bytes.remove_prefix(used);
@@ -155,6 +162,7 @@
     }
 
     void streamFailed(std::string_view reason) override { handleClosed(reason); }
+    void streamDrained() override { countHeld(); }
 
     void messageHead(const HttpHead& head) override
     {
@@ -199,9 +207,17 @@
             m_requestHead += *m_requestBody;
         m_stream->write(m_requestHead);
         if (m_requestBody && m_requestBody->size() > maxJoinedBodyBytes)
-            m_stream->write(*m_requestBody);
-        m_requestHead.clear();
+            m_stream->write(m_requestBody);
+        m_requestHead = {};
         m_requestBody.reset();
+        countHeld();
+    }
+
+    // A shared body counts itself.
+    void countHeld()
+    {
+        m_memory.set(
+            connectionBytes + m_parser.heldBytes() + m_requestHead.capacity() + m_stream->heldOutputBytes());
     }
 
     void finishMessage(bool moreFollows)
@@ -272,6 +288,7 @@
     std::string m_identifierField;
     std::string m_identifier;
     RecentIdentifiers m_identifiers; // of earlier requests
+    MemoryHold m_memory;
     MonotonicTime m_idleSince;
     MonotonicTime m_idleUntil;
     Milliseconds m_idleTimeout { 0 };
--- a/connection/httppool.h
+++ b/connection/httppool.h
@@ -3,6 +3,7 @@
 #include "base/endpoint.h"
 #include "base/time.h"
 #include "connection/httpmessage.h"
+#include "connection/memorybudget.h"
 #include "connection/tcpstream.h"
 #include <cstdint>
 #include <list>
@@ -90,6 +91,7 @@
     // Subtracted from the answer's Keep-Alive timeout, because the other side's timeout passes some time
     // before its close is seen here.
     Milliseconds idleMargin { 500 };
+    std::shared_ptr<MemoryBudget> memory; // counts connections, heads and unsent requests; null: not counted
 };
 
 struct HttpPoolCounters {
--- a/connection/ingress.h
+++ b/connection/ingress.h
@@ -3,6 +3,7 @@
 #include "base/endpoint.h"
 #include "base/time.h"
 #include "connection/httpmessage.h"
+#include "connection/memorybudget.h"
 #include "connection/tcpstream.h"
 #include <cstdint>
 #include <functional>
@@ -11,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -21,8 +23,8 @@
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
     Milliseconds headTimeout { 5000 }; // from the first byte of a request to the end of its head
     Milliseconds idleTimeout { 75000 }; // for a connection between two requests
-    std::size_t maxConnections = 3000; // further connections are closed at once
-    // Bodies of requests, pipelined input and unsent output of all connections together.
+    std::size_t maxConnections = 3000; // beyond it, unused connections or the new one are closed
+    // Limit of the memory budget, if the constructor gets none.
     std::size_t maxBufferedBytes = 48 * 1024 * 1024;
 };
 
@@ -106,9 +108,11 @@
 struct IngressCounters {
     std::uint64_t accepted = 0;
     std::uint64_t refused = 0; // connections over maxConnections, closed at once
+    std::uint64_t displaced = 0; // connections closed to make room for others
     std::uint64_t requests = 0;
     std::uint64_t malformed = 0; // answered with 400, 408, 413 or 431 here
-    std::uint64_t overloaded = 0; // refused or closed because the buffers of all connections were full
+    std::uint64_t tooSlow = 0; // of `malformed`: bodies below the minimum rate
+    std::uint64_t overloaded = 0; // refused or closed because the memory budget was used up
     std::uint64_t abandoned = 0; // requests whose connection ended before their answer
 };
 
@@ -123,7 +127,8 @@
 public:
     using Handler = std::function<void(IngressRequest, CallerExchange&)>;
 
-    Ingress(event_base*, IngressLimits, Handler);
+    // Null: a budget of its own, with the limit maxBufferedBytes.
+    Ingress(event_base*, IngressLimits, Handler, std::shared_ptr<MemoryBudget> = nullptr);
     ~Ingress();
     Ingress(const Ingress&) = delete;
     Ingress& operator=(const Ingress&) = delete;
@@ -145,31 +150,38 @@
 
     std::size_t connections() const { return m_connections.size(); }
     std::size_t requestsInProgress() const { return m_inProgress; }
-    std::size_t bufferedBytes() const { return m_bufferedBytes; }
+    // Memory of bodies, pipelined input and unsent output; with a shared budget, that of all its users.
+    std::size_t bufferedBytes() const;
     const IngressCounters& counters() const { return m_counters; }
 
 private:
     friend class IngressConnection;
     using Connections = std::list<std::unique_ptr<IngressConnection>>;
 
+    using Source = std::uint32_t; // IPv4 address
+
     void accept(int socket);
+    bool makeRoomFor(Source);
+    bool displace(std::optional<Source>);
     void remove(IngressConnection&);
     void runDeferred();
     void checkTimeouts();
-    void closeLargest();
+    void freeSoon();
+    bool freeMemory(const std::function<bool()>& enough, const IngressConnection* requester);
 
     event_base* m_base;
     IngressLimits m_limits;
     Handler m_handler;
+    std::shared_ptr<MemoryBudget> m_memory;
     IngressCounters m_counters;
     std::unique_ptr<TcpListener> m_listener;
     Connections m_connections;
     Connections m_closedConnections; // freed from the loop: their functions may still be on the stack
+    std::unordered_map<Source, std::size_t> m_sources; // number of open connections
     std::vector<IngressConnection*> m_pipelined; // answered, with buffered input of a further request
     Timer m_deferredTimer;
     Ticker m_timeoutTicker;
     std::size_t m_inProgress = 0;
-    std::size_t m_bufferedBytes = 0; // of all connections
     bool m_closing = false;
 };
 
--- a/connection/peerlink.cc
+++ b/connection/peerlink.cc
@@ -21,6 +21,9 @@
     // Maximum size of the first frame. Anyone may connect, so the full size counts only after the Hello.
     constexpr std::size_t maxHelloBytes = 16 * 1024;
 
+    // What a link without frames takes: its objects, events and the first blocks of its buffers.
+    constexpr std::size_t linkBytes = 4096;
+
     timeval toTimeval(Milliseconds duration)
     {
         constexpr int millisecondsPerSecond = 1000;
@@ -122,6 +125,9 @@
         bufferevent* transport;
         event* timer; // handshake timeout; once `failed` is set, reports the failure
         MonotonicTime lastReceived;
+        MemoryHold memory;
+
+        void countHeld();
     };
 
     static void handleAccept(evconnlistener*, evutil_socket_t, sockaddr*, int, void* self);
@@ -153,7 +159,9 @@
     , transport(bufferevent_socket_new(impl.m_base, socket, BEV_OPT_CLOSE_ON_FREE))
     , timer(event_new(impl.m_base, -1, 0, &Impl::handleTimer, this))
     , lastReceived(std::chrono::steady_clock::now())
+    , memory(impl.m_options.memory, MemoryKind::Peers)
 {
+    memory.set(linkBytes);
     bufferevent_setcb(transport, &Impl::handleRead, nullptr, &Impl::handleEvent, this);
     // Reading pauses once the input buffer holds a frame of the maximum length.
     bufferevent_setwatermark(transport, EV_READ, 0, peerFrameHeaderBytes + maxHelloBytes);
@@ -167,6 +175,12 @@
     event_free(timer);
 }
 
+void PeerLinks::Impl::Link::countHeld()
+{
+    memory.set(linkBytes + evbuffer_get_length(bufferevent_get_input(transport))
+        + evbuffer_get_length(bufferevent_get_output(transport)));
+}
+
 PeerLinks::Impl::Link& PeerLinks::Impl::addLink(evutil_socket_t socket, bool outgoing)
 {
     auto id = m_nextId++;
@@ -242,6 +256,7 @@
 void PeerLinks::Impl::write(Link& link, const std::string& bytes)
 {
     bufferevent_write(link.transport, bytes.data(), bytes.size());
+    link.countHeld();
     ++counters.framesSent;
     counters.bytesSent += bytes.size();
 }
@@ -314,8 +329,11 @@
     auto id = link->id;
     link->lastReceived = std::chrono::steady_clock::now();
     // A callback may close this link, so it is looked up again after each frame.
+    link->countHeld();
     while (link && !link->failed && self.readFrame(*link))
         link = self.find(id);
+    if (link)
+        link->countHeld();
 }
 
 // Reads one frame from the input buffer. Returns false if none is complete or the link failed.
--- a/connection/peerlink.h
+++ b/connection/peerlink.h
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "base/time.h"
+#include "connection/memorybudget.h"
 #include "coordination/peerframe.h"
 #include <cstdint>
 #include <functional>
@@ -27,6 +28,7 @@
     std::size_t maxOutputBytes = 3 * maxPeerFrameBytes;
     std::size_t maxLinks = 512; // further connections are refused
     Milliseconds handshakeTimeout { 2000 }; // from connect or accept to the other side's Hello
+    std::shared_ptr<MemoryBudget> memory; // counts links and frames; null: not counted
 };
 
 struct PeerLinkCounters {
--- a/connection/tcpstream.cc
+++ b/connection/tcpstream.cc
@@ -125,7 +125,9 @@
     if (bytes.empty() || m_deferredError != 0)
         return;
     if (m_connecting || pendingBytes() > 0) {
-        m_output.append(bytes);
+        if (m_shared)
+            appendOutput(std::string_view(*std::exchange(m_shared, nullptr)).substr(m_sharedSent));
+        appendOutput(bytes);
         return;
     }
     ssize_t sent = ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
@@ -139,6 +141,46 @@
     event_add(m_writeEvent.get(), nullptr);
 }
 
+void TcpStream::write(std::shared_ptr<const std::string> bytes)
+{
+    if (!bytes || bytes->empty() || m_deferredError != 0)
+        return;
+    if (m_shared)
+        return write(std::string_view(*bytes));
+    m_sharedSent = 0;
+    if (!m_connecting && pendingBytes() == 0) {
+        ssize_t sent = ::send(m_socket, bytes->data(), bytes->size(), MSG_NOSIGNAL);
+        if (sent < 0 && errno != EAGAIN && errno != EINTR)
+            return failLater(errno);
+        m_sharedSent = sent < 0 ? 0 : static_cast<std::size_t>(sent);
+        if (m_sharedSent == bytes->size())
+            return;
+        event_add(m_writeEvent.get(), nullptr);
+    }
+    m_shared = std::move(bytes);
+}
+
+// Grows by a quarter and without the sent part: std::string doubles its capacity, which for a slow reader
+// would be mostly unused.
+void TcpStream::appendOutput(std::string_view bytes)
+{
+    std::size_t unsent = m_output.size() - m_outputSent;
+    if (m_output.size() + bytes.size() > m_output.capacity()) {
+        std::string larger;
+        larger.reserve((unsent + bytes.size()) * 5 / 4);
+        larger.append(m_output, m_outputSent);
+        m_output = std::move(larger);
+        m_outputSent = 0;
+    }
+    m_output.append(bytes);
+}
+
+// A string without a block of its own holds up to its capacity in the object.
+std::size_t TcpStream::heldOutputBytes() const
+{
+    return m_output.capacity() > std::string().capacity() ? m_output.capacity() : 0;
+}
+
 void TcpStream::pauseReading()
 {
     if (!m_reading)
@@ -212,11 +254,8 @@
 
 void TcpStream::flushOutput()
 {
-    std::string_view rest = std::string_view(m_output).substr(m_outputSent);
-    ssize_t sent = rest.empty() ? 0 : ::send(m_socket, rest.data(), rest.size(), MSG_NOSIGNAL);
-    if (sent < 0 && errno != EAGAIN && errno != EINTR)
-        return fail(errno);
-    m_outputSent += sent < 0 ? 0 : static_cast<std::size_t>(sent);
+    if (!sendPending())
+        return;
     if (pendingBytes() > 0) {
         freeSentOutput();
         event_add(m_writeEvent.get(), nullptr);
@@ -225,15 +264,33 @@
     m_output.clear();
     m_output.shrink_to_fit();
     m_outputSent = 0;
+    m_shared.reset();
     m_events.streamDrained();
 }
 
-// A reader that is never quite done would otherwise let the sent part grow without bound.
+// Sends once from the copied output, or from the shared bytes after it. Returns false if the stream failed.
+bool TcpStream::sendPending()
+{
+    bool fromShared = m_output.size() == m_outputSent;
+    std::string_view rest = std::string_view(m_output).substr(m_outputSent);
+    if (fromShared && m_shared)
+        rest = std::string_view(*m_shared).substr(m_sharedSent);
+    ssize_t sent = rest.empty() ? 0 : ::send(m_socket, rest.data(), rest.size(), MSG_NOSIGNAL);
+    if (sent < 0 && errno != EAGAIN && errno != EINTR) {
+        fail(errno);
+        return false;
+    }
+    (fromShared ? m_sharedSent : m_outputSent) += sent < 0 ? 0 : static_cast<std::size_t>(sent);
+    return true;
+}
+
+// A reader that is never quite done would otherwise let the sent part grow without bound. The rest is copied:
+// erasing would keep the block.
 void TcpStream::freeSentOutput()
 {
-    if (m_outputSent < minFreedOutputBytes || m_outputSent < pendingBytes())
+    if (m_outputSent < minFreedOutputBytes || m_outputSent < m_output.size() - m_outputSent)
         return;
-    m_output.erase(0, m_outputSent);
+    m_output = std::string(m_output, m_outputSent);
     m_outputSent = 0;
 }
 
--- a/connection/tcpstream.h
+++ b/connection/tcpstream.h
@@ -59,11 +59,13 @@
 
     // Never calls back before it returns; a failure is reported later, from the event loop.
     void write(std::string_view bytes);
+    // The same without a copy of what the socket does not accept at once.
+    void write(std::shared_ptr<const std::string> bytes);
 
-    // Output bytes buffered in memory because the socket has not accepted them yet.
-    std::size_t pendingBytes() const { return m_output.size() - m_outputSent; }
-    // The same with output that was sent and is still in memory.
-    std::size_t heldOutputBytes() const { return m_output.size(); }
+    // Output bytes that the socket has not accepted yet.
+    std::size_t pendingBytes() const { return m_output.size() - m_outputSent + pendingSharedBytes(); }
+    // Memory allocated for output, shared bytes excepted.
+    std::size_t heldOutputBytes() const;
     bool isConnected() const { return !m_connecting; }
     // In streamFailed(): whether nothing listens at the address.
     bool wasRefused() const { return m_refused; }
@@ -86,7 +88,10 @@
     void readInput();
     void finishConnecting(bool timedOut);
     void flushOutput();
+    bool sendPending();
+    void appendOutput(std::string_view);
     void freeSentOutput();
+    std::size_t pendingSharedBytes() const { return m_shared ? m_shared->size() - m_sharedSent : 0; }
     void fail(int error);
     void failLater(int error);
 
@@ -99,6 +104,8 @@
     TcpStreamEvents& m_events;
     std::string m_output;
     std::size_t m_outputSent = 0;
+    std::shared_ptr<const std::string> m_shared; // follows m_output; null: nothing
+    std::size_t m_sharedSent = 0;
     std::unique_ptr<event, EventDeleter> m_readEvent;
     std::unique_ptr<event, EventDeleter> m_writeEvent;
     std::unique_ptr<event, EventDeleter> m_deferredEvent;
--- a/daemon/briarwharfd_main.cc
+++ b/daemon/briarwharfd_main.cc
@@ -65,6 +65,7 @@
 int run(const Settings& settings, const std::string& file)
 {
     ignoreBrokenPipes();
+    configureAllocator();
     installCrashReport();
     std::unique_ptr<event_base, BaseDeleter> base(event_base_new());
     if (settings.directory.source == "platform") {
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -21,6 +21,19 @@
     // Requests must end, and the process exits, this long before the end of the grace time.
     constexpr Milliseconds exitMargin { 300 };
 
+    // Descriptors for files, the log and the program itself.
+    constexpr std::int64_t fileDescriptors = 200;
+    // Part of the other descriptors that callers may have. Each request in progress needs one more, to its
+    // upstream; the rest is for these, peers, the store, health checks and operators.
+    constexpr double callerDescriptorShare = 0.6;
+
+    // Freed memory is returned to the system at most this often: that takes milliseconds.
+    constexpr Milliseconds memoryReturnInterval { 2000 };
+    // Part of the memory budget that unfinished answers may use.
+    constexpr std::size_t answerShareDivisor = 3;
+    // Operators' connections have a budget of their own, so that callers cannot use it up.
+    constexpr std::size_t adminBudgetBytes = 4 * 1024 * 1024;
+
     constexpr std::size_t maxAdminHeadBytes = 8 * 1024;
     constexpr std::size_t maxAdminBodyBytes = 64 * 1024;
 
@@ -43,21 +56,38 @@
         return budget;
     }
 
-    ForwarderSettings forwarderSettings(const Settings& settings)
+    std::size_t maxUnfinishedAnswerBytes(const Settings& settings)
+    {
+        return std::min(ForwarderSettings {}.maxBufferedBytes,
+            memoryBudgetBytes(settings.limits.memoryMb) / answerShareDivisor);
+    }
+
+    ForwarderSettings forwarderSettings(const Settings& settings, std::shared_ptr<MemoryBudget> memory)
     {
         ForwarderSettings result;
+        result.memory = std::move(memory);
+        result.maxBufferedBytes = maxUnfinishedAnswerBytes(settings);
         result.failureDomain = settings.instance.failureDomain;
         result.budget = budgetOf(settings);
         result.streamBufferBytes = static_cast<std::size_t>(settings.limits.streamBufferBytes);
         return result;
     }
 
+    std::int64_t maxCallerConnections(const Settings& settings)
+    {
+        const Settings::Limits& limits = settings.limits;
+        if (limits.maxFds == 0)
+            return limits.maxConnections;
+        auto share = static_cast<double>(limits.maxFds - fileDescriptors) * callerDescriptorShare;
+        return std::min(limits.maxConnections, static_cast<std::int64_t>(share));
+    }
+
     IngressLimits ingressLimits(const Settings& settings)
     {
         IngressLimits limits;
         limits.maxHeadBytes = static_cast<std::size_t>(settings.limits.maxHeaderBytes);
         limits.maxBodyBytes = static_cast<std::size_t>(settings.limits.maxBodyBytes);
-        limits.maxConnections = static_cast<std::size_t>(settings.limits.maxConnections);
+        limits.maxConnections = static_cast<std::size_t>(maxCallerConnections(settings));
         return limits;
     }
 
@@ -67,6 +97,7 @@
         limits.maxHeadBytes = maxAdminHeadBytes;
         limits.maxBodyBytes = maxAdminBodyBytes;
         limits.maxConnections = 100;
+        limits.maxBufferedBytes = adminBudgetBytes;
         return limits;
     }
 
@@ -111,8 +142,10 @@
     , m_file(std::move(file))
     , m_fileModifiedNs(modificationTimeNs(m_file))
     , m_source(std::move(source))
-    , m_mesh(base, identityOf(m_settings),
-          [this](const std::string& peer, const PeerFrameT& frame) { frameReceived(peer, frame); })
+    , m_memory(std::make_shared<MemoryBudget>(memoryBudgetBytes(m_settings.limits.memoryMb)))
+    , m_mesh(
+          base, identityOf(m_settings),
+          [this](const std::string& peer, const PeerFrameT& frame) { frameReceived(peer, frame); }, m_memory)
     , m_relay({}, m_mesh.membership(), m_mesh.outbox())
     , m_inProgress(m_mesh.membership(), {})
     , m_health(healthOptions())
@@ -120,12 +153,14 @@
     , m_quarantineArchive(m_mesh.membership(), m_quarantine, *m_source)
     , m_limits(m_mesh.membership())
     , m_directory(directoryOptions(m_settings))
-    , m_forwarder(base, forwarderSettings(m_settings), m_source->headers(),
+    , m_forwarder(base, forwarderSettings(m_settings, m_memory), m_source->headers(),
           { m_inProgress, m_health, m_quarantine, m_limits }, m_metrics)
-    , m_callers(base, ingressLimits(m_settings),
+    , m_callers(
+          base, ingressLimits(m_settings),
           [this](IngressRequest request, CallerExchange& caller) {
               m_forwarder.handle(std::move(request), caller);
-          })
+          },
+          m_memory)
     , m_admin(base, adminLimits(),
           [this](const IngressRequest& request, CallerExchange& caller) { handleAdmin(request, caller); })
     , m_ticker(base, tickInterval, [this] { tick(); })
@@ -315,6 +350,10 @@
     if (m_directory.expire(now))
         upstreamsChanged("lapse");
     m_forwarder.setInstances(m_mesh.membership().expectedInstances());
+    if (now - m_memoryReturnedAt > memoryReturnInterval) {
+        m_memoryReturnedAt = now;
+        returnFreedMemory(*m_memory);
+    }
     if (m_stopping)
         checkShutdown();
     flushLogs();
@@ -457,11 +496,34 @@
         static_cast<double>(m_forwarder.requestsInProgress()));
     m_metrics.set("briarwharf_buffered_answer_bytes", "Bytes of incomplete answers in memory.",
         static_cast<double>(m_forwarder.bufferedBytes()));
+    setMemoryMetrics();
     m_metrics.set(
         "briarwharf_linked_peers", "Links to other instances.", static_cast<double>(m_mesh.linkCount()));
     return m_metrics.serialize();
 }
 
+void ForwardDaemon::setMemoryMetrics()
+{
+    const IngressCounters& callers = m_callers.counters();
+    auto set = [this](const char* name, const char* help, auto value) {
+        m_metrics.set(name, help, static_cast<double>(value));
+    };
+    set("briarwharf_memory_budget_bytes", "Limit of the memory held for callers, upstreams and peers.",
+        m_memory->limit());
+    set("briarwharf_memory_held_bytes", "Memory held for callers, upstreams and peers.", m_memory->total());
+    set("briarwharf_memory_body_bytes", "Part of it that is held for bodies of requests.",
+        m_memory->held(MemoryKind::Bodies));
+    set("briarwharf_caller_connections", "Open connections of callers.", m_callers.connections());
+    m_metrics.setTotal("briarwharf_memory_refusals_total",
+        "Requests refused and connections closed because the memory budget was used up.",
+        static_cast<double>(callers.overloaded));
+    m_metrics.setTotal("briarwharf_slow_bodies_total", "Requests refused because their body came too slowly.",
+        static_cast<double>(callers.tooSlow));
+    m_metrics.setTotal("briarwharf_displaced_connections_total",
+        "Callers' connections that were closed to make room for others.",
+        static_cast<double>(callers.displaced));
+}
+
 void ForwardDaemon::checkSettingsFile()
 {
     if (modificationTimeNs(m_file) != m_fileModifiedNs)
@@ -485,6 +547,8 @@
     m_settings.store.endpoint = next.store.endpoint;
     m_settings.fleet = next.fleet;
     m_settings.limits = next.limits;
+    m_memory->setLimit(memoryBudgetBytes(m_settings.limits.memoryMb));
+    m_forwarder.setMaxBufferedBytes(maxUnfinishedAnswerBytes(m_settings));
     m_settings.log = next.log;
     configureLogging(m_settings.log.level, LogFlush::Buffered);
     m_source->setEndpoint(m_settings.store.endpoint);
--- a/process/forwarddaemon.h
+++ b/process/forwarddaemon.h
@@ -54,6 +54,7 @@
     void seedFromSettings();
     void handleAdmin(const IngressRequest&, CallerExchange&);
     std::string metricsText();
+    void setMemoryMetrics();
     std::string showText(std::string_view resource) const;
     void tick();
     void checkSettingsFile();
@@ -65,6 +66,7 @@
     std::string m_file;
     std::int64_t m_fileModifiedNs = 0; // Unix time of the settings file's modification; 0: no file
     std::unique_ptr<DirectorySource> m_source;
+    std::shared_ptr<MemoryBudget> m_memory;
     PeerMesh m_mesh;
     DirectoryRelay m_relay;
     InProgressTable m_inProgress;
@@ -82,6 +84,7 @@
     std::uint16_t m_callerPort = 0;
     std::uint16_t m_adminPort = 0;
     MonotonicTime m_startedAt;
+    MonotonicTime m_memoryReturnedAt; // when freed memory was last returned to the system
     bool m_stopping = false;
     bool m_readinessLogged = false;
     MonotonicTime m_stoppingSince;
--- a/process/forwardedanswer.cc
+++ b/process/forwardedanswer.cc
@@ -18,6 +18,9 @@
     // An answer up to this size is kept although the buffers of all requests together are full.
     constexpr std::size_t smallAnswerBytes = 8 * 1024;
 
+    // What a request takes without heads and buffers: the object and its small strings and lists.
+    constexpr std::size_t requestBytes = 4 * 1024;
+
     // An upstream that goes on with an answer for this long after the first event has survived its start.
     constexpr Milliseconds soundAnswerAge { 300 };
 
@@ -133,12 +136,16 @@
         = m_buffered.size() + m_relay.incompleteBytes() + (m_failure ? m_failure->body.size() : 0);
     m_forwarder.m_bufferedBytes += bytes - m_countedBytes;
     m_countedBytes = bytes;
+    m_memory.set(requestBytes + m_request.head.heldBytes() + m_head.heldBytes() + m_buffered.capacity()
+        + m_relay.incompleteBytes() + (m_failure ? m_failure->body.capacity() : 0));
 }
 
 bool ForwardedRequest::exceedsBuffers() const
 {
-    return m_forwarder.m_bufferedBytes > m_forwarder.m_settings.maxBufferedBytes
-        && m_countedBytes > smallAnswerBytes;
+    const auto& memory = m_forwarder.m_settings.memory;
+    bool isFull = m_forwarder.m_bufferedBytes > m_forwarder.m_settings.maxBufferedBytes
+        || (memory && memory->isExceeded());
+    return isFull && m_countedBytes > smallAnswerBytes;
 }
 
 // Called when a buffered answer is too large to be kept until it is complete. One that would not be passed on
--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -57,8 +57,10 @@
     , m_caller(caller, *this)
     , m_fields(readCallerFields(m_request.head.fields, forwarder.m_headers))
     , m_table(forwarder.m_routing)
+    , m_memory(forwarder.m_settings.memory, MemoryKind::Requests)
     , m_relay(m_fields.lastEvent)
 {
+    countBuffered();
 }
 
 ForwardedRequest::~ForwardedRequest()
--- a/process/forwardedrequest.h
+++ b/process/forwardedrequest.h
@@ -163,6 +163,7 @@
     std::string m_buffered;
     std::optional<KeptAnswer> m_failure; // of an earlier attempt
     std::size_t m_countedBytes = 0; // of this request's buffers, in the forwarder's sum
+    MemoryHold m_memory; // of the request and its buffers, without the body, which counts itself
     EventRelay m_relay;
     std::uint64_t m_eventsBefore = 0; // events of earlier attempts
     MonotonicTime m_firstEventAt; // of the current attempt
--- a/process/forwarder.cc
+++ b/process/forwarder.cc
@@ -36,6 +36,13 @@
 
     std::uint32_t shortHash(const std::string& id) { return static_cast<std::uint32_t>(hash64(id)); }
 
+    HttpPoolOptions poolOptions(const ForwarderSettings& settings)
+    {
+        HttpPoolOptions options;
+        options.memory = settings.memory;
+        return options;
+    }
+
 } // namespace
 
 std::uint32_t upstreamLifetimeHash(const UpstreamEntry& entry)
@@ -67,7 +74,7 @@
     , m_quarantine(shared.quarantine)
     , m_limits(shared.limits)
     , m_metrics(metrics)
-    , m_connections(base, {})
+    , m_connections(base, poolOptions(m_settings))
     , m_crashDetector(base,
           [this](std::uint32_t upstream, const std::vector<std::uint64_t>& segments, MonotonicTime at) {
               m_quarantine.recordCrash(segments, upstream, at, clockNow());
--- a/process/forwarder.h
+++ b/process/forwarder.h
@@ -33,6 +33,7 @@
     // Incomplete answers and events of all requests together. An answer that exceeds it is given up as
     // broken, unless it is small.
     std::size_t maxBufferedBytes = 24 * 1024 * 1024;
+    std::shared_ptr<MemoryBudget> memory; // of the process; null: only maxBufferedBytes limits
 };
 
 struct ForwarderCounters {
@@ -89,6 +90,7 @@
     }
     // Ends all requests in progress. Each caller whose answer has not begun gets one.
     void endRequests();
+    void setMaxBufferedBytes(std::size_t bytes) { m_settings.maxBufferedBytes = bytes; }
     void setBudget(const FleetRetryBudgetSettings& settings) { m_budget.setSettings(settings); }
 
     // Whether both a configuration and a list of upstreams are in force.
--- a/process/peermesh.cc
+++ b/process/peermesh.cc
@@ -30,12 +30,20 @@
         return member;
     }
 
+    PeerLinkOptions linkOptions(std::shared_ptr<MemoryBudget> memory)
+    {
+        PeerLinkOptions options;
+        options.memory = std::move(memory);
+        return options;
+    }
+
 } // namespace
 
-PeerMesh::PeerMesh(event_base* base, InstanceIdentity identity, FrameCallback onFrame)
+PeerMesh::PeerMesh(
+    event_base* base, InstanceIdentity identity, FrameCallback onFrame, std::shared_ptr<MemoryBudget> memory)
     : m_onFrame(std::move(onFrame))
     , m_membership(std::move(identity), MembershipOptions {}, m_outbox, randomSeed())
-    , m_transport(base, PeerLinkOptions {},
+    , m_transport(base, linkOptions(std::move(memory)),
           { [this](LinkId link, const HelloT& hello, bool outgoing) { linkUp(link, hello, outgoing); },
               [this](LinkId link, const Error&) { linkDown(link); },
               [this](LinkId link, const PeerFrameT& frame) { frameReceived(link, frame); } })
--- a/process/peermesh.h
+++ b/process/peermesh.h
@@ -23,7 +23,8 @@
     // Called with each frame received, those that membership has handled included, and the sender's id.
     using FrameCallback = std::function<void(const std::string& peer, const PeerFrameT&)>;
 
-    PeerMesh(event_base*, InstanceIdentity, FrameCallback);
+    // A budget counts the memory of links and frames; null: it is not counted.
+    PeerMesh(event_base*, InstanceIdentity, FrameCallback, std::shared_ptr<MemoryBudget> = nullptr);
     PeerMesh(const PeerMesh&) = delete;
     PeerMesh& operator=(const PeerMesh&) = delete;
 
--- a/process/settings.cc
+++ b/process/settings.cc
@@ -94,6 +94,17 @@
         };
     }
 
+    // The same for a value that the machine's description may lack: empty or 0 leaves the default.
+    template <typename Section>
+    Assign statedInteger(
+        Section Settings::*section, std::int64_t Section::*member, std::int64_t minimum, std::int64_t maximum)
+    {
+        Assign assign = integer(section, member, minimum, maximum);
+        return [=](Settings& settings, const std::string& value) -> std::string {
+            return value.empty() || value == "0" ? std::string() : assign(settings, value);
+        };
+    }
+
     template <typename Section>
     Assign duration(
         Section Settings::*section, Milliseconds Section::*member, Milliseconds minimum, Milliseconds maximum)
@@ -231,6 +242,16 @@
                 "32768", false, integer(&S::limits, &S::Limits::maxHeaderBytes, 1024, 256 * 1024) },
             { "limits", "max_connections", "Maximum number of open connections from callers, 1 to 100000.",
                 "10000", false, integer(&S::limits, &S::Limits::maxConnections, 1, 100000) },
+            { "limits", "memory_mb",
+                "Memory of the machine, 64 to 65536; empty or 0 if it is not stated. The memory budget "
+                "follows "
+                "from it.",
+                "256", false, statedInteger(&S::limits, &S::Limits::memoryMb, 64, 65536) },
+            { "limits", "max_fds",
+                "File descriptors of the process, 512 to 1000000; empty or 0 if they are not stated. They "
+                "may "
+                "lower max_connections.",
+                "0", false, statedInteger(&S::limits, &S::Limits::maxFds, 512, 1000000) },
             { "limits", "max_answer_bytes",
                 "Maximum size of an answer that is not streamed, 1024 to 268435456.", "16777216", false,
                 integer(&S::limits, &S::Limits::maxAnswerBytes, 1024, 256 * mebibyte) },
--- a/process/settings.h
+++ b/process/settings.h
@@ -54,6 +54,8 @@
         std::int64_t maxBodyBytes = 4 * 1024 * 1024;
         std::int64_t maxHeaderBytes = 32 * 1024;
         std::int64_t maxConnections = 10000;
+        std::int64_t memoryMb = 256; // of the machine
+        std::int64_t maxFds = 0; // that the machine allows the process; 0: not stated
         std::int64_t maxAnswerBytes = 16 * 1024 * 1024; // of an answer that is buffered, not streamed
         // Unsent bytes of one stream, whose caller is slow, at which reading from the upstream pauses.
         std::int64_t streamBufferBytes = 256 * 1024;
--- a/process/testing/settings_test.cc
+++ b/process/testing/settings_test.cc
@@ -30,3 +30,19 @@
         != std::string::npos);
     CHECK(range.error().message.find("[instance] id is missing") != std::string::npos);
 }
+
+// Guards against a machine whose description lacks a value: the daemon would not start.
+TEST_CASE("memory and descriptors that are not stated leave the defaults")
+{
+    std::string text = exampleSettings();
+    for (const char* line : { "memory_mb = 256", "max_fds = 0" }) {
+        std::size_t value = text.find(line) + std::string(line).find('=') + 1;
+        text.erase(value, text.find('\n', value) - value);
+    }
+    auto parsed = parseSettings(text, "node.ini");
+    REQUIRE_MESSAGE(parsed.has_value(), parsed.error().message);
+    CHECK(parsed.value().limits.memoryMb == Settings().limits.memoryMb);
+    CHECK(parsed.value().limits.maxFds == 0);
+    CHECK(parseSettings("[limits]\nmemory_mb = -5\n", "node.ini").error().message.find("node.ini:2: [limits]")
+        != std::string::npos);
+}
