Limit the connections to upstreams by the machine's descriptors

Cause: each request in progress opens a connection to its upstream. On a machine with few descriptors, callers could use up those of peers, the store and operators.

Change: with [limits] max_fds stated, connections to all upstreams have 0.3 of the descriptors beyond 200. At the limit an idle connection is closed for a new one; otherwise the request is refused as not run.

--- a/connection/httppool.cc
+++ b/connection/httppool.cc
@@ -319,7 +319,7 @@
 
 HttpPool::HttpPool(event_base* base, HttpPoolOptions options)
     : m_base(base)
-    , m_options(options)
+    , m_options(std::move(options))
     , m_cleanupTimer(base, [this] { m_closedConnections.clear(); })
     , m_expiryTicker(base, expiryCheckInterval, [this] { closeExpired(); })
 {
@@ -348,15 +348,31 @@
                 "all connections to " + printEndpoint(endpoint) + " are in use: wait for one" };
         closeLater(extract(address.idle, *address.idle.front()));
     }
+    if (!makeRoom())
+        return Error { ErrorKind::Overloaded, "all connections of the pool are in use: wait for one" };
     auto connection = std::make_unique<PooledConnection>(*this, endpoint);
     Status connected = connection->connect();
     if (!connected)
         return connected.error();
     ++m_counters.opened;
+    ++m_openConnections;
     address.busy.push_back(std::move(connection));
     return address.busy.back()->startExchange(request, events);
 }
 
+// Whether the pool may open a connection, for which it closes an idle one if necessary.
+bool HttpPool::makeRoom()
+{
+    if (m_options.maxConnections == 0 || m_openConnections < m_options.maxConnections)
+        return true;
+    auto found = std::find_if(
+        m_addresses.begin(), m_addresses.end(), [](const auto& entry) { return !entry.second.idle.empty(); });
+    if (found == m_addresses.end())
+        return false;
+    closeLater(extract(found->second.idle, *found->second.idle.front()));
+    return true;
+}
+
 void HttpPool::closeIdle(const Endpoint& endpoint)
 {
     auto found = m_addresses.find(endpoint);
@@ -400,6 +416,7 @@
 {
     if (!connection)
         return;
+    --m_openConnections;
     m_closedConnections.push_back(std::move(connection));
     m_cleanupTimer.start(Milliseconds(0));
 }
--- a/connection/httppool.h
+++ b/connection/httppool.h
@@ -91,6 +91,8 @@
     // Subtracted from the answer's Keep-Alive timeout, because the other side's timeout passes some time
     // before its close is seen here.
     Milliseconds idleMargin { 500 };
+    // Maximum number of connections to all addresses, in use and idle; 0 for no limit.
+    std::size_t maxConnections = 0;
     std::shared_ptr<MemoryBudget> memory; // counts connections, heads and unsent requests; null: not counted
 };
 
@@ -113,8 +115,8 @@
     HttpPool(const HttpPool&) = delete;
     HttpPool& operator=(const HttpPool&) = delete;
 
-    // Errors: Overloaded (maxConnections are in use), InvalidArgument (not an IPv4 address),
-    // Unavailable (no file descriptor or no route).
+    // Errors: Overloaded (maxConnections, of the request or of the pool, are in use), InvalidArgument (not an
+    // IPv4 address), Unavailable (no file descriptor or no route).
     Result<std::unique_ptr<OutgoingExchange>> start(const Endpoint&, const OutgoingRequest&, OutgoingEvents&);
 
     // Closes the idle connections to an address, for an address that is no longer used.
@@ -134,6 +136,7 @@
     void moveToIdle(PooledConnection&);
     void discard(PooledConnection&);
     void closeExpired();
+    bool makeRoom();
     std::unique_ptr<PooledConnection> extract(Connections&, const PooledConnection&);
     void closeLater(std::unique_ptr<PooledConnection>);
 
@@ -141,6 +144,7 @@
     HttpPoolOptions m_options;
     HttpPoolCounters m_counters;
     std::map<Endpoint, Address> m_addresses;
+    std::size_t m_openConnections = 0; // to all addresses
     Connections m_closedConnections; // freed from the loop: their functions may still be on the stack
     Timer m_cleanupTimer;
     Ticker m_expiryTicker;
--- a/connection/testing/httpfaults_test.cc
+++ b/connection/testing/httpfaults_test.cc
@@ -392,3 +392,32 @@
         }
     }
 }
+
+// Guards against requests to upstreams that use up the descriptors for peers, the store and operators.
+TEST_CASE("a pool opens no more connections than its limit, and closes idle ones for others")
+{
+    Base base = makeBase();
+    auto answers = [](const std::string& id) {
+        return [id](const ScriptedRequest&) { return Script { ScriptStep::send(answer(id, "ok")) }; };
+    };
+    ScriptedServer first(base.get(), answers("1"));
+    ScriptedServer second(base.get(), answers("2"));
+    HttpPoolOptions options;
+    options.maxConnections = 1;
+    HttpPool pool(base.get(), options);
+    Client client;
+    auto exchange = pool.start(first.endpoint(), requestNamed("1"), client);
+    REQUIRE(exchange);
+    Client refused;
+    auto over = pool.start(second.endpoint(), requestNamed("2"), refused);
+    REQUIRE(over.has_error());
+    CHECK(over.error().kind == ErrorKind::Overloaded);
+    runUntil(base.get(), [&] { return client.end != End::None; });
+    CHECK(pool.connections(first.endpoint()) == 1);
+    Client later;
+    auto allowed = pool.start(second.endpoint(), requestNamed("2"), later);
+    REQUIRE(allowed);
+    runUntil(base.get(), [&] { return later.end != End::None; });
+    CHECK(later.body == "ok");
+    CHECK(pool.connections(first.endpoint()) == 0);
+}
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -23,9 +23,10 @@
 
     // Descriptors for files, the log and the program itself.
     constexpr std::int64_t fileDescriptors = 200;
-    // Part of the other descriptors that callers may have. Each request in progress needs one more, to its
-    // upstream; the rest is for these, peers, the store, health checks and operators.
+    // Parts of the other descriptors that callers and upstreams may have. The rest is for peers, the store,
+    // health checks and operators.
     constexpr double callerDescriptorShare = 0.6;
+    constexpr double upstreamDescriptorShare = 0.3;
 
     // Freed memory is returned to the system at most this often: that takes milliseconds.
     constexpr Milliseconds memoryReturnInterval { 2000 };
@@ -56,6 +57,21 @@
         return budget;
     }
 
+    // 0: no descriptors are stated.
+    std::size_t descriptors(const Settings& settings, double share)
+    {
+        std::int64_t stated = settings.limits.maxFds;
+        return stated == 0 ? 0
+                           : static_cast<std::size_t>(static_cast<double>(stated - fileDescriptors) * share);
+    }
+
+    std::size_t maxCallerConnections(const Settings& settings)
+    {
+        auto configured = static_cast<std::size_t>(settings.limits.maxConnections);
+        std::size_t available = descriptors(settings, callerDescriptorShare);
+        return available == 0 ? configured : std::min(configured, available);
+    }
+
     std::size_t maxUnfinishedAnswerBytes(const Settings& settings)
     {
         return std::min(ForwarderSettings {}.maxBufferedBytes,
@@ -67,27 +83,19 @@
         ForwarderSettings result;
         result.memory = std::move(memory);
         result.maxBufferedBytes = maxUnfinishedAnswerBytes(settings);
+        result.maxUpstreamConnections = descriptors(settings, upstreamDescriptorShare);
         result.failureDomain = settings.instance.failureDomain;
         result.budget = budgetOf(settings);
         result.streamBufferBytes = static_cast<std::size_t>(settings.limits.streamBufferBytes);
         return result;
     }
 
-    std::int64_t maxCallerConnections(const Settings& settings)
-    {
-        const Settings::Limits& limits = settings.limits;
-        if (limits.maxFds == 0)
-            return limits.maxConnections;
-        auto share = static_cast<double>(limits.maxFds - fileDescriptors) * callerDescriptorShare;
-        return std::min(limits.maxConnections, static_cast<std::int64_t>(share));
-    }
-
     IngressLimits ingressLimits(const Settings& settings)
     {
         IngressLimits limits;
         limits.maxHeadBytes = static_cast<std::size_t>(settings.limits.maxHeaderBytes);
         limits.maxBodyBytes = static_cast<std::size_t>(settings.limits.maxBodyBytes);
-        limits.maxConnections = static_cast<std::size_t>(maxCallerConnections(settings));
+        limits.maxConnections = maxCallerConnections(settings);
         return limits;
     }
 
--- a/process/forwarder.cc
+++ b/process/forwarder.cc
@@ -40,6 +40,7 @@
     {
         HttpPoolOptions options;
         options.memory = settings.memory;
+        options.maxConnections = settings.maxUpstreamConnections;
         return options;
     }
 
--- a/process/settings.cc
+++ b/process/settings.cc
@@ -249,8 +249,7 @@
                 "256", false, statedInteger(&S::limits, &S::Limits::memoryMb, 64, 65536) },
             { "limits", "max_fds",
                 "File descriptors of the process, 512 to 1000000; empty or 0 if they are not stated. They "
-                "may "
-                "lower max_connections.",
+                "may lower max_connections and limit the connections to upstreams.",
                 "0", false, statedInteger(&S::limits, &S::Limits::maxFds, 512, 1000000) },
             { "limits", "max_answer_bytes",
                 "Maximum size of an answer that is not streamed, 1024 to 268435456.", "16777216", false,
