--- a/process/forwarder.h
+++ b/process/forwarder.h
@@ -34,6 +34,8 @@
     // Incomplete answers and events of all requests together. An answer that exceeds it is given up as
     // broken, unless it is small.
     std::size_t maxBufferedBytes = 24 * 1024 * 1024;
+    std::size_t maxUpstreamConnections = 0; // to all upstreams; 0 for no limit
+    std::shared_ptr<MemoryBudget> memory; // of the process; null: only maxBufferedBytes limits
 };
 
 struct ForwarderCounters {
@@ -94,6 +96,7 @@
     }
     // Ends all requests in progress. Each caller whose answer has not begun gets one.
     void endRequests();
+    void setMaxBufferedBytes(std::size_t bytes) { m_settings.maxBufferedBytes = bytes; }
     void setBudget(const FleetRetryBudgetSettings& settings) { m_budget.setSettings(settings); }
 
     bool hasRoutingAndUpstreams() const { return m_routing && m_directoryRevision > 0; }
