Add fair shares of plain service pools (coordination/poolshares)

Cause: an organisation that floods a plain service takes capacity from all alike. Change: PoolShares sums the demand of each organisation over the aggregation tree (a RateShare of its own) and admits the same ratio of it everywhere while the pool is scarce; PoolCapacity estimates what the pool serves; fairLevel() is taken out of RateShare and used by both. Ruled out: refusing a call that looks like an earlier one (same body), because different calls may have equal bodies; the fair shares of RateShare::admit(), because its capacity is one constant for all subjects. Not hooked up yet.

--- a/coordination/rateshare.cc
+++ b/coordination/rateshare.cc
@@ -1,6 +1,7 @@
 #include "coordination/rateshare.h"
 
 #include "base/hash.h"
+#include "coordination/fairlevel.h"
 
 #include <algorithm>
 #include <cmath>
@@ -244,34 +245,13 @@
 {
     if (m_options.capacity <= 0)
         return unlimitedLevel;
-    struct CappedDemand {
-        double perWeight = 0;
-        double tokenRate = 0;
-        double weight = 0;
-    };
-    std::vector<CappedDemand> cappedDemands;
-    double totalCapped = 0;
-    double weights = 0;
+    std::vector<WeightedDemand> demands;
     for (const Share& share : m_shares) {
         double capped = std::min(share.total, share.limit);
-        if (capped < minDemand)
-            continue;
-        cappedDemands.push_back({ capped / share.weight, capped, share.weight });
-        totalCapped += capped;
-        weights += share.weight;
-    }
-    if (totalCapped <= m_options.capacity)
-        return unlimitedLevel;
-    std::sort(cappedDemands.begin(), cappedDemands.end(),
-        [](const CappedDemand& left, const CappedDemand& right) { return left.perWeight < right.perWeight; });
-    double remaining = m_options.capacity;
-    for (const CappedDemand& demand : cappedDemands) {
-        if (demand.perWeight * weights >= remaining)
-            break;
-        remaining -= demand.tokenRate;
-        weights -= demand.weight;
+        if (capped >= minDemand)
+            demands.push_back({ capped, share.weight });
     }
-    return weights > 0 ? remaining / weights : unlimitedLevel;
+    return fairLevel(std::move(demands), m_options.capacity);
 }
 
 double RateShare::entitlement(const Share& share, double level) const
--- a/coordination/testing/progressfleet.h
+++ b/coordination/testing/progressfleet.h
@@ -11,7 +11,7 @@
 namespace briarwharf::testing {
 
 // Memberships that know each other, with the links that the tree or the full mesh requires. Each has a table
-// of work in progress, a quarantine and the upstreams' limits. Frames arrive within the round in which they
+// of work in progress, a quarantine, the upstreams' limits and the pools' shares. Frames arrive within the round in which they
 // are sent.
 struct ProgressFleet {
     struct Node {
@@ -20,6 +20,7 @@
         std::unique_ptr<InProgressTable> work;
         std::unique_ptr<SegmentQuarantine> quarantine;
         std::unique_ptr<UpstreamLimits> limits;
+        std::unique_ptr<PoolShares> shares;
         std::uint64_t bytesSent = 0; // of frames, without the overhead of TCP and IP
     };
     std::map<std::string, Node> nodes;
@@ -54,6 +55,8 @@
         node.limits = std::make_unique<UpstreamLimits>(*node.membership);
         node.membership->addSection(*node.quarantine);
         node.membership->addSection(*node.limits);
+        node.shares = std::make_unique<PoolShares>(*node.membership);
+        node.membership->addSection(*node.shares);
         node.membership->seed(known, now);
     }
 
@@ -85,6 +88,7 @@
             node.membership->tick(now);
             node.quarantine->tick(now);
             node.limits->tick(now);
+            node.shares->tick(now);
         }
         deliver();
         for (auto& [id, node] : nodes)
