--- a/coordination/member.h
+++ b/coordination/member.h
@@ -32,7 +32,7 @@
     Milliseconds heartbeatInterval { 1000 };
     // Minimum time between two heartbeats on a link, also when the next one is urgent.
     Milliseconds minHeartbeatInterval { 200 };
-    // The same for news that a section calls urgent at once; such news reach a fleet of 87 within a second.
+    // The same for news that a section calls urgent at once, since the delays of all hops of a tree add up.
     Milliseconds minImmediateInterval { 100 };
     Milliseconds silenceTimeout { 3200 }; // three heartbeat intervals and a margin
     // Time without a linked parent in the aggregation tree after which a substitute parent is dialled.
