--- a/coordination/peer_generated.h
+++ b/coordination/peer_generated.h
@@ -45,8 +45,6 @@
 
 struct PeerUpstreamLimit;
 
-struct PeerUpstreamReport;
-
 struct PeerDeparture;
 
 struct Heartbeat;
@@ -899,49 +897,6 @@
 };
 FLATBUFFERS_STRUCT_END(PeerUpstreamLimit, 12);
 
-FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) PeerUpstreamReport FLATBUFFERS_FINAL_CLASS {
- private:
-  uint32_t upstream_;
-  uint16_t ageMs_;
-  uint16_t requests_;
-  uint16_t workPercent_;
-  int16_t padding0__;
-
- public:
-  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
-    return "briarwharf.PeerUpstreamReport";
-  }
-  PeerUpstreamReport()
-      : upstream_(0),
-        ageMs_(0),
-        requests_(0),
-        workPercent_(0),
-        padding0__(0) {
-    (void)padding0__;
-  }
-  PeerUpstreamReport(uint32_t _upstream, uint16_t _ageMs, uint16_t _requests, uint16_t _workPercent)
-      : upstream_(flatbuffers::EndianScalar(_upstream)),
-        ageMs_(flatbuffers::EndianScalar(_ageMs)),
-        requests_(flatbuffers::EndianScalar(_requests)),
-        workPercent_(flatbuffers::EndianScalar(_workPercent)),
-        padding0__(0) {
-    (void)padding0__;
-  }
-  uint32_t upstream() const {
-    return flatbuffers::EndianScalar(upstream_);
-  }
-  uint16_t ageMs() const {
-    return flatbuffers::EndianScalar(ageMs_);
-  }
-  uint16_t requests() const {
-    return flatbuffers::EndianScalar(requests_);
-  }
-  uint16_t workPercent() const {
-    return flatbuffers::EndianScalar(workPercent_);
-  }
-};
-FLATBUFFERS_STRUCT_END(PeerUpstreamReport, 12);
-
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PeerDeparture FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t upstream_;
@@ -1394,7 +1349,6 @@
   uint64_t storeEra = 0;
   std::vector<briarwharf::PeerDeparture> departures{};
   uint64_t evacuationsRevision = 0;
-  std::vector<briarwharf::PeerUpstreamReport> upstreamReports{};
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1434,8 +1388,7 @@
     VT_UPSTREAMLIMITS = 56,
     VT_STOREERA = 58,
     VT_DEPARTURES = 60,
-    VT_EVACUATIONSREVISION = 62,
-    VT_UPSTREAMREPORTS = 64
+    VT_EVACUATIONSREVISION = 62
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1518,9 +1471,6 @@
   uint64_t evacuationsRevision() const {
     return GetField<uint64_t>(VT_EVACUATIONSREVISION, 0);
   }
-  const flatbuffers::Vector<const briarwharf::PeerUpstreamReport *> *upstreamReports() const {
-    return GetPointer<const flatbuffers::Vector<const briarwharf::PeerUpstreamReport *> *>(VT_UPSTREAMREPORTS);
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1560,8 +1510,6 @@
            VerifyOffset(verifier, VT_DEPARTURES) &&
            verifier.VerifyVector(departures()) &&
            VerifyField<uint64_t>(verifier, VT_EVACUATIONSREVISION, 8) &&
-           VerifyOffset(verifier, VT_UPSTREAMREPORTS) &&
-           verifier.VerifyVector(upstreamReports()) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1654,9 +1602,6 @@
   void add_evacuationsRevision(uint64_t evacuationsRevision) {
     fbb_.AddElement<uint64_t>(Heartbeat::VT_EVACUATIONSREVISION, evacuationsRevision, 0);
   }
-  void add_upstreamReports(flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerUpstreamReport *>> upstreamReports) {
-    fbb_.AddOffset(Heartbeat::VT_UPSTREAMREPORTS, upstreamReports);
-  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1696,8 +1641,7 @@
     flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerUpstreamLimit *>> upstreamLimits = 0,
     uint64_t storeEra = 0,
     flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerDeparture *>> departures = 0,
-    uint64_t evacuationsRevision = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerUpstreamReport *>> upstreamReports = 0) {
+    uint64_t evacuationsRevision = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_evacuationsRevision(evacuationsRevision);
   builder_.add_storeEra(storeEra);
@@ -1708,7 +1652,6 @@
   builder_.add_revision(revision);
   builder_.add_acknowledged(acknowledged);
   builder_.add_sequence(sequence);
-  builder_.add_upstreamReports(upstreamReports);
   builder_.add_departures(departures);
   builder_.add_upstreamLimits(upstreamLimits);
   builder_.add_segmentAnswers(segmentAnswers);
@@ -1758,8 +1701,7 @@
     const std::vector<briarwharf::PeerUpstreamLimit> *upstreamLimits = nullptr,
     uint64_t storeEra = 0,
     const std::vector<briarwharf::PeerDeparture> *departures = nullptr,
-    uint64_t evacuationsRevision = 0,
-    const std::vector<briarwharf::PeerUpstreamReport> *upstreamReports = nullptr) {
+    uint64_t evacuationsRevision = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::Member>>(*members) : 0;
   auto loadReports__ = loadReports ? _fbb.CreateVectorOfStructs<briarwharf::LoadReport>(*loadReports) : 0;
   auto usageSums__ = usageSums ? _fbb.CreateVectorOfStructs<briarwharf::UsageSum>(*usageSums) : 0;
@@ -1769,7 +1711,6 @@
   auto segmentAnswers__ = segmentAnswers ? _fbb.CreateVectorOfStructs<briarwharf::PeerSegmentAnswer>(*segmentAnswers) : 0;
   auto upstreamLimits__ = upstreamLimits ? _fbb.CreateVectorOfStructs<briarwharf::PeerUpstreamLimit>(*upstreamLimits) : 0;
   auto departures__ = departures ? _fbb.CreateVectorOfStructs<briarwharf::PeerDeparture>(*departures) : 0;
-  auto upstreamReports__ = upstreamReports ? _fbb.CreateVectorOfStructs<briarwharf::PeerUpstreamReport>(*upstreamReports) : 0;
   return briarwharf::CreateHeartbeat(
       _fbb,
       sequence,
@@ -1798,8 +1739,7 @@
       upstreamLimits__,
       storeEra,
       departures__,
-      evacuationsRevision,
-      upstreamReports__);
+      evacuationsRevision);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4615,8 +4555,7 @@
         upstreamLimits(o.upstreamLimits),
         storeEra(o.storeEra),
         departures(o.departures),
-        evacuationsRevision(o.evacuationsRevision),
-        upstreamReports(o.upstreamReports) {
+        evacuationsRevision(o.evacuationsRevision) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new briarwharf::MemberT(*members_) : nullptr); }
 }
@@ -4649,7 +4588,6 @@
   std::swap(storeEra, o.storeEra);
   std::swap(departures, o.departures);
   std::swap(evacuationsRevision, o.evacuationsRevision);
-  std::swap(upstreamReports, o.upstreamReports);
   return *this;
 }
 
@@ -4689,7 +4627,6 @@
   { auto _e = storeEra(); _o->storeEra = _e; }
   { auto _e = departures(); if (_e) { _o->departures.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->departures[_i] = *_e->Get(_i); } } }
   { auto _e = evacuationsRevision(); _o->evacuationsRevision = _e; }
-  { auto _e = upstreamReports(); if (_e) { _o->upstreamReports.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->upstreamReports[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4727,7 +4664,6 @@
   auto _storeEra = _o->storeEra;
   auto _departures = _o->departures.size() ? _fbb.CreateVectorOfStructs(_o->departures) : 0;
   auto _evacuationsRevision = _o->evacuationsRevision;
-  auto _upstreamReports = _o->upstreamReports.size() ? _fbb.CreateVectorOfStructs(_o->upstreamReports) : 0;
   return briarwharf::CreateHeartbeat(
       _fbb,
       _sequence,
@@ -4756,8 +4692,7 @@
       _upstreamLimits,
       _storeEra,
       _departures,
-      _evacuationsRevision,
-      _upstreamReports);
+      _evacuationsRevision);
 }
 
 inline PingRequestT *PingRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
