Fix what the reviews of the merged parts found; fair shares off by default

- coordination/fairlevel: a rounding error made the floor's ratio 0/0, so that a whole priority class was admitted.
- connection/ingress: unfinished requests are evicted before connections whose caller would lose an answer, and these only if they are more than a second behind.
Pipelined input behind a request in progress is not a reason.
A connection counts as no longer reused after nine tenths of the idle timeout: callers count from the whole answer.
An answer is not dropped for a body behind it.
One log line a second.
- process/forwardedanswer: the whole budget no longer ends sound answers as broken, only the sum of the answers.
- request/costplacement: nothing is copied from a cold engine. coordination/member: one view less for each link.
Reload reports that max_fds, evacuations and fair_shares need a restart.

--- a/connection/ingress.cc
+++ b/connection/ingress.cc
@@ -1,5 +1,6 @@
 #include "connection/ingress.h"
 
+#include "base/log.h"
 #include "connection/ingressconnection.h"
 #include <algorithm>
 #include <netinet/in.h>
@@ -18,6 +19,8 @@
     constexpr double scarceConnections = 0.9;
     constexpr double maxSourceShare = 0.5;
 
+    constexpr Milliseconds overloadLogInterval { 1000 };
+
 } // namespace
 
 Ingress::Ingress(
@@ -147,6 +150,20 @@
     freeMemory([this] { return !m_memory->isExceeded(); }, nullptr);
 }
 
+void Ingress::reportOverload(std::string_view action, std::size_t bytes)
+{
+    ++m_counters.overloaded;
+    MonotonicTime now = clockNow();
+    if (now - m_overloadLoggedAt < overloadLogInterval)
+        return;
+    m_overloadLoggedAt = now;
+    LogLine(LogLevel::Warning, "connection", "buffers-full")
+        .field("action", action)
+        .field("bytes", bytes)
+        .field("total", m_memory->total())
+        .field("events", m_counters.overloaded);
+}
+
 void Ingress::freeSoon() { m_deferredTimer.start(Milliseconds(0)); }
 
 // Evicts the connections that hold most and move least until there is enough. Returns false if the next one
--- a/connection/ingress.h
+++ b/connection/ingress.h
@@ -167,12 +167,15 @@
     void runDeferred();
     void checkTimeouts();
     void freeSoon();
+    // Counts a refusal or a closed connection for lack of memory, and logs it at most once a second.
+    void reportOverload(std::string_view action, std::size_t bytes);
     bool freeMemory(const std::function<bool()>& enough, const IngressConnection* requester);
 
     event_base* m_base;
     IngressLimits m_limits;
     Handler m_handler;
     std::shared_ptr<MemoryBudget> m_memory;
+    MonotonicTime m_overloadLoggedAt;
     IngressCounters m_counters;
     std::unique_ptr<TcpListener> m_listener;
     Connections m_connections;
--- a/connection/ingressconnection.cc
+++ b/connection/ingressconnection.cc
@@ -22,6 +22,10 @@
     // A body that is less behind may wait for a lost segment.
     constexpr Milliseconds minLag { 1000 };
 
+    // Callers reuse a connection that was idle for up to four fifths of the idle timeout by their own clock,
+    // which starts when they have the whole answer.
+    constexpr double reusedIdleShare = 0.9;
+
     // After an answer to a request that was not read to its end, input is read and dropped for this long.
     // Closing with unread input would reset the connection, possibly before the caller has read the answer.
     constexpr Milliseconds lingerTimeout { 1000 };
@@ -38,6 +42,10 @@
     // A connection that holds less is not worth its eviction.
     constexpr std::size_t minEvictedBytes = 1024;
 
+    // Added to the score of unfinished requests, more than any connection holds: they are refused as not run
+    // before a caller loses an answer.
+    constexpr double refusableScore = 1e15;
+
     // Lag at which what a connection holds counts twice, so that connections that move stay.
     constexpr double doublingLagMs = 1000;
 
@@ -92,12 +100,13 @@
 {
     if (m_state != State::Reading || (m_parser.started() && m_parser.headDone()))
         return false;
-    return !m_requested || (isIdle() && now - m_stateEntered > m_idleLimit * 4 / 5);
+    return !m_requested || (isIdle() && now - m_stateEntered > reusedIdleShare * m_idleLimit);
 }
 
 bool IngressConnection::isBehind(MonotonicTime now) const
 {
-    return m_state == State::Reading && m_parser.headDone() && m_progress.lag(now) > minLag;
+    return m_state == State::Reading && m_parser.headDone() && m_stream->pendingBytes() == 0
+        && m_progress.lag(now) > minLag;
 }
 
 void IngressConnection::checkTimeouts(MonotonicTime now)
@@ -120,33 +129,38 @@
     }
 }
 
+bool IngressConnection::isRefusable() const
+{
+    return m_state == State::Reading && m_parser.started() && m_stream->pendingBytes() == 0;
+}
+
 std::size_t IngressConnection::evictableBytes() const
 {
     if (m_state == State::Closed)
         return 0;
     std::size_t unread
         = m_state == State::Reading && m_parser.started() ? m_body.capacity() + m_parser.heldBytes() : 0;
-    std::size_t pipelined = m_pipelinedInput.empty() ? 0 : m_pipelinedInput.capacity();
+    // Behind a request in progress, reading pauses instead.
+    std::size_t pipelined
+        = m_state == State::Answering || m_pipelinedInput.empty() ? 0 : m_pipelinedInput.capacity();
     std::size_t bytes = unread + pipelined + m_stream->heldOutputBytes();
     return bytes < minEvictedBytes ? 0 : bytes;
 }
 
 double IngressConnection::evictionScore(MonotonicTime now) const
 {
-    double lag = static_cast<double>(m_progress.lag(now).count());
-    return static_cast<double>(evictableBytes()) * (1 + std::max(0.0, lag) / doublingLagMs);
+    double lag = std::max(0.0, static_cast<double>(m_progress.lag(now).count()));
+    double score = static_cast<double>(evictableBytes()) * (1 + lag / doublingLagMs);
+    if (isRefusable())
+        return score + refusableScore;
+    return m_progress.lag(now) > minLag ? score : 0;
 }
 
 void IngressConnection::evict()
 {
-    bool refusable = m_state == State::Reading && m_parser.started() && m_stream->pendingBytes() == 0;
-    if (refusable)
+    if (isRefusable())
         return refuseOverloaded();
-    ++m_ingress.m_counters.overloaded;
-    LogLine(LogLevel::Warning, "connection", "buffers-full")
-        .field("action", "closed")
-        .field("bytes", evictableBytes())
-        .field("total", m_ingress.m_memory->total());
+    m_ingress.reportOverload("closed", evictableBytes());
     handleDisconnect();
 }
 
@@ -369,11 +383,7 @@
 
 void IngressConnection::refuseOverloaded()
 {
-    ++m_ingress.m_counters.overloaded;
-    LogLine(LogLevel::Warning, "connection", "buffers-full")
-        .field("action", "refused")
-        .field("bytes", evictableBytes())
-        .field("total", m_ingress.m_memory->total());
+    m_ingress.reportOverload("refused", evictableBytes());
     sendRefusal(503, "this instance has no memory left for the request: send it again", "Retry-After: 1\r\n");
 }
 
--- a/connection/ingressconnection.h
+++ b/connection/ingressconnection.h
@@ -24,6 +24,8 @@
     void checkTimeouts(MonotonicTime now);
 
     // Memory that evict() frees, not that of a request in progress; 0: too little to be worth it.
+    // Whether its request can be refused as not run, without harm to an answer.
+    bool isRefusable() const;
     std::size_t evictableBytes() const;
     // Higher for a connection that holds more and moves less.
     double evictionScore(MonotonicTime now) const;
--- a/coordination/fairlevel.cc
+++ b/coordination/fairlevel.cc
@@ -54,7 +54,9 @@
             left -= result.back();
             missing += missingToFloor(*claim, result.back());
         }
-        double granted = missing > left ? std::max(left, 0.0) / missing : 1;
+        left
+            = std::max(left, 0.0); // the sum of the fair shares may exceed the allocation by a rounding error
+        double granted = missing > left ? left / missing : 1;
         for (std::size_t index = 0; index < result.size(); ++index)
             result[index] += granted * missingToFloor(*priorityClass.claims[index], result[index]);
         return result;
--- a/coordination/member.cc
+++ b/coordination/member.cc
@@ -882,12 +882,12 @@
     auto age = now - link.lastSent;
     if (age < m_options.minImmediateInterval)
         return false;
-    LinkView linkView = view(peer, link);
-    bool atOnce = age < m_options.minHeartbeatInterval;
-    if (!atOnce && (age >= m_options.heartbeatInterval || link.urgent))
+    bool waits = age < m_options.minHeartbeatInterval; // all but urgent news
+    if (!waits && (age >= m_options.heartbeatInterval || link.urgent))
         return true;
+    LinkView linkView = view(peer, link);
     return std::any_of(m_sections.begin(), m_sections.end(), [&](const HeartbeatSection* section) {
-        return section->urgentAtOnce(linkView, now) || (!atOnce && section->urgent(linkView, now));
+        return section->urgentAtOnce(linkView, now) || (!waits && section->urgent(linkView, now));
     });
 }
 
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -94,6 +94,7 @@
         result.maxUpstreamConnections = descriptors(settings, upstreamDescriptorShare);
         result.failureDomain = settings.instance.failureDomain;
         result.budget = budgetOf(settings);
+        result.fairShares = settings.fleet.fairShares;
         result.streamBufferBytes = static_cast<std::size_t>(settings.limits.streamBufferBytes);
         return result;
     }
@@ -584,7 +585,10 @@
     Settings& next = loaded.value();
     bool needsRestart = next.listen.callers != m_settings.listen.callers
         || next.listen.admin != m_settings.listen.admin || next.listen.peers != m_settings.listen.peers
-        || next.instance.id != m_settings.instance.id;
+        || next.instance.id != m_settings.instance.id
+        || next.directory.evacuations != m_settings.directory.evacuations
+        || next.limits.maxFds != m_settings.limits.maxFds
+        || next.fleet.fairShares != m_settings.fleet.fairShares;
     m_settings.store.endpoint = next.store.endpoint;
     m_settings.fleet = next.fleet;
     m_settings.limits = next.limits;
--- a/process/forwardedanswer.cc
+++ b/process/forwardedanswer.cc
@@ -144,10 +144,8 @@
 
 bool ForwardedRequest::exceedsBuffers() const
 {
-    const auto& memory = m_forwarder.m_settings.memory;
-    bool isFull = m_forwarder.m_bufferedBytes > m_forwarder.m_settings.maxBufferedBytes
-        || (memory && memory->isExceeded());
-    return isFull && m_countedBytes > smallAnswerBytes;
+    return m_forwarder.m_bufferedBytes > m_forwarder.m_settings.maxBufferedBytes
+        && m_countedBytes > smallAnswerBytes;
 }
 
 // Called when a buffered answer is too large to be kept until it is complete. One that would not be passed on
--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -220,7 +220,8 @@
         candidates.reserve(upstreams.size());
         for (const auto& upstream : upstreams)
             candidates.push_back(m_forwarder.candidate(*upstream, now));
-        m_forwarder.observeLoads(candidates, now);
+        if (servedByEngines())
+            m_forwarder.observeLoads(candidates, now);
         auto decision = chooseWithinLimits(upstreams, candidates, now);
         if (!decision && mayWait(now)) {
             m_tried = triedBefore; // those without a free connection may have one later
--- a/process/forwarder.cc
+++ b/process/forwarder.cc
@@ -101,6 +101,8 @@
     m_routing = std::move(table);
     for (const auto& [id, upstream] : m_upstreams)
         setCold(*upstream, clockNow());
+    if (!m_settings.fairShares)
+        return;
     for (const std::string& pool : m_shares.setPools(sharedPools(m_routing->config()), clockNow()))
         LogLine(LogLevel::Warning, "shares", "too-many").field("pool", pool);
 }
--- a/process/forwarder.h
+++ b/process/forwarder.h
@@ -34,6 +34,7 @@
     // Incomplete answers and events of all requests together. An answer that exceeds it is given up as
     // broken, unless it is small.
     std::size_t maxBufferedBytes = 24 * 1024 * 1024;
+    bool fairShares = false; // among the organisations at a pool of plain services that cannot serve all
     std::size_t maxUpstreamConnections = 0; // to all upstreams; 0 for no limit
     std::shared_ptr<MemoryBudget> memory; // of the process; null: only maxBufferedBytes limits
 };
--- a/process/settings.cc
+++ b/process/settings.cc
@@ -248,6 +248,10 @@
             { "fleet", "retry_slack",
                 "Retries in a window in addition to the ratio, over all instances, 0 to 100000.", "50", false,
                 real(&S::fleet, &S::Fleet::retrySlack, 0, 100000) },
+            { "fleet", "fair_shares",
+                "Whether organisations share a pool of plain services that cannot serve the whole demand, "
+                "true or false.",
+                "false", false, boolean(&S::fleet, &S::Fleet::fairShares) },
             { "fleet", "cold_burst_ratio",
                 "Requests to a cold upstream in any second, as a ratio of the rate that it can take, over "
                 "all "
--- a/process/settings.h
+++ b/process/settings.h
@@ -49,6 +49,8 @@
         double coldBurstRatio = 1.5;
         double coldBurstRequests = 5;
         double retrySlack = 50; // retries in a window that all instances together may add to the ratio
+        // Whether organisations share a pool of plain services that cannot serve the whole demand.
+        bool fairShares = false;
     } fleet;
 
     struct Operator {
--- a/request/costplacement.cc
+++ b/request/costplacement.cc
@@ -130,7 +130,7 @@
     if (!item.copiesCache || item.sharedTokens() < m_settings.minCopiedTokens)
         return std::nullopt;
     for (const auto& [score, index] : ranked) {
-        if (index != chosen && !candidates[index].avoid)
+        if (index != chosen && !candidates[index].avoid && !candidates[index].cold)
             return index;
     }
     return std::nullopt;
