Move the state of one attempt out of ForwardedRequest

Cause: a request holds the exchange, upstream, times and buffers of exactly one attempt in its own members, so that it cannot have two attempts in progress. Change: UpstreamAttempt holds that state, receives the events of its exchange and passes them to the request. No behaviour changes. The members keep their names without the prefix (m_upstream is m_attempt->upstream). Ruled out: a swap of whole sets of members on each event, because an exchange needs a receiver of its own to tell the two apart.

--- a/process/forwardedanswer.cc
+++ b/process/forwardedanswer.cc
@@ -39,7 +39,7 @@
     recordFirstByte(now);
     if (head.status != 421) // else another upstream has the address now
         recordRateLimit(head);
-    m_head = head;
+    m_attempt->head = head;
     bool success = head.status >= 200 && head.status < 300;
     const std::string& signature = m_forwarder.m_headers.signature;
     if (success && !signature.empty() && !head.fields.has(signature))
@@ -48,7 +48,8 @@
         recordAvailability(head);
     if (success && m_stream && !continuesStream(head))
         return attemptEnded(AttemptEnd::Broken, "the upstream's success answer does not continue the stream");
-    m_mode = success && m_route->kind == RouteKind::Stream ? AnswerMode::Events : AnswerMode::Buffered;
+    m_attempt->mode
+        = success && m_route->kind == RouteKind::Stream ? AnswerMode::Events : AnswerMode::Buffered;
 }
 
 // Whether the answer is of the same kind as the one that began the stream.
@@ -66,71 +67,72 @@
     bool success = head.status >= 200 && head.status < 300;
     if (!limit && !success)
         return; // a failure may come from something before the upstream, which does not know its limit
-    double before = m_forwarder.m_limits.limit(m_upstream->lifetimeHash);
-    m_forwarder.m_limits.stated(m_upstream->lifetimeHash, limit, clockNow());
-    double after = m_forwarder.m_limits.limit(m_upstream->lifetimeHash);
+    double before = m_forwarder.m_limits.limit(m_attempt->upstream->lifetimeHash);
+    m_forwarder.m_limits.stated(m_attempt->upstream->lifetimeHash, limit, clockNow());
+    double after = m_forwarder.m_limits.limit(m_attempt->upstream->lifetimeHash);
     if (after == before)
         return;
     LogLine(LogLevel::Info, "upstream", "limit")
         .field("id", m_fields.requestId)
-        .field("upstream", m_upstream->entry.id)
+        .field("upstream", m_attempt->upstream->entry.id)
         .field("per_second", after);
 }
 
 // Any value but 1 is ignored, because a lifetime that leaves is not used again.
 void ForwardedRequest::recordAvailability(const HttpHead& head)
 {
-    if (head.fields.find(m_forwarder.m_headers.leaving) == "1" && m_forwarder.setLeaving(*m_upstream))
+    if (head.fields.find(m_forwarder.m_headers.leaving) == "1"
+        && m_forwarder.setLeaving(*m_attempt->upstream))
         LogLine(LogLevel::Info, "upstream", "leaving")
             .field("id", m_fields.requestId)
-            .field("upstream", m_upstream->entry.id);
+            .field("upstream", m_attempt->upstream->entry.id);
     auto pause = head.status == 503 ? parseRetryAfter(head.fields.find("Retry-After")) : std::nullopt;
-    if (pause && m_forwarder.pause(*m_upstream, *pause))
+    if (pause && m_forwarder.pause(*m_attempt->upstream, *pause))
         LogLine(LogLevel::Info, "upstream", "pause")
             .field("id", m_fields.requestId)
-            .field("upstream", m_upstream->entry.id)
+            .field("upstream", m_attempt->upstream->entry.id)
             .field("pause_ms", pause->count());
 }
 
 void ForwardedRequest::recordFirstByte(MonotonicTime now)
 {
-    m_lastProgressAt = m_upstream->lastByteAt = now;
-    m_headReceived = true;
-    m_forwarder.m_inProgress.answerStarted(m_upstream->hash, m_decision.tokensToRead);
+    m_attempt->lastProgressAt = m_attempt->upstream->lastByteAt = now;
+    m_attempt->headReceived = true;
+    m_forwarder.m_inProgress.answerStarted(m_attempt->upstream->hash, m_attempt->decision.tokensToRead);
     if (m_firstByteAt == MonotonicTime {})
         m_firstByteAt = now;
-    double waited = fractionalMilliseconds(now - m_sentAt);
+    double waited = fractionalMilliseconds(now - m_attempt->sentAt);
     if (servedByEngines())
-        m_forwarder.m_forecast.observe(m_pool, m_decision.tokensToRead, m_decision.expectedMs, waited, now);
-    double ratio = waited / std::max(1.0, m_decision.expectedMs);
-    m_upstream->updateSlowness(std::clamp(ratio, minSlowness, maxSlowness), slownessWeight, now);
+        m_forwarder.m_forecast.observe(
+            m_pool, m_attempt->decision.tokensToRead, m_attempt->decision.expectedMs, waited, now);
+    double ratio = waited / std::max(1.0, m_attempt->decision.expectedMs);
+    m_attempt->upstream->updateSlowness(std::clamp(ratio, minSlowness, maxSlowness), slownessWeight, now);
 }
 
 void ForwardedRequest::answerBody(std::string_view bytes)
 {
-    if (m_done || !m_exchange)
+    if (m_done || !m_attempt->exchange)
         return;
     MonotonicTime now = clockNow();
-    m_upstream->lastByteAt = now;
-    if (m_mode == AnswerMode::Events)
+    m_attempt->upstream->lastByteAt = now;
+    if (m_attempt->mode == AnswerMode::Events)
         return forwardEvents(bytes, now);
-    m_lastProgressAt = now;
-    if (m_mode == AnswerMode::Forwarding)
+    m_attempt->lastProgressAt = now;
+    if (m_attempt->mode == AnswerMode::Forwarding)
         return forwardBytes(bytes);
     if (!m_caller)
         return; // nobody receives the body, which may have no end
-    m_buffered += bytes;
+    m_attempt->buffered += bytes;
     countBuffered();
     if (exceedsBuffers())
         return attemptEnded(AttemptEnd::Broken, "the buffers of this instance are full");
-    if (m_buffered.size() > m_forwarder.m_settings.maxBufferedAnswerBytes)
+    if (m_attempt->buffered.size() > m_forwarder.m_settings.maxBufferedAnswerBytes)
         forwardLargeAnswer();
 }
 
 void ForwardedRequest::countBuffered()
 {
-    std::size_t bytes
-        = m_buffered.size() + m_relay.incompleteBytes() + (m_failure ? m_failure->body.size() : 0);
+    std::size_t bytes = m_attempt->bufferedBytes() + (m_failure ? m_failure->body.size() : 0);
     m_forwarder.m_bufferedBytes += bytes - m_countedBytes;
     m_countedBytes = bytes;
 }
@@ -145,12 +147,12 @@
 // if it were complete is not forwarded either: its head decides.
 void ForwardedRequest::forwardLargeAnswer()
 {
-    bool notRun = m_head.fields.has(m_forwarder.m_headers.notRun);
-    bool failed = m_head.status >= 500 && (notRun || mayRepeat());
-    if (m_answerBegun || failed || statusMeansNotRun(m_head.status))
+    bool notRun = m_attempt->head.fields.has(m_forwarder.m_headers.notRun);
+    bool failed = m_attempt->head.status >= 500 && (notRun || mayRepeat());
+    if (m_answerBegun || failed || statusMeansNotRun(m_attempt->head.status))
         return finishBuffered();
-    m_mode = AnswerMode::Forwarding;
-    std::string buffered = std::exchange(m_buffered, {});
+    m_attempt->mode = AnswerMode::Forwarding;
+    std::string buffered = std::exchange(m_attempt->buffered, {});
     countBuffered();
     beginAnswer(buffered);
 }
@@ -159,9 +161,9 @@
 void ForwardedRequest::forwardEvents(std::string_view bytes, MonotonicTime now)
 {
     std::string out;
-    Status passed = m_relay.feed(bytes, out);
+    Status passed = m_attempt->relay.feed(bytes, out);
     if (!out.empty()) {
-        m_lastProgressAt = now;
+        m_attempt->lastProgressAt = now;
         recordEvents(now);
     }
     if (!out.empty() && m_caller) {
@@ -179,18 +181,18 @@
 
 void ForwardedRequest::recordEvents(MonotonicTime now)
 {
-    if (m_firstEventAt == MonotonicTime {})
-        m_firstEventAt = now;
-    if (!m_answerIsSound && now - m_firstEventAt >= soundAnswerAge)
+    if (m_attempt->firstEventAt == MonotonicTime {})
+        m_attempt->firstEventAt = now;
+    if (!m_attempt->answerIsSound && now - m_attempt->firstEventAt >= soundAnswerAge)
         recordSoundAnswer(now);
 }
 
 // The upstream has survived the start of its answer, so none of the prompt's segments crashes it.
 void ForwardedRequest::recordSoundAnswer(MonotonicTime now)
 {
-    m_answerIsSound = true;
-    MonotonicTime began = m_firstEventAt == MonotonicTime {} ? now : m_firstEventAt;
-    bool success = m_head.status >= 200 && m_head.status < 300;
+    m_attempt->answerIsSound = true;
+    MonotonicTime began = m_attempt->firstEventAt == MonotonicTime {} ? now : m_attempt->firstEventAt;
+    bool success = m_attempt->head.status >= 200 && m_attempt->head.status < 300;
     if (success)
         m_forwarder.m_quarantine.recordAnswer(m_sharedSegments, began, now);
 }
@@ -200,13 +202,13 @@
 void ForwardedRequest::beginAnswer(std::string_view firstBytes)
 {
     m_answerBegun = true;
-    if (m_mode == AnswerMode::Events)
-        m_stream = StreamStart { m_head.status, std::string(mediaType(m_head.fields)) };
+    if (m_attempt->mode == AnswerMode::Events)
+        m_stream = StreamStart { m_attempt->head.status, std::string(mediaType(m_attempt->head.fields)) };
     std::optional<std::uint64_t> length;
-    if (m_mode == AnswerMode::Forwarding && m_head.framing == BodyFraming::Length)
-        length = m_head.contentLength;
-    m_caller->startAnswer(
-        m_head.status, callerHeaderLines(m_head, m_forwarder.m_headers), length, firstBytes);
+    if (m_attempt->mode == AnswerMode::Forwarding && m_attempt->head.framing == BodyFraming::Length)
+        length = m_attempt->head.contentLength;
+    m_caller->startAnswer(m_attempt->head.status, callerHeaderLines(m_attempt->head, m_forwarder.m_headers),
+        length, firstBytes);
 }
 
 void ForwardedRequest::forwardBytes(std::string_view bytes)
@@ -216,82 +218,83 @@
     m_caller->write(bytes);
     if (m_caller->pendingBytes() <= m_forwarder.m_settings.streamBufferBytes)
         return;
-    m_readingPaused = true;
-    m_exchange->pauseReading();
+    m_attempt->readingPaused = true;
+    m_attempt->exchange->pauseReading();
 }
 
 void ForwardedRequest::callerDrained()
 {
-    if (!m_exchange)
+    if (!m_attempt->exchange)
         return;
-    if (std::exchange(m_readingPaused, false))
-        m_lastProgressAt = m_upstream->lastByteAt = clockNow();
-    m_exchange->resumeReading();
+    if (std::exchange(m_attempt->readingPaused, false))
+        m_attempt->lastProgressAt = m_attempt->upstream->lastByteAt = clockNow();
+    m_attempt->exchange->resumeReading();
 }
 
 void ForwardedRequest::answerEnd()
 {
     if (m_done)
         return;
-    m_exchange.reset();
-    m_answerComplete = true;
-    if (m_mode == AnswerMode::Buffered)
+    m_attempt->exchange.reset();
+    m_attempt->answerComplete = true;
+    if (m_attempt->mode == AnswerMode::Buffered)
         return finishBuffered();
-    if (m_mode == AnswerMode::Events) {
+    if (m_attempt->mode == AnswerMode::Events) {
         // Without a length, a stream that ends before its first event cannot be told from a broken one.
-        bool isEmpty = m_head.framing == BodyFraming::UntilClose && attemptEvents() == 0;
-        if (isEmpty || !m_relay.isAtBoundary()) {
+        bool isEmpty = m_attempt->head.framing == BodyFraming::UntilClose && m_attempt->events() == 0;
+        if (isEmpty || !m_attempt->relay.isAtBoundary()) {
             reportBrokenConnection();
             return attemptEnded(AttemptEnd::Broken,
                 isEmpty ? "the stream ended without an event" : "the stream ended in the middle of an event");
         }
     }
-    if (m_mode == AnswerMode::Forwarding || attemptEvents() > 0)
+    if (m_attempt->mode == AnswerMode::Forwarding || m_attempt->events() > 0)
         recordSoundAnswer(clockNow());
     ++m_attempts;
     recordHealth(AttemptEnd::TimeUp, false);
-    closeAttempt();
+    m_attempt->close(m_pool);
     if (!m_answerBegun)
         return deliverBuffered(); // a stream without events
     if (m_caller)
         m_caller.release()->end();
-    finish("answered", m_head.status, {});
+    finish("answered", m_attempt->head.status, {});
 }
 
 // Called when a buffered answer is complete, or too large to be forwarded: delivers it, or ends the attempt
 // if its status shows that the upstream refused or failed.
 void ForwardedRequest::finishBuffered()
 {
-    bool notRun = m_head.fields.has(m_forwarder.m_headers.notRun);
-    if (m_head.status == 421)
+    bool notRun = m_attempt->head.fields.has(m_forwarder.m_headers.notRun);
+    if (m_attempt->head.status == 421)
         return attemptEnded(AttemptEnd::WrongUpstream, "the address belongs to another upstream now");
-    if (notRun && (m_head.status >= 500 || m_head.status == 429))
+    if (notRun && (m_attempt->head.status >= 500 || m_attempt->head.status == 429))
         return attemptEnded(AttemptEnd::Refused, "the upstream refused");
-    if (m_head.status >= 500 || statusMeansNotRun(m_head.status))
+    if (m_attempt->head.status >= 500 || statusMeansNotRun(m_attempt->head.status))
         return attemptEnded(AttemptEnd::FailureAnswered, "the upstream answered with a failure status");
     ++m_attempts;
     recordHealth(AttemptEnd::TimeUp, false);
     recordSoundAnswer(clockNow());
-    closeAttempt();
+    m_attempt->close(m_pool);
     deliverBuffered();
 }
 
 void ForwardedRequest::deliverBuffered()
 {
-    int status = m_head.status;
+    int status = m_attempt->head.status;
     if (m_answerBegun) {
         m_caller.release()->abort();
         return finish("cut", status, "no other upstream continued the stream");
     }
     if (m_caller)
-        m_caller.release()->answer(status, callerHeaderLines(m_head, m_forwarder.m_headers), m_buffered);
+        m_caller.release()->answer(
+            status, callerHeaderLines(m_attempt->head, m_forwarder.m_headers), m_attempt->buffered);
     finish("answered", status, {});
 }
 
 void ForwardedRequest::deliverFailure(KeptAnswer answer)
 {
-    m_head = std::move(answer.head);
-    m_buffered = std::move(answer.body);
+    m_attempt->head = std::move(answer.head);
+    m_attempt->buffered = std::move(answer.body);
     deliverBuffered();
 }
 
@@ -340,16 +343,16 @@
         .field("attempts", m_attempts)
         .field("first_ms", first)
         .field("total_ms", fractionalMilliseconds(now - m_request.received))
-        .field("expected_ms", m_decision.expectedMs)
+        .field("expected_ms", m_attempt->decision.expectedMs)
         .field("likely_ms", m_likelyMs)
-        .field("to_read", m_decision.tokensToRead)
+        .field("to_read", m_attempt->decision.tokensToRead)
         .field("prompt", m_item.promptTokens)
-        .field("placed", costReasonName(m_decision.reason))
+        .field("placed", costReasonName(m_attempt->decision.reason))
         .field("segment", m_item.affinityKey())
         .field("there", m_chosenCandidate.requests)
         .field("there_prompt", m_chosenCandidate.pendingPromptTokens)
         .field("slowness", m_chosenCandidate.slowness)
-        .field("events", m_relay.eventCount())
+        .field("events", m_attempt->relay.eventCount())
         .field("routing_version", m_table ? m_table->version() : 0)
         .field("directory_revision", m_forwarder.m_directoryRevision);
     EndedRequest ended;
@@ -360,13 +363,13 @@
     ended.onTime
         = outcome == "answered" && m_route && first <= static_cast<double>(m_route->targetLatency.count());
     if (outcome == "answered") {
-        ended.forecastRatio
-            = fractionalMilliseconds(m_firstByteAt - m_sentAt) / std::max(1.0, m_decision.expectedMs);
+        ended.forecastRatio = fractionalMilliseconds(m_firstByteAt - m_attempt->sentAt)
+            / std::max(1.0, m_attempt->decision.expectedMs);
         ended.promptTokens = m_item.promptTokens;
-        ended.tokensToRead = m_decision.tokensToRead;
+        ended.tokensToRead = m_attempt->decision.tokensToRead;
     }
     m_forwarder.m_metrics.observe(ended);
-    closeAttempt();
+    m_attempt->close(m_pool);
     m_forwarder.finished(*this);
 }
 
--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -57,13 +57,13 @@
     , m_caller(caller, *this)
     , m_fields(readCallerFields(m_request.head.fields, forwarder.m_headers))
     , m_table(forwarder.m_routing)
-    , m_relay(m_fields.lastEvent)
+    , m_attempt(std::make_unique<UpstreamAttempt>(*this, forwarder, EventRelay(m_fields.lastEvent)))
 {
 }
 
 ForwardedRequest::~ForwardedRequest()
 {
-    closeAttempt();
+    m_attempt->close(m_pool);
     m_forwarder.m_bufferedBytes -= m_countedBytes;
 }
 
@@ -204,7 +204,7 @@
                 return;
         }
         send(upstreams[decision->index], *decision);
-        if (m_exchange || m_done)
+        if (m_attempt->exchange || m_done)
             return;
     }
 }
@@ -272,7 +272,7 @@
         m_pool, decision.tokensToRead, decision.expectedMs, toMilliseconds(m_deadline - now), now);
     if (!retryAfter)
         return false;
-    m_decision = decision;
+    m_attempt->decision = decision;
     answerLocally({ 503, "overloaded",
         "no upstream would answer in the time that is left; the request did not run: send it again after the "
         "stated time",
@@ -281,7 +281,7 @@
     return true;
 }
 
-// Leaves m_exchange empty if no further connection to the upstream can be opened.
+// Leaves the current attempt as it is if no further connection to the upstream can be opened.
 void ForwardedRequest::send(std::shared_ptr<Forwarder::Upstream> upstream, const CostDecision& decision)
 {
     MonotonicTime now = clockNow();
@@ -292,7 +292,7 @@
         fields.organisation = m_organisation->name;
     fields.timeLeft = std::max(Milliseconds(1), toMilliseconds(m_deadline - now));
     if (m_answerBegun)
-        fields.lastEvent = m_relay.lastEventNumber();
+        fields.lastEvent = m_attempt->relay.lastEventNumber();
     int priority = m_organisation && m_organisation->priority ? *m_organisation->priority : m_route->priority;
     if (servedByEngines())
         fields.urgency = engineUrgency(priority, decision.tokensToRead);
@@ -308,7 +308,8 @@
     else if (!mayRepeat())
         outgoing.maxIdle = maxIdleUnrepeatable;
     outgoing.maxConnections = m_forwarder.connectionLimit(m_routedPool);
-    auto exchange = m_forwarder.m_connections.start(upstream->entry.endpoint, outgoing, *this);
+    auto attempt = std::make_unique<UpstreamAttempt>(*this, m_forwarder, m_attempt->relay);
+    auto exchange = m_forwarder.m_connections.start(upstream->entry.endpoint, outgoing, *attempt);
     if (!exchange) {
         ++m_uncountedAttempts;
         return;
@@ -317,22 +318,11 @@
         m_forwarder.m_budget.repeatSent(m_pool, now);
         ++m_forwarder.m_counters.repeats;
     }
-    m_exchange = std::move(exchange.value());
-    m_upstream = std::move(upstream);
-    m_decision = decision;
-    m_sentAt = m_lastProgressAt = now;
-    m_headReceived = false;
-    m_eventsBefore = m_relay.eventCount();
-    m_firstEventAt = {};
-    m_answerIsSound = false;
-    m_silenceRecorded = false;
-    m_readingPaused = false;
-    m_mode = AnswerMode::None;
-    m_answerComplete = false;
-    m_buffered.clear();
-    m_forwarder.m_inProgress.started(m_upstream->hash, m_decision.tokensToRead);
+    attempt->begin(std::move(upstream), std::move(exchange.value()), decision, now);
+    m_attempt = std::move(attempt);
     if (servedByEngines())
-        m_forwarder.m_placement.recordPlacement(m_item, m_upstream->hash, m_routedPool->engine->memoryTokens);
+        m_forwarder.m_placement.recordPlacement(
+            m_item, m_attempt->upstream->hash, m_routedPool->engine->memoryTokens);
 }
 
 bool ForwardedRequest::mayRepeat() const
@@ -351,7 +341,7 @@
     if (end == AttemptEnd::Broken)
         reportBrokenConnection();
     if (end == AttemptEnd::Broken && (failure.keptConnection || m_answerBegun))
-        m_reachable = m_upstream->entry.id;
+        m_reachable = m_attempt->upstream->entry.id;
     attemptEnded(end, failure.reason);
 }
 
@@ -362,8 +352,8 @@
     if (!servedByEngines())
         return;
     std::span<const std::uint64_t> segments = m_sharedSegments;
-    m_forwarder.m_crashDetector.connectionBroke(
-        m_upstream->entry.endpoint, m_upstream->lifetimeHash, m_answerIsSound ? segments.first(0) : segments);
+    m_forwarder.m_crashDetector.connectionBroke(m_attempt->upstream->entry.endpoint,
+        m_attempt->upstream->lifetimeHash, m_attempt->answerIsSound ? segments.first(0) : segments);
 }
 
 void ForwardedRequest::recordHealth(AttemptEnd end, bool keptConnection)
@@ -371,13 +361,13 @@
     MonotonicTime now = clockNow();
     UpstreamHealth& health = m_forwarder.m_health;
     if (end == AttemptEnd::TimeUp) // the callers pass TimeUp for a complete answer
-        return health.succeeded(m_upstream->hash, now);
+        return health.succeeded(m_attempt->upstream->hash, now);
     if (end == AttemptEnd::NotConnected)
-        return health.failed(m_upstream->hash, UpstreamFailure::ConnectionRefused, now);
+        return health.failed(m_attempt->upstream->hash, UpstreamFailure::ConnectionRefused, now);
     if (end == AttemptEnd::FailureAnswered)
-        return health.failed(m_upstream->hash, UpstreamFailure::Error, now);
+        return health.failed(m_attempt->upstream->hash, UpstreamFailure::Error, now);
     if (!keptConnection)
-        health.failed(m_upstream->hash, UpstreamFailure::Broken, now);
+        health.failed(m_attempt->upstream->hash, UpstreamFailure::Broken, now);
 }
 
 AttemptSituation ForwardedRequest::situation(MonotonicTime now) const
@@ -385,7 +375,7 @@
     AttemptSituation result;
     result.repeatable = m_route->kind == RouteKind::Repeatable || (mayRepeat() && !m_answerBegun);
     result.resumable = m_route->kind == RouteKind::Stream && m_route->resumable
-        && (!m_answerBegun || (m_stream && m_relay.canContinue()));
+        && (!m_answerBegun || (m_stream && m_attempt->relay.canContinue()));
     result.answerBegun = m_answerBegun;
     result.sent = m_attempts > 0;
     result.mayHaveRun = m_mayHaveRun;
@@ -400,7 +390,7 @@
 void ForwardedRequest::attemptEnded(AttemptEnd end, std::string_view reason)
 {
     MonotonicTime now = clockNow();
-    bool written = m_headReceived || (m_exchange && m_exchange->written()) || end == AttemptEnd::Broken;
+    bool written = m_attempt->isWritten() || end == AttemptEnd::Broken;
     bool isUncounted = end == AttemptEnd::NotConnected || end == AttemptEnd::WrongUpstream;
     m_arrivals += written ? 1 : 0;
     if (isUncounted)
@@ -409,34 +399,35 @@
         ++m_attempts;
     bool ran = written && !isUncounted && end != AttemptEnd::Refused;
     m_mayHaveRun = m_mayHaveRun || ran;
-    if (end == AttemptEnd::Refused && m_upstream)
-        m_upstream->avoidUntil = now + refusalPause;
+    if (end == AttemptEnd::Refused && m_attempt->upstream)
+        m_attempt->upstream->avoidUntil = now + refusalPause;
     if (end == AttemptEnd::FailureAnswered)
         recordHealth(end, false);
     if (end == AttemptEnd::WrongUpstream)
-        m_forwarder.setStale(*m_upstream);
+        m_forwarder.setStale(*m_attempt->upstream);
     AttemptVerdict verdict = decideNext(end, situation(now), m_forwarder.m_settings.attempts);
     LogLine(LogLevel::Info, "request", "attempt")
         .field("id", m_fields.requestId)
-        .field("upstream", m_upstream ? std::string_view(m_upstream->entry.id) : std::string_view())
+        .field("upstream",
+            m_attempt->upstream ? std::string_view(m_attempt->upstream->entry.id) : std::string_view())
         .field("end", attemptEndName(end))
         .field("reason", reason)
         .field("attempts", m_attempts)
         .field("written", written)
-        .field("head", m_headReceived)
-        .field("events", attemptEvents())
+        .field("head", m_attempt->headReceived)
+        .field("events", m_attempt->events())
         .field("segments", printSegments(m_item.sharedSegments()))
         .field("left_ms", toMilliseconds(m_deadline - now).count())
         .field("verdict", attemptVerdictName(verdict));
     if (end == AttemptEnd::Broken) {
-        m_buffered = {};
-        m_relay.restart();
+        m_attempt->buffered = {};
+        m_attempt->relay.restart();
     }
     bool keepsAnswer = end == AttemptEnd::FailureAnswered && verdict == AttemptVerdict::TryAgain
-        && m_answerComplete && !statusMeansNotRun(m_head.status);
+        && m_attempt->answerComplete && !statusMeansNotRun(m_attempt->head.status);
     if (keepsAnswer)
-        m_failure = KeptAnswer { m_head, std::exchange(m_buffered, {}) };
-    closeAttempt();
+        m_failure = KeptAnswer { m_attempt->head, std::exchange(m_attempt->buffered, {}) };
+    m_attempt->close(m_pool);
     countBuffered();
     applyVerdict(verdict, reason);
 }
@@ -450,11 +441,11 @@
             return finish("caller-left", 0, reason);
         if (verdict == AttemptVerdict::Resume)
             ++m_forwarder.m_counters.resumes;
-        m_relay.restart();
+        m_attempt->relay.restart();
         countBuffered();
         return place();
     case AttemptVerdict::PassOn:
-        if (statusMeansNotRun(m_head.status) || !m_answerComplete) {
+        if (statusMeansNotRun(m_attempt->head.status) || !m_attempt->answerComplete) {
             answerLocally({ 502, "upstream_failed", "the upstream failed; the request may have run" });
             return finish("failed", 502, reason);
         }
@@ -503,11 +494,12 @@
 // request that may not be repeated, and while nothing is read because the caller reads slowly.
 bool ForwardedRequest::isSilent(MonotonicTime now) const
 {
-    if (!m_exchange || !m_caller || !mayRepeat() || m_readingPaused)
+    if (!m_attempt->exchange || !m_caller || !mayRepeat() || m_attempt->readingPaused)
         return false;
-    auto waited = now - m_lastProgressAt;
-    bool upstreamSilent = now - std::max(m_upstream->lastByteAt, m_sentAt) > upstreamSilenceTimeout;
-    if (m_headReceived && m_mode == AnswerMode::Events) {
+    auto waited = now - m_attempt->lastProgressAt;
+    bool upstreamSilent
+        = now - std::max(m_attempt->upstream->lastByteAt, m_attempt->sentAt) > upstreamSilenceTimeout;
+    if (m_attempt->headReceived && m_attempt->mode == AnswerMode::Events) {
         Milliseconds longest = std::max(m_route->pauseLimit * pausesBeforeResume, minStreamStall);
         return waited > longest || (upstreamSilent && waited > minEventWait);
     }
@@ -530,8 +522,8 @@
     }
     if (!isSilent(now))
         return;
-    if (!std::exchange(m_silenceRecorded, true))
-        m_forwarder.m_health.failed(m_upstream->hash, UpstreamFailure::SilentConnection, now);
+    if (!std::exchange(m_attempt->silenceRecorded, true))
+        m_forwarder.m_health.failed(m_attempt->upstream->hash, UpstreamFailure::SilentConnection, now);
     if (mayMoveOn(now))
         attemptEnded(AttemptEnd::Broken, "the upstream is silent");
 }
@@ -563,7 +555,7 @@
 
 bool ForwardedRequest::isUnwrittenAt(const Forwarder::Upstream& upstream) const
 {
-    return m_upstream.get() == &upstream && m_exchange && !m_exchange->written();
+    return m_attempt->upstream.get() == &upstream && m_attempt->exchange && !m_attempt->exchange->written();
 }
 
 void ForwardedRequest::placeAgain()
@@ -578,32 +570,19 @@
     recordUnansweredWait(clockNow());
     // An at-most-once call, such as one that moves money, runs to its end if it has been sent. Any other
     // request is cancelled, because nobody would receive its answer.
-    bool finishesWithoutCaller
-        = m_route && m_route->kind == RouteKind::AtMostOnce && m_exchange && m_exchange->written();
+    bool finishesWithoutCaller = m_route && m_route->kind == RouteKind::AtMostOnce && m_attempt->exchange
+        && m_attempt->exchange->written();
     if (!finishesWithoutCaller)
         finish("caller-left", 0, "the caller closed the connection");
 }
 
 void ForwardedRequest::recordUnansweredWait(MonotonicTime now)
 {
-    double waited = fractionalMilliseconds(now - m_sentAt);
-    if (servedByEngines() && m_exchange && !m_headReceived && waited > m_decision.expectedMs)
-        m_forwarder.m_forecast.observe(m_pool, m_decision.tokensToRead, m_decision.expectedMs, waited, now);
-}
-
-void ForwardedRequest::closeAttempt()
-{
-    m_exchange.reset();
-    if (!m_upstream)
-        return;
-    if (!m_headReceived)
-        m_forwarder.m_inProgress.answerStarted(m_upstream->hash, m_decision.tokensToRead);
-    m_forwarder.m_inProgress.ended(m_upstream->hash);
-    m_forwarder.attemptFinished(m_pool, clockNow() - m_sentAt);
-    if (m_forwarder.m_availability.isLeaving(m_upstream->lifetimeHash))
-        m_forwarder.m_connections.closeIdle(m_upstream->entry.endpoint);
-    m_upstream.reset();
-    m_headReceived = false;
+    double waited = fractionalMilliseconds(now - m_attempt->sentAt);
+    if (servedByEngines() && m_attempt->exchange && !m_attempt->headReceived
+        && waited > m_attempt->decision.expectedMs)
+        m_forwarder.m_forecast.observe(
+            m_pool, m_attempt->decision.tokensToRead, m_attempt->decision.expectedMs, waited, now);
 }
 
 } // namespace briarwharf
--- a/process/forwardedrequest.h
+++ b/process/forwardedrequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/forwarder.h"
+#include "process/upstreamattempt.h"
 #include <optional>
 #include <string>
 #include <string_view>
@@ -18,7 +19,7 @@
 // One caller's request: chooses an upstream, sends the request there, forwards the answer, and applies the
 // verdict when an attempt ends. decideNext() contains the rules for further attempts; this class does the
 // network I/O.
-class ForwardedRequest : public CallerEvents, public OutgoingEvents {
+class ForwardedRequest : public CallerEvents {
 public:
     ForwardedRequest(Forwarder&, IngressRequest, CallerExchange&);
     ~ForwardedRequest() override;
@@ -42,20 +43,11 @@
 
     void callerLeft() override;
     void callerDrained() override;
-    void answerHead(const HttpHead&) override;
-    void answerBody(std::string_view) override;
-    void answerEnd() override;
-    void exchangeFailed(const ExchangeFailure&) override;
 
 private:
     friend class Forwarder;
-
-    enum class AnswerMode {
-        None, // no head received yet
-        Buffered, // kept in memory until it is complete
-        Forwarding, // larger than maxBufferedAnswerBytes: forwarded as it arrives
-        Events, // a stream, forwarded event by event
-    };
+    friend struct UpstreamAttempt; // passes the events of its exchange on
+    using AnswerMode = UpstreamAttempt::AnswerMode;
 
     // What the answers of further upstreams must have in common with the one that began the stream.
     struct StreamStart {
@@ -90,6 +82,10 @@
     void refuseOverLimits(MonotonicTime now);
     bool refuseUnreachableDeadline(const CostDecision&, MonotonicTime now);
     void send(std::shared_ptr<Forwarder::Upstream>, const CostDecision&);
+    void answerHead(const HttpHead&);
+    void answerBody(std::string_view);
+    void answerEnd();
+    void exchangeFailed(const ExchangeFailure&);
     void beginAnswer(std::string_view firstBytes);
     bool continuesStream(const HttpHead&) const;
     void forwardLargeAnswer();
@@ -105,7 +101,6 @@
     void giveUp(std::string_view reason);
     bool mayWait(MonotonicTime now) const;
     AttemptSituation situation(MonotonicTime now) const;
-    void closeAttempt();
     void recordHealth(AttemptEnd, bool keptConnection);
     void recordFirstByte(MonotonicTime now);
     void recordRateLimit(const HttpHead&);
@@ -113,7 +108,6 @@
     void recordEvents(MonotonicTime now);
     void recordSoundAnswer(MonotonicTime now);
     void reportBrokenConnection();
-    std::uint64_t attemptEvents() const { return m_relay.eventCount() - m_eventsBefore; }
     void recordUnansweredWait(MonotonicTime now);
     bool mayRepeat() const;
     // Whether the upstreams of the request's pool are model engines.
@@ -145,31 +139,16 @@
     std::vector<std::string> m_tried; // ids of the upstreams of all attempts so far, the latest last
     std::string m_reachable; // id of the one of them that may be tried again; empty if none
 
-    std::shared_ptr<Forwarder::Upstream> m_upstream; // of the current attempt; null between attempts
-    std::unique_ptr<OutgoingExchange> m_exchange;
+    std::unique_ptr<UpstreamAttempt> m_attempt; // the latest; never null
     std::optional<MonotonicTime> m_placeAgainAt; // while a begun stream waits for an upstream
-    MonotonicTime m_sentAt;
-    MonotonicTime m_lastProgressAt; // when the head, a part of the body or a complete event last arrived
     MonotonicTime m_firstByteAt; // of the first answer, whichever attempt received it
-    CostDecision m_decision;
     double m_likelyMs = 0; // expected time to the first byte, corrected by recent answers
     UpstreamCandidate m_chosenCandidate; // the chosen upstream's state when it was chosen
-    bool m_headReceived = false; // in the current attempt, of the answer
-    bool m_silenceRecorded = false; // for the upstream's health, in the current attempt
-    bool m_readingPaused = false; // the caller reads more slowly than the upstream sends
 
-    AnswerMode m_mode = AnswerMode::None;
-    HttpHead m_head; // of the latest attempt's answer
-    std::string m_buffered;
     std::optional<KeptAnswer> m_failure; // of an earlier attempt
     std::size_t m_countedBytes = 0; // of this request's buffers, in the forwarder's sum
-    EventRelay m_relay;
-    std::uint64_t m_eventsBefore = 0; // events of earlier attempts
-    MonotonicTime m_firstEventAt; // of the current attempt
-    bool m_answerIsSound = false; // of the current attempt: the upstream survived the start of the answer
     bool m_answerBegun = false; // a part of the answer was sent to the caller
     std::optional<StreamStart> m_stream; // if that answer is a stream
-    bool m_answerComplete = false; // of the current attempt: the upstream's whole answer was received
     bool m_done = false;
 };
 
--- a/process/forwarder.h
+++ b/process/forwarder.h
@@ -107,6 +107,7 @@
 
 private:
     friend class ForwardedRequest;
+    friend struct UpstreamAttempt;
 
     // Run-time state of one upstream.
     struct Upstream {
