--- a/request/fleetbudget.cc
+++ b/request/fleetbudget.cc
@@ -1,5 +1,6 @@
 #include "request/fleetbudget.h"
 
+#include "base/hash.h"
 #include <algorithm>
 
 namespace briarwharf {
@@ -49,7 +50,20 @@
     double slack = m_settings.usedShare * m_settings.slack / instances;
     if (instances <= m_settings.slack) // a whole repeat for each instance is within the slack
         slack = std::max(1.0, slack);
-    return repeats + 1 <= m_settings.usedShare * m_settings.ratio * requests + slack;
+    double allowed = m_settings.usedShare * m_settings.ratio * requests + slack;
+    if (allowed < 1 && m_settings.fractionSeed != 0 && allowsFraction(pool, allowed, now))
+        allowed = 1;
+    return repeats + 1 <= allowed;
+}
+
+// Any window overlaps two of the fixed windows that are drawn here, so each counts half.
+bool FleetRetryBudget::allowsFraction(std::string_view pool, double allowed, MonotonicTime now) const
+{
+    constexpr double fixedWindows = 2;
+    Milliseconds length = std::max(m_settings.window, bucketLength);
+    auto window = static_cast<std::uint64_t>(now.time_since_epoch() / length);
+    std::uint64_t draw = combineHashes(hash64(pool, m_settings.fractionSeed), window);
+    return unitInterval(draw) < allowed / fixedWindows;
 }
 
 void FleetRetryBudget::repeatSent(std::string_view pool, MonotonicTime now)
--- a/request/fleetbudget.h
+++ b/request/fleetbudget.h
@@ -3,6 +3,7 @@
 #include "base/time.h"
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -16,6 +17,10 @@
     // Share of the bound that is used. The rest is a margin for requests that end before the start of the
     // window by which their repeats are bounded.
     double usedShare = 0.8;
+    // If not 0, an instance whose requests in a window allow less than one repeat may make one in some of the
+    // windows, in proportion to what they allow. Which ones differs between instances by this seed, so that
+    // the fleet keeps the ratio although no instance reaches a whole repeat.
+    std::uint64_t fractionSeed = 0;
 };
 
 // Bounds the repeats of a whole fleet without a shared counter. A repeat is an attempt after the first one,
@@ -52,6 +57,7 @@
         std::int64_t newestBucket = 0;
     };
 
+    bool allowsFraction(std::string_view pool, double allowed, MonotonicTime now) const;
     Counts& countsAt(std::string_view pool, MonotonicTime now);
     static std::int64_t bucketOf(MonotonicTime);
     static int sumOfNewest(const Buckets&, std::int64_t newestBucket, std::int64_t count);
