Send hedges and use the faster of two attempts

Cause: request/hedging decides on hedges, and nothing sends them. Change: with [fleet] hedge_ratio above 0 a request holds up to two attempts. The one whose answer completes, or begins to go to the caller, wins; the other is reset and counted. The new verdict AwaitOther ends only one of two attempts. The wait of an attempt that lost counts for the slowness of its upstream, for the forecast and for the quantile: otherwise an upstream that always loses would look as fast as the others. With the ratio 0 no timer is made, nothing is observed, and logs and metrics have no new fields. An upstream's slowness is now judged against the mean of its pool. Ruled out: a win by the first head, since a head may be followed by a broken body; a third attempt while two are in progress; a new heartbeat field, because the counts of requests in progress already tell peers of both attempts.

--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -1,6 +1,7 @@
 #include "process/forwarddaemon.h"
 
 #include "base/base.h"
+#include "base/hash.h"
 #include <algorithm>
 #include <sys/stat.h>
 #include <utility>
@@ -43,11 +44,22 @@
         return budget;
     }
 
+    HedgeSettings hedgingOf(const Settings& settings)
+    {
+        HedgeSettings hedging;
+        hedging.ratio = settings.fleet.hedgeRatio;
+        hedging.quantile = settings.fleet.hedgeQuantile;
+        hedging.window = settings.fleet.retryWindow;
+        hedging.seed = std::max<std::uint64_t>(1, hash64(settings.instance.id));
+        return hedging;
+    }
+
     ForwarderSettings forwarderSettings(const Settings& settings)
     {
         ForwarderSettings result;
         result.failureDomain = settings.instance.failureDomain;
         result.budget = budgetOf(settings);
+        result.hedging = hedgingOf(settings);
         result.streamBufferBytes = static_cast<std::size_t>(settings.limits.streamBufferBytes);
         return result;
     }
@@ -403,6 +415,12 @@
         m_metrics.setTotal(name, help, static_cast<double>(value));
     };
     total("briarwharf_repeats_total", "Attempts beyond the first of a request.", forwarded.repeats);
+    if (m_settings.fleet.hedgeRatio > 0) {
+        total("briarwharf_hedges_total", "Second attempts sent while the first was in progress.",
+            forwarded.hedges);
+        total("briarwharf_hedges_won_total", "Second attempts whose answer the caller got.",
+            forwarded.hedgesWon);
+    }
     total("briarwharf_resumes_total", "Streams continued at another upstream.", forwarded.resumes);
     total("briarwharf_quarantine_refusals_total",
         "Requests refused because of a prompt segment that crashes upstreams.", forwarded.quarantined);
@@ -489,6 +507,7 @@
     configureLogging(m_settings.log.level, LogFlush::Buffered);
     m_source->setEndpoint(m_settings.store.endpoint);
     m_forwarder.setBudget(budgetOf(m_settings));
+    m_forwarder.setHedging(hedgingOf(m_settings));
     seedFromSettings();
     LogLine(LogLevel::Info, "process", "reloaded").field("needs_restart", needsRestart);
 }
--- a/process/forwardedanswer.cc
+++ b/process/forwardedanswer.cc
@@ -48,6 +48,8 @@
         recordAvailability(head);
     if (success && m_stream && !continuesStream(head))
         return attemptEnded(AttemptEnd::Broken, "the upstream's success answer does not continue the stream");
+    if (success)
+        observeFirstByte(*m_attempt, now);
     m_attempt->mode
         = success && m_route->kind == RouteKind::Stream ? AnswerMode::Events : AnswerMode::Buffered;
 }
@@ -105,8 +107,31 @@
     if (servedByEngines())
         m_forwarder.m_forecast.observe(
             m_pool, m_attempt->decision.tokensToRead, m_attempt->decision.expectedMs, waited, now);
-    double ratio = waited / std::max(1.0, m_attempt->decision.expectedMs);
-    m_attempt->upstream->updateSlowness(std::clamp(ratio, minSlowness, maxSlowness), slownessWeight, now);
+    recordSlowness(*m_attempt, waited, now);
+}
+
+void ForwardedRequest::recordSlowness(const UpstreamAttempt& attempt, double waitedMs, MonotonicTime now)
+{
+    double ratio = waitedMs / std::max(1.0, attempt.decision.expectedMs);
+    attempt.upstream->updateSlowness(std::clamp(ratio, minSlowness, maxSlowness), slownessWeight, now);
+}
+
+void ForwardedRequest::recordUnansweredWaits(MonotonicTime now)
+{
+    recordUnansweredWait(*m_attempt, now);
+    if (m_other)
+        recordUnansweredWait(*m_other, now);
+}
+
+void ForwardedRequest::recordUnansweredWait(const UpstreamAttempt& attempt, MonotonicTime now)
+{
+    double waited = fractionalMilliseconds(now - attempt.sentAt);
+    if (servedByEngines() && attempt.exchange && !attempt.headReceived
+        && waited > attempt.decision.expectedMs)
+        m_forwarder.m_forecast.observe(
+            m_pool, attempt.decision.tokensToRead, attempt.decision.expectedMs, waited, now);
+    if (attempt.exchange && !attempt.headReceived && m_hedgeAt && now >= *m_hedgeAt)
+        observeFirstByte(attempt, now);
 }
 
 void ForwardedRequest::answerBody(std::string_view bytes)
@@ -132,7 +157,8 @@
 
 void ForwardedRequest::countBuffered()
 {
-    std::size_t bytes = m_attempt->bufferedBytes() + (m_failure ? m_failure->body.size() : 0);
+    std::size_t bytes = m_attempt->bufferedBytes() + (m_other ? m_other->bufferedBytes() : 0)
+        + (m_failure ? m_failure->body.size() : 0);
     m_forwarder.m_bufferedBytes += bytes - m_countedBytes;
     m_countedBytes = bytes;
 }
@@ -201,6 +227,7 @@
 // fails without the caller noticing.
 void ForwardedRequest::beginAnswer(std::string_view firstBytes)
 {
+    endOther("the other attempt was faster");
     m_answerBegun = true;
     if (m_attempt->mode == AnswerMode::Events)
         m_stream = StreamStart { m_attempt->head.status, std::string(mediaType(m_attempt->head.fields)) };
@@ -280,6 +307,7 @@
 
 void ForwardedRequest::deliverBuffered()
 {
+    endOther("the other attempt was faster");
     int status = m_attempt->head.status;
     if (m_answerBegun) {
         m_caller.release()->abort();
@@ -330,6 +358,9 @@
         ++counters.failed;
     else if (outcome == "cut")
         ++counters.cut;
+    bool hedgeWon = m_attempt->isHedge && outcome == "answered" && status < 500;
+    if (hedgeWon)
+        ++counters.hedgesWon;
     double first
         = m_firstByteAt == MonotonicTime {} ? -1 : fractionalMilliseconds(m_firstByteAt - m_request.received);
     LogLine line(LogLevel::Info, "request", "end");
@@ -355,6 +386,8 @@
         .field("events", m_attempt->relay.eventCount())
         .field("routing_version", m_table ? m_table->version() : 0)
         .field("directory_revision", m_forwarder.m_directoryRevision);
+    if (m_hedged)
+        line.field("hedge_won", hedgeWon);
     EndedRequest ended;
     ended.outcome = outcome;
     ended.totalSeconds = fractionalMilliseconds(now - m_request.received) / 1000;
@@ -370,6 +403,8 @@
     }
     m_forwarder.m_metrics.observe(ended);
     m_attempt->close(m_pool);
+    if (m_other)
+        m_other->close(m_pool);
     m_forwarder.finished(*this);
 }
 
--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -64,6 +64,8 @@
 ForwardedRequest::~ForwardedRequest()
 {
     m_attempt->close(m_pool);
+    if (m_other)
+        m_other->close(m_pool);
     m_forwarder.m_bufferedBytes -= m_countedBytes;
 }
 
@@ -89,6 +91,7 @@
     m_item.targetLatency = m_route->targetLatency;
     m_item.hash = requestHash;
     m_forwarder.m_budget.requestStarted(m_pool, m_request.received);
+    m_forwarder.m_hedging.requestStarted(m_pool, m_request.received);
     place();
 }
 
@@ -314,12 +317,16 @@
         ++m_uncountedAttempts;
         return;
     }
-    if (m_arrivals > 0) {
+    attempt->isHedge = m_attempt->upstream != nullptr; // the first attempt is in progress
+    if (m_arrivals > 0 || attempt->isHedge) {
         m_forwarder.m_budget.repeatSent(m_pool, now);
         ++m_forwarder.m_counters.repeats;
     }
     attempt->begin(std::move(upstream), std::move(exchange.value()), decision, now);
+    if (attempt->isHedge)
+        m_other = std::move(m_attempt);
     m_attempt = std::move(attempt);
+    planHedge(now);
     if (servedByEngines())
         m_forwarder.m_placement.recordPlacement(
             m_item, m_attempt->upstream->hash, m_routedPool->engine->memoryTokens);
@@ -383,6 +390,7 @@
     result.maxAttempts = m_route->maxAttempts;
     result.uncountedAttempts = m_uncountedAttempts;
     result.budgetLeft = m_arrivals == 0 || m_forwarder.m_budget.allowsRepeat(m_pool, now);
+    result.otherInProgress = m_other != nullptr;
     result.timeLeft = toMilliseconds(m_deadline - now);
     return result;
 }
@@ -390,6 +398,8 @@
 void ForwardedRequest::attemptEnded(AttemptEnd end, std::string_view reason)
 {
     MonotonicTime now = clockNow();
+    if (end == AttemptEnd::TimeUp)
+        endOther(reason);
     bool written = m_attempt->isWritten() || end == AttemptEnd::Broken;
     bool isUncounted = end == AttemptEnd::NotConnected || end == AttemptEnd::WrongUpstream;
     m_arrivals += written ? 1 : 0;
@@ -423,8 +433,9 @@
         m_attempt->buffered = {};
         m_attempt->relay.restart();
     }
-    bool keepsAnswer = end == AttemptEnd::FailureAnswered && verdict == AttemptVerdict::TryAgain
-        && m_attempt->answerComplete && !statusMeansNotRun(m_attempt->head.status);
+    bool goesOn = verdict == AttemptVerdict::TryAgain || verdict == AttemptVerdict::AwaitOther;
+    bool keepsAnswer = end == AttemptEnd::FailureAnswered && goesOn && m_attempt->answerComplete
+        && !statusMeansNotRun(m_attempt->head.status);
     if (keepsAnswer)
         m_failure = KeptAnswer { m_attempt->head, std::exchange(m_attempt->buffered, {}) };
     m_attempt->close(m_pool);
@@ -462,6 +473,8 @@
         if (m_caller)
             m_caller.release()->abort();
         return finish("cut", 0, reason);
+    case AttemptVerdict::AwaitOther:
+        return awaitOther();
     }
 }
 
@@ -492,26 +505,36 @@
 
 // Whether the upstream has sent nothing for so long that another one should be tried. Always false for a
 // request that may not be repeated, and while nothing is read because the caller reads slowly.
-bool ForwardedRequest::isSilent(MonotonicTime now) const
+bool ForwardedRequest::isSilent(const UpstreamAttempt& attempt, MonotonicTime now) const
 {
-    if (!m_attempt->exchange || !m_caller || !mayRepeat() || m_attempt->readingPaused)
+    if (!attempt.exchange || !m_caller || !mayRepeat() || attempt.readingPaused)
         return false;
-    auto waited = now - m_attempt->lastProgressAt;
+    auto waited = now - attempt.lastProgressAt;
     bool upstreamSilent
-        = now - std::max(m_attempt->upstream->lastByteAt, m_attempt->sentAt) > upstreamSilenceTimeout;
-    if (m_attempt->headReceived && m_attempt->mode == AnswerMode::Events) {
+        = now - std::max(attempt.upstream->lastByteAt, attempt.sentAt) > upstreamSilenceTimeout;
+    if (attempt.headReceived && attempt.mode == AnswerMode::Events) {
         Milliseconds longest = std::max(m_route->pauseLimit * pausesBeforeResume, minStreamStall);
         return waited > longest || (upstreamSilent && waited > minEventWait);
     }
     return upstreamSilent && waited > std::max(2 * m_route->targetLatency, minFirstByteWait);
 }
 
+// Reports the silence of the attempt's upstream, if it is silent, once.
+bool ForwardedRequest::recordSilence(UpstreamAttempt& attempt, MonotonicTime now)
+{
+    if (!isSilent(attempt, now))
+        return false;
+    if (!std::exchange(attempt.silenceRecorded, true))
+        m_forwarder.m_health.failed(attempt.upstream->hash, UpstreamFailure::SilentConnection, now);
+    return true;
+}
+
 void ForwardedRequest::checkTimeouts(MonotonicTime now)
 {
     if (m_done)
         return;
     if (now >= m_deadline) {
-        recordUnansweredWait(now);
+        recordUnansweredWait(*m_attempt, now);
         if (!m_caller)
             return finish("caller-left", 0, "the deadline passed after the caller had closed the connection");
         return attemptEnded(AttemptEnd::TimeUp, "the caller's deadline or the route's timeout has passed");
@@ -520,11 +543,11 @@
         m_placeAgainAt.reset();
         return place();
     }
-    if (!isSilent(now))
-        return;
-    if (!std::exchange(m_attempt->silenceRecorded, true))
-        m_forwarder.m_health.failed(m_attempt->upstream->hash, UpstreamFailure::SilentConnection, now);
-    if (mayMoveOn(now))
+    tryHedge(now);
+    bool silent = recordSilence(*m_attempt, now);
+    if (m_other)
+        silent = recordSilence(*m_other, now) && silent;
+    if (silent && mayMoveOn(now))
         attemptEnded(AttemptEnd::Broken, "the upstream is silent");
 }
 
@@ -536,14 +559,15 @@
     attemptEnded(AttemptEnd::TimeUp, reason);
 }
 
-// Whether the request can be sent to another upstream now if the current attempt is given up. Otherwise the
-// attempt is kept: a sound upstream may be silent for a while and then go on.
+// Whether the request can be sent to another upstream now if the attempts in progress are given up. Otherwise
+// the attempt is kept: a sound upstream may be silent for a while and then go on.
 bool ForwardedRequest::mayMoveOn(MonotonicTime now) const
 {
     AttemptSituation next = situation(now);
     next.sent = true;
     next.mayHaveRun = true;
-    ++next.attempts;
+    next.attempts += m_other ? 2 : 1;
+    next.otherInProgress = false;
     next.budgetLeft = m_forwarder.m_budget.allowsRepeat(m_pool, now);
     AttemptVerdict verdict = decideNext(AttemptEnd::Broken, next, m_forwarder.m_settings.attempts);
     if (verdict != AttemptVerdict::TryAgain && verdict != AttemptVerdict::Resume)
@@ -555,11 +579,13 @@
 
 bool ForwardedRequest::isUnwrittenAt(const Forwarder::Upstream& upstream) const
 {
-    return m_attempt->upstream.get() == &upstream && m_attempt->exchange && !m_attempt->exchange->written();
+    return m_attempt->isUnwrittenAt(upstream) || (m_other && m_other->isUnwrittenAt(upstream));
 }
 
 void ForwardedRequest::placeAgain()
 {
+    if (m_other && m_attempt->isWritten())
+        select(*m_other);
     attemptEnded(AttemptEnd::NotConnected, "the upstream takes no new requests");
 }
 
@@ -567,7 +593,7 @@
 {
     m_caller.release();
     ++m_forwarder.m_counters.callersLeft;
-    recordUnansweredWait(clockNow());
+    recordUnansweredWaits(clockNow());
     // An at-most-once call, such as one that moves money, runs to its end if it has been sent. Any other
     // request is cancelled, because nobody would receive its answer.
     bool finishesWithoutCaller = m_route && m_route->kind == RouteKind::AtMostOnce && m_attempt->exchange
@@ -576,13 +602,4 @@
         finish("caller-left", 0, "the caller closed the connection");
 }
 
-void ForwardedRequest::recordUnansweredWait(MonotonicTime now)
-{
-    double waited = fractionalMilliseconds(now - m_attempt->sentAt);
-    if (servedByEngines() && m_attempt->exchange && !m_attempt->headReceived
-        && waited > m_attempt->decision.expectedMs)
-        m_forwarder.m_forecast.observe(
-            m_pool, m_attempt->decision.tokensToRead, m_attempt->decision.expectedMs, waited, now);
-}
-
 } // namespace briarwharf
--- a/process/forwardedrequest.h
+++ b/process/forwardedrequest.h
@@ -29,16 +29,17 @@
     // Looks up the route and the organisation, and starts the first attempt.
     void start();
 
-    // Ends the current attempt if the deadline has passed or the upstream is silent.
+    // Ends the attempts in progress if the deadline has passed or the upstream is silent, and sends a hedge
+    // that is due.
     void checkTimeouts(MonotonicTime now);
     // Answers the caller because this instance exits. An answer that has begun is cut.
     void endForShutdown();
 
     bool isDone() const { return m_done; }
 
-    // Whether the current attempt is at the upstream and nothing of it was handed to the network.
+    // Whether an attempt in progress is at the upstream and nothing of it was handed to the network.
     bool isUnwrittenAt(const Forwarder::Upstream&) const;
-    // Ends the current attempt, of which nothing was written, and chooses another upstream.
+    // Ends the attempt of which nothing was written, and chooses another upstream if it was the only one.
     void placeAgain();
 
     void callerLeft() override;
@@ -82,6 +83,14 @@
     void refuseOverLimits(MonotonicTime now);
     bool refuseUnreachableDeadline(const CostDecision&, MonotonicTime now);
     void send(std::shared_ptr<Forwarder::Upstream>, const CostDecision&);
+    void select(UpstreamAttempt&);
+    void planHedge(MonotonicTime now);
+    void tryHedge(MonotonicTime now);
+    bool mayHedge(MonotonicTime now) const;
+    void endOther(std::string_view reason);
+    void awaitOther();
+    void observeFirstByte(const UpstreamAttempt&, MonotonicTime now);
+    void recordSlowness(const UpstreamAttempt&, double waitedMs, MonotonicTime now);
     void answerHead(const HttpHead&);
     void answerBody(std::string_view);
     void answerEnd();
@@ -108,11 +117,13 @@
     void recordEvents(MonotonicTime now);
     void recordSoundAnswer(MonotonicTime now);
     void reportBrokenConnection();
-    void recordUnansweredWait(MonotonicTime now);
+    void recordUnansweredWait(const UpstreamAttempt&, MonotonicTime now);
+    void recordUnansweredWaits(MonotonicTime now);
     bool mayRepeat() const;
     // Whether the upstreams of the request's pool are model engines.
     bool servedByEngines() const { return m_routedPool && m_routedPool->engine; }
-    bool isSilent(MonotonicTime now) const;
+    bool isSilent(const UpstreamAttempt&, MonotonicTime now) const;
+    bool recordSilence(UpstreamAttempt&, MonotonicTime now);
     bool mayMoveOn(MonotonicTime now) const;
     void answerLocally(const LocalAnswer&);
     void refuse(std::string_view reason);
@@ -139,7 +150,12 @@
     std::vector<std::string> m_tried; // ids of the upstreams of all attempts so far, the latest last
     std::string m_reachable; // id of the one of them that may be tried again; empty if none
 
-    std::unique_ptr<UpstreamAttempt> m_attempt; // the latest; never null
+    // The latest attempt; of two in progress, the one whose event is handled. Never null.
+    std::unique_ptr<UpstreamAttempt> m_attempt;
+    std::unique_ptr<UpstreamAttempt> m_other; // of two attempts in progress; null otherwise
+    std::optional<MonotonicTime> m_hedgeAt; // when the first attempt is old enough for a hedge
+    std::optional<Timer> m_hedgeTimer;
+    bool m_hedged = false; // a hedge was tried
     std::optional<MonotonicTime> m_placeAgainAt; // while a begun stream waits for an upstream
     MonotonicTime m_firstByteAt; // of the first answer, whichever attempt received it
     double m_likelyMs = 0; // expected time to the first byte, corrected by recent answers
--- a/process/forwarder.cc
+++ b/process/forwarder.cc
@@ -74,6 +74,7 @@
           })
     , m_placement(m_settings.cost)
     , m_budget(m_settings.budget)
+    , m_hedging(m_settings.hedging)
     , m_deferredDelete(base, [this] { m_done.clear(); })
     , m_timeoutTicker(base, timeoutCheckInterval, [this] { checkTimeouts(); })
     , m_weightTicker(base, weightInterval, [this] { updateHomeWeights(); })
@@ -92,6 +93,7 @@
 {
     m_instances = std::max<std::size_t>(instances, 1);
     m_budget.setInstances(m_instances, clockNow());
+    m_hedging.setInstances(m_instances, clockNow());
 }
 
 void Forwarder::setUpstreams(const std::map<std::string, UpstreamEntry>& entries, std::uint64_t revision)
--- a/process/forwarder.h
+++ b/process/forwarder.h
@@ -25,6 +25,7 @@
     CostSettings cost;
     FleetRetryBudgetSettings budget;
     AttemptLimits attempts;
+    HedgeSettings hedging;
     // Reading from the upstream pauses while more than this many bytes wait to be sent to a slow caller.
     std::size_t streamBufferBytes = 256 * 1024;
     // Answers up to this size, streams excepted, are buffered until they are complete, so that another
@@ -43,6 +44,8 @@
     std::uint64_t cut = 0; // answers of which only a part was sent to the caller
     std::uint64_t repeats = 0; // attempts after the first one of a request
     std::uint64_t resumes = 0; // repeats that continued a stream at another upstream
+    std::uint64_t hedges = 0; // repeats that were sent while the first attempt was in progress
+    std::uint64_t hedgesWon = 0; // hedges whose answer the caller got
     std::uint64_t callersLeft = 0;
     std::uint64_t quarantined = 0; // refused because of a segment that crashes upstreams
     std::uint64_t malformedSegments = 0; // entries of callers' lists of segments that were left out
@@ -90,6 +93,7 @@
     // Ends all requests in progress. Each caller whose answer has not begun gets one.
     void endRequests();
     void setBudget(const FleetRetryBudgetSettings& settings) { m_budget.setSettings(settings); }
+    void setHedging(const HedgeSettings& settings) { m_hedging.setSettings(settings); }
 
     // Whether both a configuration and a list of upstreams are in force.
     bool isReady() const { return m_routing && m_directoryRevision > 0; }
@@ -168,6 +172,7 @@
     CrashDetector m_crashDetector;
     CostPlacement m_placement;
     FleetRetryBudget m_budget;
+    Hedging m_hedging;
     FirstByteForecast m_forecast;
     UpstreamAvailability m_availability;
     ForwarderCounters m_counters;
--- a/process/settings.cc
+++ b/process/settings.cc
@@ -223,6 +223,14 @@
             { "fleet", "retry_slack",
                 "Retries in a window in addition to the ratio, over all instances, 0 to 100000.", "50", false,
                 real(&S::fleet, &S::Fleet::retrySlack, 0, 100000) },
+            { "fleet", "hedge_ratio",
+                "Concurrent second attempts for each request to a pool, as a ratio over the retry window and "
+                "all instances, 0 to 1.",
+                "0", false, real(&S::fleet, &S::Fleet::hedgeRatio, 0, 1) },
+            { "fleet", "hedge_quantile",
+                "Quantile of a route's times to the first byte after which a second attempt is sent, 0.5 to "
+                "0.99.",
+                "0.95", false, real(&S::fleet, &S::Fleet::hedgeQuantile, 0.5, 0.99) },
             { "operator", "token_hash", "SHA-256 of the operators' token, 64 hex digits.", exampleHash, true,
                 assignTokenHash },
             { "limits", "max_body_bytes", "Maximum size of a request body, 1024 to 67108864.", "4194304",
--- a/process/settings.h
+++ b/process/settings.h
@@ -44,6 +44,10 @@
         double retryRatio = 0.2; // retries for each request, over the window and all instances
         Milliseconds retryWindow { 10000 }; // time over which retries are counted
         double retrySlack = 50; // retries in a window that all instances together may add to the ratio
+        // Hedges for each request to a pool, over the retry window and all instances; 0: none are sent.
+        double hedgeRatio = 0;
+        // A hedge is sent after this quantile of the times to the first byte of its route at its pool.
+        double hedgeQuantile = 0.95;
     } fleet;
 
     struct Operator {
--- a/process/testing/forwardfixture.cc
+++ b/process/testing/forwardfixture.cc
@@ -164,6 +164,7 @@
     if (seeds)
         settings.fleet.seeds = m_peerAddresses;
     settings.limits.shutdownGrace = shutdownGrace;
+    settings.fleet.hedgeRatio = hedgeRatio;
     m_daemons.push_back(std::make_unique<ForwardDaemon>(
         m_base.get(), settings, settingsFile, std::make_unique<FakeSource>(other ? *other : directory)));
     Status started = m_daemons.back()->start();
--- a/process/testing/forwardfixture.h
+++ b/process/testing/forwardfixture.h
@@ -104,6 +104,7 @@
     FakeDirectory directory;
     // Of the daemons started from now on.
     Milliseconds shutdownGrace { 8000 };
+    double hedgeRatio = 0;
     std::string settingsFile; // read by reload(); may be empty
 
     static constexpr const char* host = "desk.example";
--- a/process/upstreamattempt.cc
+++ b/process/upstreamattempt.cc
@@ -41,12 +41,28 @@
     headReceived = false;
 }
 
-void UpstreamAttempt::answerHead(const HttpHead& received) { m_request.answerHead(received); }
+void UpstreamAttempt::answerHead(const HttpHead& received)
+{
+    m_request.select(*this);
+    m_request.answerHead(received);
+}
 
-void UpstreamAttempt::answerBody(std::string_view bytes) { m_request.answerBody(bytes); }
+void UpstreamAttempt::answerBody(std::string_view bytes)
+{
+    m_request.select(*this);
+    m_request.answerBody(bytes);
+}
 
-void UpstreamAttempt::answerEnd() { m_request.answerEnd(); }
+void UpstreamAttempt::answerEnd()
+{
+    m_request.select(*this);
+    m_request.answerEnd();
+}
 
-void UpstreamAttempt::exchangeFailed(const ExchangeFailure& failure) { m_request.exchangeFailed(failure); }
+void UpstreamAttempt::exchangeFailed(const ExchangeFailure& failure)
+{
+    m_request.select(*this);
+    m_request.exchangeFailed(failure);
+}
 
 } // namespace briarwharf
--- a/process/upstreamattempt.h
+++ b/process/upstreamattempt.h
@@ -38,6 +38,10 @@
     void close(const std::string& pool);
 
     bool isWritten() const { return headReceived || (exchange && exchange->written()); }
+    bool isUnwrittenAt(const Forwarder::Upstream& other) const
+    {
+        return upstream.get() == &other && exchange && !exchange->written();
+    }
     std::uint64_t events() const { return relay.eventCount() - eventsBefore; }
     std::size_t bufferedBytes() const { return buffered.size() + relay.incompleteBytes(); }
 
@@ -51,6 +55,7 @@
     CostDecision decision;
     MonotonicTime sentAt;
     MonotonicTime lastProgressAt; // when the head, a part of the body or a complete event last arrived
+    bool isHedge = false; // sent while the first attempt was in progress
     bool headReceived = false; // of the answer
     bool silenceRecorded = false; // for the upstream's health
     bool readingPaused = false; // the caller reads more slowly than the upstream sends
--- a/request/attempt.cc
+++ b/request/attempt.cc
@@ -45,7 +45,7 @@
 std::string_view attemptVerdictName(AttemptVerdict verdict)
 {
     constexpr std::string_view names[] { "try-again", "resume", "pass-on", "refuse-not-run", "fail",
-        "time-out", "cut" };
+        "time-out", "cut", "await-other" };
     return names[static_cast<std::size_t>(verdict)];
 }
 
@@ -53,6 +53,8 @@
 {
     if (end == AttemptEnd::TimeUp)
         return verdictAfterTimeUp(situation);
+    if (situation.otherInProgress)
+        return AttemptVerdict::AwaitOther;
     bool timeLeft = situation.timeLeft >= limits.minimumTimeLeft;
     bool attemptLeft = situation.attempts < situation.maxAttempts && situation.budgetLeft;
     bool detourLeft = situation.uncountedAttempts < limits.maxUncountedAttempts;
--- a/request/attempt.h
+++ b/request/attempt.h
@@ -27,6 +27,7 @@
     int maxAttempts = 1;
     int uncountedAttempts = 0; // not counted in `attempts`: not connected, or the wrong upstream
     bool budgetLeft = false; // the fleet's budget allows another repeat
+    bool otherInProgress = false; // a concurrent attempt at another upstream goes on
     Milliseconds timeLeft { 0 };
 };
 
@@ -39,6 +40,7 @@
     Fail, // answer 502: the request may have run
     TimeOut, // answer 504: the request may have run
     Cut, // the answer has begun: close the connection, so that the caller detects an incomplete answer
+    AwaitOther, // the concurrent attempt decides
 };
 
 std::string_view attemptVerdictName(AttemptVerdict);
--- a/request/hedging.cc
+++ b/request/hedging.cc
@@ -15,8 +15,9 @@
     // nothing to an upstream that is over its part.
     constexpr double maxOverMean = 1;
 
-    // An upstream that takes longer than this multiple of the expected time is no remedy against a slow one.
-    constexpr double maxTargetSlowness = 2;
+    // An upstream whose slowness is above this multiple of the pool's mean is no remedy against a slow one.
+    // The slowness itself has no absolute meaning: the expected time is the same for all plain services.
+    constexpr double maxRelativeSlowness = 1.5;
 
     FleetRetryBudgetSettings budgetOf(const HedgeSettings& settings)
     {
@@ -31,7 +32,10 @@
     struct PoolUse {
         double requests = 0;
         double slots = 0;
+        double slowness = 0;
         double upstreams = 0;
+
+        double mean(double sum) const { return sum / std::max(1.0, upstreams); }
     };
 
     PoolUse poolUse(const std::vector<UpstreamCandidate>& candidates)
@@ -42,18 +46,19 @@
                 continue;
             use.requests += candidate.requests;
             use.slots += std::max(1, candidate.slots);
+            use.slowness += candidate.slowness;
             ++use.upstreams;
         }
         return use;
     }
 
-    bool isTarget(const UpstreamCandidate& candidate, const HedgeTarget& target, double meanRequests)
+    bool isTarget(const UpstreamCandidate& candidate, const HedgeTarget& target, const PoolUse& use)
     {
         if (!candidate.available || candidate.avoid || candidate.limited || target.tried || target.cold)
             return false;
         bool isFree = candidate.requests + 1 <= maxUsedShare * std::max(1, candidate.slots)
-            && candidate.requests <= meanRequests + maxOverMean;
-        return isFree && candidate.slowness < maxTargetSlowness;
+            && candidate.requests <= use.mean(use.requests) + maxOverMean;
+        return isFree && candidate.slowness <= maxRelativeSlowness * use.mean(use.slowness);
     }
 
 } // namespace
@@ -109,12 +114,11 @@
 {
     PoolUse use = poolUse(candidates);
     bool isShort = use.requests + 1 > maxUsedShare * use.slots;
-    double meanRequests = use.requests / std::max(1.0, use.upstreams);
     bool otherDomain = false;
     bool any = false;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         UpstreamCandidate& candidate = candidates[index];
-        candidate.available = !isShort && isTarget(candidate, targets[index], meanRequests);
+        candidate.available = !isShort && isTarget(candidate, targets[index], use);
         any = any || candidate.available;
         otherDomain = otherDomain || (candidate.available && targets[index].failureDomain != firstDomain);
     }
--- a/request/testing/attempt_test.cc
+++ b/request/testing/attempt_test.cc
@@ -110,6 +110,19 @@
     CHECK(decideNext(AttemptEnd::NotConnected, fresh) == AttemptVerdict::RefuseNotRun);
 }
 
+// Guards against giving up, or sending again, a request whose other attempt may still be answered.
+TEST_CASE("while a concurrent attempt is in progress, only the end of the time ends the request")
+{
+    AttemptSituation situation = situationOf(Kind::Repeatable);
+    situation.attempts = 1;
+    situation.sent = situation.mayHaveRun = true;
+    situation.otherInProgress = true;
+    for (AttemptEnd end : { AttemptEnd::NotConnected, AttemptEnd::Refused, AttemptEnd::WrongUpstream,
+             AttemptEnd::FailureAnswered, AttemptEnd::Broken })
+        CHECK(decideNext(end, situation) == AttemptVerdict::AwaitOther);
+    CHECK(decideNext(AttemptEnd::TimeUp, situation) == AttemptVerdict::TimeOut);
+}
+
 // Applies random sequences of attempt ends in the way the forwarder does.
 TEST_CASE("no sequence of attempt ends runs a request twice or falsely reports that it did not run")
 {
--- a/request/testing/hedging_test.cc
+++ b/request/testing/hedging_test.cc
@@ -256,6 +256,9 @@
     CHECK(without([](UpstreamCandidate& c) { c.avoid = true; }) == sameDomain);
     CHECK(without([](UpstreamCandidate& c) { c.limited = true; }) == sameDomain);
     CHECK(without([](UpstreamCandidate& c) { c.slowness = 3; }) == sameDomain);
+    for (UpstreamCandidate& candidate : candidates)
+        candidate.slowness = 4; // of a service that takes 100 ms
+    CHECK(chosen(candidates, targets) == other);
     CHECK(without([](UpstreamCandidate& c) { c.requests = 5; }) == sameDomain);
     CHECK(chosen(candidates, { { "a", true }, { "a" }, { "b", false, true } }) == sameDomain);
 }
