--- a/coordination/poolshares.cc
+++ b/coordination/poolshares.cc
@@ -321,6 +321,12 @@
     m_shares.recordDemand(pool.held, seconds * unitsPerSecond);
 }
 
+bool PoolShares::isScarce(std::string_view name) const
+{
+    auto pool = m_pools.find(name);
+    return pool != m_pools.end() && pool->second.scarce;
+}
+
 std::vector<std::string> PoolShares::pools() const
 {
     std::vector<std::string> names;
