--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -58,15 +58,17 @@
     , m_caller(caller, *this)
     , m_fields(readCallerFields(m_request.head.fields, forwarder.m_headers))
     , m_table(forwarder.m_routing)
+    , m_attempt(std::make_unique<UpstreamAttempt>(*this, forwarder, EventRelay(m_fields.lastEvent)))
     , m_memory(forwarder.m_settings.memory, MemoryKind::Requests)
-    , m_relay(m_fields.lastEvent)
 {
     countBuffered();
 }
 
 ForwardedRequest::~ForwardedRequest()
 {
-    closeAttempt();
+    m_attempt->close(m_pool);
+    if (m_other)
+        m_other->close(m_pool);
     m_forwarder.m_bufferedBytes -= m_countedBytes;
 }
 
@@ -94,8 +96,10 @@
         && m_routedPool->engine->copiedTokensPerMs >= m_forwarder.m_settings.cost.promptTokensPerMs;
     m_item.hash = requestHash;
     m_forwarder.m_budget.requestStarted(m_pool, m_request.received);
-    if (!refuseByShare())
-        place();
+    if (refuseByShare())
+        return;
+    m_forwarder.m_hedging.requestStarted(m_pool, m_request.received);
+    place();
 }
 
 // Refuses the request, and returns true, if its pool cannot serve the whole demand and the organisation has
@@ -245,7 +249,7 @@
         if (decision->copyFrom)
             copyFrom = upstreams[*decision->copyFrom]->entry.endpoint;
         send(upstreams[decision->index], *decision, std::move(copyFrom));
-        if (m_exchange || m_done)
+        if (m_attempt->exchange || m_done)
             return;
     }
 }
@@ -313,7 +317,7 @@
         m_pool, decision.tokensToRead, decision.expectedMs, toMilliseconds(m_deadline - now), now);
     if (!retryAfter)
         return false;
-    m_decision = decision;
+    m_attempt->decision = decision;
     answerLocally({ 503, "overloaded",
         "no upstream would answer in the time that is left; the request did not run: send it again after the "
         "stated time",
@@ -322,7 +326,7 @@
     return true;
 }
 
-// Leaves m_exchange empty if no further connection to the upstream can be opened.
+// Leaves the current attempt as it is if no further connection to the upstream can be opened.
 void ForwardedRequest::send(std::shared_ptr<Forwarder::Upstream> upstream, const CostDecision& decision,
     std::optional<Endpoint> copyFrom)
 {
@@ -335,7 +339,7 @@
         fields.organisation = m_organisation->name;
     fields.timeLeft = std::max(Milliseconds(1), toMilliseconds(m_deadline - now));
     if (m_answerBegun)
-        fields.lastEvent = m_relay.lastEventNumber();
+        fields.lastEvent = m_attempt->relay.lastEventNumber();
     if (servedByEngines())
         fields.urgency = engineUrgency(priorityOf(*m_route, m_organisation), decision.tokensToRead);
 
@@ -350,31 +354,27 @@
     else if (!mayRepeat())
         outgoing.maxIdle = maxIdleUnrepeatable;
     outgoing.maxConnections = m_forwarder.connectionLimit(m_routedPool);
-    auto exchange = m_forwarder.m_connections.start(upstream->entry.endpoint, outgoing, *this);
+    auto attempt = std::make_unique<UpstreamAttempt>(*this, m_forwarder, m_attempt->relay);
+    auto exchange = m_forwarder.m_connections.start(upstream->entry.endpoint, outgoing, *attempt);
     if (!exchange) {
         ++m_uncountedAttempts;
         return;
     }
-    if (m_arrivals > 0) {
+    attempt->isHedge = m_attempt->upstream != nullptr; // the first attempt is in progress
+    if (m_arrivals > 0 || attempt->isHedge) {
         m_forwarder.m_budget.repeatSent(m_pool, now);
         ++m_forwarder.m_counters.repeats;
     }
-    m_exchange = std::move(exchange.value());
-    m_upstream = std::move(upstream);
-    m_decision = decision;
-    m_sentAt = m_lastProgressAt = now;
-    m_headReceived = false;
-    m_eventsBefore = m_relay.eventCount();
-    m_firstEventAt = {};
-    m_answerIsSound = false;
-    m_silenceRecorded = false;
-    m_readingPaused = false;
-    m_mode = AnswerMode::None;
-    m_answerComplete = false;
-    m_buffered.clear();
-    m_forwarder.m_inProgress.started(m_upstream->hash, m_decision.tokensToRead);
+    attempt->begin(std::move(upstream), std::move(exchange.value()), decision, now);
+    if (attempt->isHedge)
+        m_other = std::move(m_attempt);
+    m_attempt = std::move(attempt);
+    if (m_other)
+        countBuffered();
+    planHedge(now);
     if (servedByEngines())
-        m_forwarder.m_placement.recordPlacement(m_item, m_upstream->hash, m_routedPool->engine->memoryTokens);
+        m_forwarder.m_placement.recordPlacement(
+            m_item, m_attempt->upstream->hash, m_routedPool->engine->memoryTokens);
 }
 
 bool ForwardedRequest::mayRepeat() const
@@ -393,7 +393,7 @@
     if (end == AttemptEnd::Broken)
         reportBrokenConnection();
     if (end == AttemptEnd::Broken && (failure.keptConnection || m_answerBegun))
-        m_reachable = m_upstream->entry.id;
+        m_reachable = m_attempt->upstream->entry.id;
     attemptEnded(end, failure.reason);
 }
 
@@ -404,8 +404,8 @@
     if (!servedByEngines())
         return;
     std::span<const std::uint64_t> segments = m_sharedSegments;
-    m_forwarder.m_crashDetector.connectionBroke(
-        m_upstream->entry.endpoint, m_upstream->lifetimeHash, m_answerIsSound ? segments.first(0) : segments);
+    m_forwarder.m_crashDetector.connectionBroke(m_attempt->upstream->entry.endpoint,
+        m_attempt->upstream->lifetimeHash, m_attempt->answerIsSound ? segments.first(0) : segments);
 }
 
 void ForwardedRequest::recordHealth(AttemptEnd end, bool keptConnection)
@@ -413,13 +413,13 @@
     MonotonicTime now = clockNow();
     UpstreamHealth& health = m_forwarder.m_health;
     if (end == AttemptEnd::TimeUp) // the callers pass TimeUp for a complete answer
-        return health.succeeded(m_upstream->hash, now);
+        return health.succeeded(m_attempt->upstream->hash, now);
     if (end == AttemptEnd::NotConnected)
-        return health.failed(m_upstream->hash, UpstreamFailure::ConnectionRefused, now);
+        return health.failed(m_attempt->upstream->hash, UpstreamFailure::ConnectionRefused, now);
     if (end == AttemptEnd::FailureAnswered)
-        return health.failed(m_upstream->hash, UpstreamFailure::Error, now);
+        return health.failed(m_attempt->upstream->hash, UpstreamFailure::Error, now);
     if (!keptConnection)
-        health.failed(m_upstream->hash, UpstreamFailure::Broken, now);
+        health.failed(m_attempt->upstream->hash, UpstreamFailure::Broken, now);
 }
 
 AttemptSituation ForwardedRequest::situation(MonotonicTime now) const
@@ -427,7 +427,7 @@
     AttemptSituation result;
     result.repeatable = m_route->kind == RouteKind::Repeatable || (mayRepeat() && !m_answerBegun);
     result.resumable = m_route->kind == RouteKind::Stream && m_route->resumable
-        && (!m_answerBegun || (m_stream && m_relay.canContinue()));
+        && (!m_answerBegun || (m_stream && m_attempt->relay.canContinue()));
     result.answerBegun = m_answerBegun;
     result.sent = m_attempts > 0;
     result.mayHaveRun = m_mayHaveRun;
@@ -435,6 +435,7 @@
     result.maxAttempts = m_route->maxAttempts;
     result.uncountedAttempts = m_uncountedAttempts;
     result.budgetLeft = m_arrivals == 0 || m_forwarder.m_budget.allowsRepeat(m_pool, now);
+    result.otherInProgress = m_other != nullptr;
     result.timeLeft = toMilliseconds(m_deadline - now);
     return result;
 }
@@ -442,7 +443,9 @@
 void ForwardedRequest::attemptEnded(AttemptEnd end, std::string_view reason)
 {
     MonotonicTime now = clockNow();
-    bool written = m_headReceived || (m_exchange && m_exchange->written()) || end == AttemptEnd::Broken;
+    if (end == AttemptEnd::TimeUp)
+        endOther(reason);
+    bool written = m_attempt->isWritten() || end == AttemptEnd::Broken;
     bool isUncounted = end == AttemptEnd::NotConnected || end == AttemptEnd::WrongUpstream;
     m_arrivals += written ? 1 : 0;
     if (isUncounted)
@@ -451,34 +454,36 @@
         ++m_attempts;
     bool ran = written && !isUncounted && end != AttemptEnd::Refused;
     m_mayHaveRun = m_mayHaveRun || ran;
-    if (end == AttemptEnd::Refused && m_upstream)
-        m_upstream->avoidUntil = now + refusalPause;
+    if (end == AttemptEnd::Refused && m_attempt->upstream)
+        m_attempt->upstream->avoidUntil = now + refusalPause;
     if (end == AttemptEnd::FailureAnswered)
         recordHealth(end, false);
     if (end == AttemptEnd::WrongUpstream)
-        m_forwarder.setStale(*m_upstream);
+        m_forwarder.setStale(*m_attempt->upstream);
     AttemptVerdict verdict = decideNext(end, situation(now), m_forwarder.m_settings.attempts);
     LogLine(LogLevel::Info, "request", "attempt")
         .field("id", m_fields.requestId)
-        .field("upstream", m_upstream ? std::string_view(m_upstream->entry.id) : std::string_view())
+        .field("upstream",
+            m_attempt->upstream ? std::string_view(m_attempt->upstream->entry.id) : std::string_view())
         .field("end", attemptEndName(end))
         .field("reason", reason)
         .field("attempts", m_attempts)
         .field("written", written)
-        .field("head", m_headReceived)
-        .field("events", attemptEvents())
+        .field("head", m_attempt->headReceived)
+        .field("events", m_attempt->events())
         .field("segments", printSegments(m_item.sharedSegments()))
         .field("left_ms", toMilliseconds(m_deadline - now).count())
         .field("verdict", attemptVerdictName(verdict));
     if (end == AttemptEnd::Broken) {
-        m_buffered = {};
-        m_relay.restart();
+        m_attempt->buffered = {};
+        m_attempt->relay.restart();
     }
-    bool keepsAnswer = end == AttemptEnd::FailureAnswered && verdict == AttemptVerdict::TryAgain
-        && m_answerComplete && !statusMeansNotRun(m_head.status);
+    bool goesOn = verdict == AttemptVerdict::TryAgain || verdict == AttemptVerdict::AwaitOther;
+    bool keepsAnswer = end == AttemptEnd::FailureAnswered && goesOn && m_attempt->answerComplete
+        && !statusMeansNotRun(m_attempt->head.status);
     if (keepsAnswer)
-        m_failure = KeptAnswer { m_head, std::exchange(m_buffered, {}) };
-    closeAttempt();
+        m_failure = KeptAnswer { m_attempt->head, std::exchange(m_attempt->buffered, {}) };
+    m_attempt->close(m_pool);
     countBuffered();
     applyVerdict(verdict, reason);
 }
@@ -492,11 +497,11 @@
             return finish("caller-left", 0, reason);
         if (verdict == AttemptVerdict::Resume)
             ++m_forwarder.m_counters.resumes;
-        m_relay.restart();
+        m_attempt->relay.restart();
         countBuffered();
         return place();
     case AttemptVerdict::PassOn:
-        if (statusMeansNotRun(m_head.status) || !m_answerComplete) {
+        if (statusMeansNotRun(m_attempt->head.status) || !m_attempt->answerComplete) {
             answerLocally({ 502, "upstream_failed", "the upstream failed; the request may have run" });
             return finish("failed", 502, reason);
         }
@@ -513,6 +518,8 @@
         if (m_caller)
             m_caller.release()->abort();
         return finish("cut", 0, reason);
+    case AttemptVerdict::AwaitOther:
+        return awaitOther();
     }
 }
 
@@ -543,25 +550,36 @@
 
 // Whether the upstream has sent nothing for so long that another one should be tried. Always false for a
 // request that may not be repeated, and while nothing is read because the caller reads slowly.
-bool ForwardedRequest::isSilent(MonotonicTime now) const
+bool ForwardedRequest::isSilent(const UpstreamAttempt& attempt, MonotonicTime now) const
 {
-    if (!m_exchange || !m_caller || !mayRepeat() || m_readingPaused)
+    if (!attempt.exchange || !m_caller || !mayRepeat() || attempt.readingPaused)
         return false;
-    auto waited = now - m_lastProgressAt;
-    bool upstreamSilent = now - std::max(m_upstream->lastByteAt, m_sentAt) > upstreamSilenceTimeout;
-    if (m_headReceived && m_mode == AnswerMode::Events) {
+    auto waited = now - attempt.lastProgressAt;
+    bool upstreamSilent
+        = now - std::max(attempt.upstream->lastByteAt, attempt.sentAt) > upstreamSilenceTimeout;
+    if (attempt.headReceived && attempt.mode == AnswerMode::Events) {
         Milliseconds longest = std::max(m_route->pauseLimit * pausesBeforeResume, minStreamStall);
         return waited > longest || (upstreamSilent && waited > minEventWait);
     }
     return upstreamSilent && waited > std::max(2 * m_route->targetLatency, minFirstByteWait);
 }
 
+// Reports the silence of the attempt's upstream, if it is silent, once.
+bool ForwardedRequest::recordSilence(UpstreamAttempt& attempt, MonotonicTime now)
+{
+    if (!isSilent(attempt, now))
+        return false;
+    if (!std::exchange(attempt.silenceRecorded, true))
+        m_forwarder.m_health.failed(attempt.upstream->hash, UpstreamFailure::SilentConnection, now);
+    return true;
+}
+
 void ForwardedRequest::checkTimeouts(MonotonicTime now)
 {
     if (m_done)
         return;
     if (now >= m_deadline) {
-        recordUnansweredWait(now);
+        recordUnansweredWait(*m_attempt, now);
         if (!m_caller)
             return finish("caller-left", 0, "the deadline passed after the caller had closed the connection");
         return attemptEnded(AttemptEnd::TimeUp, "the caller's deadline or the route's timeout has passed");
@@ -570,11 +588,11 @@
         m_placeAgainAt.reset();
         return place();
     }
-    if (!isSilent(now))
-        return;
-    if (!std::exchange(m_silenceRecorded, true))
-        m_forwarder.m_health.failed(m_upstream->hash, UpstreamFailure::SilentConnection, now);
-    if (mayMoveOn(now))
+    tryHedge(now);
+    bool silent = recordSilence(*m_attempt, now);
+    if (m_other)
+        silent = recordSilence(*m_other, now) && silent;
+    if (silent && mayMoveOn(now))
         attemptEnded(AttemptEnd::Broken, "the upstream is silent");
 }
 
@@ -586,14 +604,15 @@
     attemptEnded(AttemptEnd::TimeUp, reason);
 }
 
-// Whether the request can be sent to another upstream now if the current attempt is given up. Otherwise the
-// attempt is kept: a sound upstream may be silent for a while and then go on.
+// Whether the request can be sent to another upstream now if the attempts in progress are given up. Otherwise
+// the attempt is kept: a sound upstream may be silent for a while and then go on.
 bool ForwardedRequest::mayMoveOn(MonotonicTime now) const
 {
     AttemptSituation next = situation(now);
     next.sent = true;
     next.mayHaveRun = true;
-    ++next.attempts;
+    next.attempts += m_other ? 2 : 1;
+    next.otherInProgress = false;
     next.budgetLeft = m_forwarder.m_budget.allowsRepeat(m_pool, now);
     AttemptVerdict verdict = decideNext(AttemptEnd::Broken, next, m_forwarder.m_settings.attempts);
     if (verdict != AttemptVerdict::TryAgain && verdict != AttemptVerdict::Resume)
@@ -603,50 +622,31 @@
     return m_forwarder.hasUsableUpstream(m_pool, m_tried, now);
 }
 
-const Forwarder::Upstream* ForwardedRequest::unwrittenUpstream() const
+void ForwardedRequest::giveUpUnwritten(const std::function<bool(const Forwarder::Upstream&)>& isGivenUp)
 {
-    return m_exchange && !m_exchange->written() ? m_upstream.get() : nullptr;
-}
-
-void ForwardedRequest::placeAgain()
-{
-    attemptEnded(AttemptEnd::NotConnected, "the upstream takes no new requests");
+    constexpr std::string_view reason = "the upstream takes no new requests";
+    auto ends = [&isGivenUp](const UpstreamAttempt* attempt) {
+        return attempt && attempt->isUnwritten() && isGivenUp(*attempt->upstream);
+    };
+    if (ends(m_other.get())) {
+        select(*m_other);
+        attemptEnded(AttemptEnd::NotConnected, reason);
+    }
+    if (!m_done && ends(m_attempt.get()))
+        attemptEnded(AttemptEnd::NotConnected, reason);
 }
 
 void ForwardedRequest::callerLeft()
 {
     m_caller.release();
     ++m_forwarder.m_counters.callersLeft;
-    recordUnansweredWait(clockNow());
+    recordUnansweredWaits(clockNow());
     // An at-most-once call, such as one that moves money, runs to its end if it has been sent. Any other
     // request is cancelled, because nobody would receive its answer.
-    bool finishesWithoutCaller
-        = m_route && m_route->kind == RouteKind::AtMostOnce && m_exchange && m_exchange->written();
+    bool finishesWithoutCaller = m_route && m_route->kind == RouteKind::AtMostOnce && m_attempt->exchange
+        && m_attempt->exchange->written();
     if (!finishesWithoutCaller)
         finish("caller-left", 0, "the caller closed the connection");
 }
 
-void ForwardedRequest::recordUnansweredWait(MonotonicTime now)
-{
-    double waited = fractionalMilliseconds(now - m_sentAt);
-    if (servedByEngines() && m_exchange && !m_headReceived && waited > m_decision.expectedMs)
-        m_forwarder.m_forecast.observe(m_pool, m_decision.tokensToRead, m_decision.expectedMs, waited, now);
-}
-
-void ForwardedRequest::closeAttempt()
-{
-    m_exchange.reset();
-    if (!m_upstream)
-        return;
-    if (!m_headReceived)
-        m_forwarder.m_inProgress.answerStarted(m_upstream->hash, m_decision.tokensToRead);
-    m_forwarder.m_inProgress.ended(m_upstream->hash);
-    m_forwarder.attemptFinished(m_pool, clockNow() - m_sentAt);
-    if (m_forwarder.m_availability.isLeaving(m_upstream->lifetimeHash)
-        || m_forwarder.isEvacuated(m_upstream->entry))
-        m_forwarder.m_connections.closeIdle(m_upstream->entry.endpoint);
-    m_upstream.reset();
-    m_headReceived = false;
-}
-
 } // namespace briarwharf
--- a/process/forwardedrequest.h
+++ b/process/forwardedrequest.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "process/forwarder.h"
+#include "process/upstreamattempt.h"
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -18,7 +20,7 @@
 // One caller's request: chooses an upstream, sends the request there, forwards the answer, and applies the
 // verdict when an attempt ends. decideNext() contains the rules for further attempts; this class does the
 // network I/O.
-class ForwardedRequest : public CallerEvents, public OutgoingEvents {
+class ForwardedRequest : public CallerEvents {
 public:
     ForwardedRequest(Forwarder&, IngressRequest, CallerExchange&);
     ~ForwardedRequest() override;
@@ -28,34 +30,25 @@
     // Looks up the route and the organisation, and starts the first attempt.
     void start();
 
-    // Ends the current attempt if the deadline has passed or the upstream is silent.
+    // Ends the attempts in progress if the deadline has passed or the upstream is silent, and sends a hedge
+    // that is due.
     void checkTimeouts(MonotonicTime now);
     // Answers the caller because this instance exits. An answer that has begun is cut.
     void endForShutdown();
 
     bool isDone() const { return m_done; }
 
-    // The upstream of the current attempt if nothing of it was handed to the network; otherwise null.
-    const Forwarder::Upstream* unwrittenUpstream() const;
-    // Ends the current attempt, of which nothing was written, and chooses another upstream.
-    void placeAgain();
+    // Ends the attempts of which nothing was handed to the network and whose upstream is given up, and
+    // chooses another upstream if no attempt is left in progress.
+    void giveUpUnwritten(const std::function<bool(const Forwarder::Upstream&)>& isGivenUp);
 
     void callerLeft() override;
     void callerDrained() override;
-    void answerHead(const HttpHead&) override;
-    void answerBody(std::string_view) override;
-    void answerEnd() override;
-    void exchangeFailed(const ExchangeFailure&) override;
 
 private:
     friend class Forwarder;
-
-    enum class AnswerMode {
-        None, // no head received yet
-        Buffered, // kept in memory until it is complete
-        Forwarding, // larger than maxBufferedAnswerBytes: forwarded as it arrives
-        Events, // a stream, forwarded event by event
-    };
+    friend struct UpstreamAttempt; // passes the events of its exchange on
+    using AnswerMode = UpstreamAttempt::AnswerMode;
 
     // What the answers of further upstreams must have in common with the one that began the stream.
     struct StreamStart {
@@ -91,6 +84,18 @@
     void refuseOverLimits(MonotonicTime now);
     bool refuseUnreachableDeadline(const CostDecision&, MonotonicTime now);
     void send(std::shared_ptr<Forwarder::Upstream>, const CostDecision&, std::optional<Endpoint> copyFrom);
+    void select(UpstreamAttempt&);
+    void planHedge(MonotonicTime now);
+    void tryHedge(MonotonicTime now);
+    bool mayHedge(MonotonicTime now) const;
+    void endOther(std::string_view reason);
+    void awaitOther();
+    void observeFirstByte(const UpstreamAttempt&, MonotonicTime now);
+    void recordSlowness(const UpstreamAttempt&, double waitedMs, MonotonicTime now);
+    void answerHead(const HttpHead&);
+    void answerBody(std::string_view);
+    void answerEnd();
+    void exchangeFailed(const ExchangeFailure&);
     void beginAnswer(std::string_view firstBytes);
     bool continuesStream(const HttpHead&) const;
     void forwardLargeAnswer();
@@ -106,7 +111,6 @@
     void giveUp(std::string_view reason);
     bool mayWait(MonotonicTime now) const;
     AttemptSituation situation(MonotonicTime now) const;
-    void closeAttempt();
     void recordHealth(AttemptEnd, bool keptConnection);
     void recordFirstByte(MonotonicTime now);
     void recordRateLimit(const HttpHead&);
@@ -115,12 +119,13 @@
     void recordSoundAnswer(MonotonicTime now);
     void recordServed(MonotonicTime now);
     void reportBrokenConnection();
-    std::uint64_t attemptEvents() const { return m_relay.eventCount() - m_eventsBefore; }
-    void recordUnansweredWait(MonotonicTime now);
+    void recordUnansweredWait(const UpstreamAttempt&, MonotonicTime now);
+    void recordUnansweredWaits(MonotonicTime now);
     bool mayRepeat() const;
     // Whether the upstreams of the request's pool are model engines.
     bool servedByEngines() const { return m_routedPool && m_routedPool->engine; }
-    bool isSilent(MonotonicTime now) const;
+    bool isSilent(const UpstreamAttempt&, MonotonicTime now) const;
+    bool recordSilence(UpstreamAttempt&, MonotonicTime now);
     bool mayMoveOn(MonotonicTime now) const;
     void answerLocally(const LocalAnswer&);
     void refuse(std::string_view reason);
@@ -148,32 +153,22 @@
     std::vector<std::string> m_tried; // ids of the upstreams of all attempts so far, the latest last
     std::string m_reachable; // id of the one of them that may be tried again; empty if none
 
-    std::shared_ptr<Forwarder::Upstream> m_upstream; // of the current attempt; null between attempts
-    std::unique_ptr<OutgoingExchange> m_exchange;
+    // The latest attempt; of two in progress, the one whose event is handled. Never null.
+    std::unique_ptr<UpstreamAttempt> m_attempt;
+    std::unique_ptr<UpstreamAttempt> m_other; // of two attempts in progress; null otherwise
+    std::optional<MonotonicTime> m_hedgeAt; // when the first attempt is old enough for a hedge
+    std::optional<Timer> m_hedgeTimer;
+    bool m_hedged = false; // a hedge was tried
     std::optional<MonotonicTime> m_placeAgainAt; // while a begun stream waits for an upstream
-    MonotonicTime m_sentAt;
-    MonotonicTime m_lastProgressAt; // when the head, a part of the body or a complete event last arrived
     MonotonicTime m_firstByteAt; // of the first answer, whichever attempt received it
-    CostDecision m_decision;
     double m_likelyMs = 0; // expected time to the first byte, corrected by recent answers
     UpstreamCandidate m_chosenCandidate; // the chosen upstream's state when it was chosen
-    bool m_headReceived = false; // in the current attempt, of the answer
-    bool m_silenceRecorded = false; // for the upstream's health, in the current attempt
-    bool m_readingPaused = false; // the caller reads more slowly than the upstream sends
 
-    AnswerMode m_mode = AnswerMode::None;
-    HttpHead m_head; // of the latest attempt's answer
-    std::string m_buffered;
     std::optional<KeptAnswer> m_failure; // of an earlier attempt
     std::size_t m_countedBytes = 0; // of this request's buffers, in the forwarder's sum
     MemoryHold m_memory; // of the request and its buffers, without the body, which counts itself
-    EventRelay m_relay;
-    std::uint64_t m_eventsBefore = 0; // events of earlier attempts
-    MonotonicTime m_firstEventAt; // of the current attempt
-    bool m_answerIsSound = false; // of the current attempt: the upstream survived the start of the answer
     bool m_answerBegun = false; // a part of the answer was sent to the caller
     std::optional<StreamStart> m_stream; // if that answer is a stream
-    bool m_answerComplete = false; // of the current attempt: the upstream's whole answer was received
     bool m_done = false;
 };
 
--- a/process/settings.h
+++ b/process/settings.h
@@ -51,6 +51,10 @@
         double retrySlack = 50; // retries in a window that all instances together may add to the ratio
         // Whether organisations share a pool of plain services that cannot serve the whole demand.
         bool fairShares = false;
+        // Hedges for each request to a pool, over the retry window and all instances; 0: none are sent.
+        double hedgeRatio = 0;
+        // A hedge is sent after this quantile of the times to the first byte of its route at its pool.
+        double hedgeQuantile = 0.95;
     } fleet;
 
     struct Operator {
--- a/process/testing/forwardfixture.h
+++ b/process/testing/forwardfixture.h
@@ -107,6 +107,7 @@
     // Of the daemons started from now on.
     Milliseconds shutdownGrace { 8000 };
     bool followsEvacuations = false;
+    double hedgeRatio = 0;
     std::string settingsFile; // read by reload(); may be empty
 
     static constexpr const char* host = "desk.example";
--- a/process/testing/upstreamavailability_test.cc
+++ b/process/testing/upstreamavailability_test.cc
@@ -384,3 +384,45 @@
     fixture.runUntil([&] { return begun->done(); });
     CHECK(begun->head.status == 200);
 }
+
+// Guards against a hedge that reaches an evacuated domain because its connection was still being opened, and
+// against evacuations that end the other attempt, which was written.
+TEST_CASE("of two attempts, an evacuation ends the one of which nothing was written")
+{
+    constexpr std::size_t learnt = 30; // answers from which the daemon learns when to hedge
+    ForwardFixture fixture;
+    fixture.hedgeRatio = 1;
+    Milliseconds answerTime { 50 };
+    ScriptedServer& first = fixture.addUpstream("desk-1", [&](const ScriptedRequest& request) {
+        return Script { ScriptStep::wait(answerTime), ScriptStep::send(upstreamAnswer(request, 200, body)) };
+    });
+    ForwardDaemon& daemon = fixture.startDaemon();
+    fixture.waitReady(daemon);
+    for (std::size_t call = 0; call < learnt; ++call)
+        REQUIRE(fixture.call(daemon, "/read/x")->head.status == 200);
+    answerTime = Milliseconds(1500);
+    auto answer = fixture.send(daemon, "/read/x");
+    fixture.runUntil([&] { return first.requests().size() == learnt + 1; });
+    FullListener listener;
+    listener.fillQueue();
+    fixture.addEntry("desk-2", listener.endpoint());
+    fixture.directory.upstreams.back().failureDomain = "z1";
+    fixture.directory.publishUpstreams();
+    fixture.runUntil([&] { return daemon.forwarder().counters().hedges == 1; });
+    auto inProgress = [&] {
+        auto shown = parseJson(fixture.admin(daemon, "/show/upstreams")->body, "the list of upstreams");
+        REQUIRE(shown);
+        const Json& rows = shown.value()["rows"];
+        return std::vector<int> { rows[0]["requests"], rows[1]["requests"] };
+    };
+    CHECK(inProgress() == std::vector<int> { 1, 1 });
+    fixture.directory.publishEvacuations({ "a" }); // that of desk-1, where the attempt was written
+    CHECK(inProgress() == std::vector<int> { 1, 1 });
+    fixture.directory.publishEvacuations({ "a", "z1" });
+    CHECK(inProgress() == std::vector<int> { 1, 0 });
+    CHECK_FALSE(answer->done());
+    fixture.runUntil([&] { return answer->done(); });
+    CHECK(answer->head.status == 200);
+    CHECK(daemon.forwarder().counters().hedgesWon == 0);
+    CHECK(fixture.admin(daemon, "/show/upstreams")->body.find("\"usable\":false") == std::string::npos);
+}
