Keep the order of eviction, and the relay of cold times

Trials: unfinished requests first, and only connections that are behind, as a review proposed. Two cases of connection_test fail then (unsent answers are not freed within a second, or requests of sound callers are refused in their place), so the order by bytes and lag stays; the review's case is an issue. A stated time of 0 cannot be told from one that has run out: directory_test wants it left out. CTest ends a program that hangs after 240 s instead of 120 s: process_test has 139 cases and takes 88 to 125 s beside others.

--- a/cmake/library.cmake
+++ b/cmake/library.cmake
@@ -17,8 +17,9 @@
     target_link_libraries(${name}_test PRIVATE ${name} rapidcheck)
     target_compile_definitions(${name}_test PRIVATE BRIARWHARF_KNOWN_RED="${CMAKE_SOURCE_DIR}/KNOWN-RED.txt")
     add_test(NAME ${name}_test COMMAND ${name}_test)
-    # Sanitizers slow the tests down several times.
-    set(limit_seconds 120)
+    # Ends a program that hangs. process_test takes about 100 s beside the other programs. Sanitizers slow the
+    # tests down several times.
+    set(limit_seconds 240)
     if(BRIARWHARF_SANITIZE)
       set(limit_seconds 600)
     endif()
--- a/connection/ingressconnection.cc
+++ b/connection/ingressconnection.cc
@@ -42,10 +42,6 @@
     // A connection that holds less is not worth its eviction.
     constexpr std::size_t minEvictedBytes = 1024;
 
-    // Added to the score of unfinished requests, more than any connection holds: they are refused as not run
-    // before a caller loses an answer.
-    constexpr double refusableScore = 1e15;
-
     // Lag at which what a connection holds counts twice, so that connections that move stay.
     constexpr double doublingLagMs = 1000;
 
@@ -140,20 +136,15 @@
         return 0;
     std::size_t unread
         = m_state == State::Reading && m_parser.started() ? m_body.capacity() + m_parser.heldBytes() : 0;
-    // Behind a request in progress, reading pauses instead.
-    std::size_t pipelined
-        = m_state == State::Answering || m_pipelinedInput.empty() ? 0 : m_pipelinedInput.capacity();
+    std::size_t pipelined = m_pipelinedInput.empty() ? 0 : m_pipelinedInput.capacity();
     std::size_t bytes = unread + pipelined + m_stream->heldOutputBytes();
     return bytes < minEvictedBytes ? 0 : bytes;
 }
 
 double IngressConnection::evictionScore(MonotonicTime now) const
 {
-    double lag = std::max(0.0, static_cast<double>(m_progress.lag(now).count()));
-    double score = static_cast<double>(evictableBytes()) * (1 + lag / doublingLagMs);
-    if (isRefusable())
-        return score + refusableScore;
-    return m_progress.lag(now) > minLag ? score : 0;
+    double lag = static_cast<double>(m_progress.lag(now).count());
+    return static_cast<double>(evictableBytes()) * (1 + std::max(0.0, lag) / doublingLagMs);
 }
 
 void IngressConnection::evict()
--- a/coordination/directorymessage.cc
+++ b/coordination/directorymessage.cc
@@ -25,10 +25,8 @@
         message->draining = entry.draining;
         message->started = entry.started;
         message->revision = entry.revision;
-        // 0 on the wire: not stated.
-        if (entry.coldRemaining)
-            message->coldMs
-                = static_cast<std::uint32_t>(std::max(entry.coldRemaining->count(), Milliseconds::rep(1)));
+        // 0: not stated, or no longer cold.
+        message->coldMs = static_cast<std::uint32_t>(entry.coldRemaining.value_or(Milliseconds(0)).count());
         return message;
     }
 
