--- a/connection/memorybudget.h
+++ b/connection/memorybudget.h
@@ -22,8 +22,9 @@
 constexpr std::size_t memoryKinds = 7;
 
 // Counts the memory that the process holds for callers, upstreams and peers, by what is allocated. It neither
-// allocates nor frees: bodies ask hasRoomForBody() before they grow; heads and answers are counted when they are
-// allocated, and Ingress then evicts connections while isExceeded(). What is held for peers is never refused.
+// allocates nor frees: bodies ask hasRoomForBody() before they grow; heads and answers are counted when they
+// are allocated, and Ingress then evicts connections while isExceeded(). What is held for peers is never
+// refused.
 //
 //   auto budget = std::make_shared<MemoryBudget>(memoryBudgetBytes(112));
 //   MemoryHold hold(budget, MemoryKind::Bodies);
