--- a/connection/testing/peerlink_test.cc
+++ b/connection/testing/peerlink_test.cc
@@ -13,7 +13,7 @@
 
 // One instance's links and everything that they have reported.
 struct InstanceLinks {
-    InstanceLinks(event_base* base, const std::string& id, PeerLinkOptions options = {})
+    InstanceLinks(event_base* base, const std::string& id, const PeerLinkOptions& options = {})
         : links(base, options,
             { .up =
                     [this](LinkId link, const HelloT& hello, bool outgoing) {
