--- a/coordination/inprogress.h
+++ b/coordination/inprogress.h
@@ -26,8 +26,8 @@
     // in this time, whatever the number of upstreams.
     Milliseconds minTreeInterval { 400 };
     // A change of an upstream's requests by at least this number is not delayed by minTreeInterval, but only
-    // by MembershipOptions::minImmediateInterval, since one second of a hot context's requests overloads
-    // its engine. The number of entries in minTreeInterval has the same bound.
+    // by MembershipOptions::minImmediateInterval, so that a hot context is known before the tree's interval
+    // ends. The number of entries in minTreeInterval has the same bound.
     int largeChange = 3;
 };
 
--- a/coordination/limitallowance.h
+++ b/coordination/limitallowance.h
@@ -35,7 +35,7 @@
 };
 
 // What one instance may send to an upstream that limits the requests of all instances together, so that they
-// keep the limit for any demand: in no span of 4 s more than 1.5 times what it allows and 5 requests.
+// keep the limit for any demand: in no span of time more than LimitBound allows.
 //
 // Where that bound permits each instance one request at any time, each has a token bucket of its own. The
 // rates follow the demand and add up to less than the limit, and the sizes to less than the rest of the
--- a/coordination/poolshares.h
+++ b/coordination/poolshares.h
@@ -35,8 +35,8 @@
     // Share of the capacity that is handed out. The rest keeps the queues short at random arrivals.
     double usedShare = 0.95;
     // What an organisation gets at least, whatever its priority, as a share of what it would get in
-    // proportion to its demand. None may be served less than a quarter as often as all; the demand of those
-    // who are refused includes their repeats.
+    // proportion to its demand. Twice the quarter that must be served, because the demand of those who are
+    // refused includes their repeats.
     double floorShare = 0.5;
     // Pools whose claimants would exceed this number in total are not shared: each claimant is a sum in the
     // heartbeats.
--- a/hostile/testing/crowd_test.cc
+++ b/hostile/testing/crowd_test.cc
@@ -90,8 +90,7 @@
     checkHealthy(rig);
 }
 
-// Guards against bodies over the limit that are kept while they arrive, and against a daemon that closes with
-// unread input instead of refusing.
+// Guards against bodies over the limit that are kept while they arrive.
 TEST_CASE("bodies far over the limit, announced or just sent")
 {
     HostileRig rig(smallest());
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -29,7 +29,7 @@
     constexpr double callerDescriptorShare = 0.6;
     constexpr double upstreamDescriptorShare = 0.3;
 
-    // Freed memory is returned to the system at most this often: that takes milliseconds.
+    // Freed memory is returned to the system at most this often: it blocks the event loop.
     constexpr Milliseconds memoryReturnInterval { 2000 };
     // Part of the memory budget that unfinished answers may use.
     constexpr std::size_t answerShareDivisor = 3;
--- a/request/costplacement.h
+++ b/request/costplacement.h
@@ -122,10 +122,10 @@
     explicit CostPlacement(CostSettings);
 
     // For a fleet whose news of the other instances' requests are old: takes the loads that decide which
-    // share of the requests the first two engines in their order get. Call it with all candidates before
-    // each chooseEngine(), or never.
+    // share of the requests the first two engines in their order get. Call it with the candidates
+    // of the next chooseEngine(), or never.
     void observeLoads(const std::vector<UpstreamCandidate>&, MonotonicTime now);
-    // Must be called when the news are no longer old.
+    // Must be called when the instances form a full mesh again, whose news are recent.
     void forgetLoads() { m_spill.clear(); }
 
     // Both return an empty value if no candidate is available.
--- a/request/spillcontrol.h
+++ b/request/spillcontrol.h
@@ -12,8 +12,7 @@
     double targetLoad = 1.5;
     double targetExtraRequests = 2;
     // The exponent of the admitted share rises by proportionalGain times the relative excess over the target,
-    // and by integralGain times the excess in each second. Stable for
-    // news that are about a second old.
+    // and by integralGain times the excess in each second. Stable with news that are about a second old.
     double proportionalGain = 0.7;
     double integralGain = 1.5;
     // Of integralGain, below the target. A hot context usually stays hot, so admission grows more slowly than
