Always state the memory of the machine in the hostile rig

The rig asked the daemon whether it has the setting, for the time before it existed; under another name the crowds would run with the default, unnoticed.

--- a/coordination/poolshares.h
+++ b/coordination/poolshares.h
@@ -99,7 +99,6 @@
     // `mayHaveWaited`: the upstream had no free slot, as far as known, when the request was sent.
     void answered(std::string_view pool, std::chrono::nanoseconds duration, bool mayHaveWaited);
 
-    bool isShared(std::string_view pool) const { return m_pools.find(pool) != m_pools.end(); }
     // Whether the demand for the pool exceeds its capacity, or did so within the last second.
     bool isScarce(std::string_view pool) const;
     std::vector<std::string> pools() const;
--- a/hostile/testing/rig.cc
+++ b/hostile/testing/rig.cc
@@ -34,13 +34,6 @@
         }
     }
 
-    // Settings that this daemon does not know would end it.
-    bool daemonKnows(const std::string& key)
-    {
-        std::string command = daemonPath() + " --print-example | grep -q '^" + key + " ='";
-        return std::system(command.c_str()) == 0;
-    }
-
     RoutingConfig routing()
     {
         RoutingConfig config;
@@ -165,9 +158,8 @@
          << "\nadmin = " << printEndpoint(m_admin)
          << "\npeers = " << printEndpoint(freeEndpoint(m_base.get()))
          << "\n[store]\nendpoint = " << printEndpoint(store) << "\n[directory]\nsource = platform\n"
-         << "[log]\nlevel = warning\n[limits]\nmax_connections = " << options.maxConnections << "\n";
-    if (daemonKnows("memory_mb"))
-        file << "memory_mb = " << options.memoryMb << "\n";
+         << "[log]\nlevel = warning\n[limits]\nmax_connections = " << options.maxConnections
+         << "\nmemory_mb = " << options.memoryMb << "\n";
 }
 
 void HostileRig::startDaemon()
--- a/hostile/testing/rig.h
+++ b/hostile/testing/rig.h
@@ -59,7 +59,7 @@
 class HostileRig {
 public:
     struct Options {
-        int memoryMb = 112; // passed on if the daemon knows the setting
+        int memoryMb = 112; // of the machine
         int maxConnections = 1500;
     };
     explicit HostileRig(const Options&);
