Review, part one: cases 6 to 10

Case 6 (DRAIN) is new: one entry with an unreadable name, as large as a page, keeps every list of the servers from completing. The former cases 6 and 7 are now 7 (memory, entries) and 8 (Connection fields); 9 (memory, parts of prompts) and 10 (header limit of open channels) are new.

--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,5 +1,5 @@
-// Requests with many names in the Connection field and many fields, each within MaxHeaderBytes, occupy the event
-// loop of each machine, so that ordinary requests are not answered, not even at their route's timeout.
+// Entries of kind `servers` that another writer put into the store, each within ValueBytes, exhaust the memory
+// of every machine of the fleet, again after each restart.
 
 #include "../standins-2/rig.hpp"
 
@@ -8,75 +8,40 @@
 namespace {
 
 constexpr int machineCount = 3;
-constexpr int roughConnections = 16; // to each machine
-constexpr int connectionNames = 3950, otherFields = 1980; // of 2 and 4 bytes; the head is below MaxHeaderBytes
-constexpr int timeoutMs = 1000; // of the route
-constexpr double troubleAt = 6, troubleEnd = 22, end = 25;
+constexpr std::size_t valueBytes = 1048576;
+constexpr int entriesDefault = 12;
+constexpr double troubleAt = 5, end = 25;
+constexpr int restartDelayMs = 1000;
 
-struct Counters {
-    std::atomic<int> sent { 0 }, answeredInTime { 0 }, late { 0 }, unanswered { 0 };
-    std::atomic<int> atTimeout { 0 }, halfSecondLater { 0 };
-};
-
-// One request at a time, each on a new connection. An answer is awaited until half a second after the timeout.
-void callerLoop(const Machine& machine, int number, std::atomic<bool>& stop, Counters& counters, bool& inTrouble)
+// Fields of another type: a list of empty objects where a service, an address and a state would be.
+std::string foreignSpec()
 {
-    for (int count = 0; !stop; ++count) {
-        Client client;
-        bool counted = inTrouble;
-        if (!client.connect(machine.front)) {
-            RECORD("no connection to %s", machine.name.c_str());
-            sleepMs(200);
-            continue;
-        }
-        auto sentAt = Clock::now();
-        client.send("GET /fetch/q HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: c" + std::to_string(number) + "-"
-            + std::to_string(count) + "\r\nX-Deadline-Ms: 5000\r\n\r\n");
-        Answer answer = client.read(sentAt + std::chrono::milliseconds(timeoutMs + 500));
-        double took = std::chrono::duration<double, std::milli>(Clock::now() - sentAt).count();
-        if (counted) {
-            ++counters.sent;
-            bool whole = answer.complete;
-            if (!whole || took > timeoutMs)
-                ++counters.atTimeout;
-            if (!whole)
-                ++counters.halfSecondLater;
-            if (whole && answer.status == 200 && took <= timeoutMs)
-                ++counters.answeredInTime;
-            if (count % 10 == 0 || !whole)
-                RECORD("%s: request c%d-%d: status %d after %.0f ms", machine.name.c_str(), number, count, answer.status,
-                    took);
-        }
-        sleepMs(100);
-    }
+    std::string text = "{\"Service\":[{}";
+    while (text.size() + 4 < valueBytes - 512) // the object is ValueBytes at most, with its metadata
+        text += ",{}";
+    return text + "]}";
 }
 
-std::string roughHead(const std::string& id)
-{
-    std::string head = "GET /fetch/q HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: " + id
-        + "\r\nX-Deadline-Ms: 1000\r\nConnection: a";
-    for (int i = 1; i < connectionNames; ++i)
-        head += ",a";
-    head += "\r\n";
-    for (int i = 0; i < otherFields; ++i)
-        head += "b:\r\n";
-    return head + "\r\n";
-}
+struct Counters {
+    std::atomic<int> sent { 0 }, answered { 0 }, failed { 0 };
+};
 
-void roughLoop(const Machine& machine, int connection, std::atomic<bool>& stop, std::atomic<int>& answers)
+void callerLoop(const Machine& machine, std::atomic<bool>& stop, Counters& counters)
 {
     Client client;
     for (int number = 0; !stop; ++number) {
-        if (!client.isOpen() && !client.connect(machine.front, 0, 0, 5000)) {
+        if (!client.isOpen() && !client.connect(machine.front)) {
             sleepMs(100);
             continue;
         }
-        client.send(roughHead("r" + std::to_string(connection) + "-" + std::to_string(number)));
-        Answer answer = client.read(30000);
-        if (answer.complete)
-            ++answers;
-        else
+        ++counters.sent;
+        client.send("GET /fetch/" + std::to_string(number) + " HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: "
+            + machine.name + "-" + std::to_string(number) + "\r\nX-Deadline-Ms: 1000\r\n\r\n");
+        Answer answer = client.read(1500);
+        ++(answer.complete && answer.status == 200 ? counters.answered : counters.failed);
+        if (!answer.complete)
             client.end();
+        sleepMs(50);
     }
 }
 
@@ -86,6 +51,7 @@
 {
     startTime();
     Record::get().open(argc > 1 ? argv[1] : "record.txt");
+    int entries = std::getenv("ENTRIES") ? std::atoi(std::getenv("ENTRIES")) : entriesDefault;
     WorkFolder work;
     Store store("127.0.41.100");
     if (!store.ok())
@@ -108,12 +74,12 @@
         Json { { "Version", 1 },
             { "Routes",
                 { { { "Name", "fetch" }, { "Host", "desk.example" }, { "PathPrefix", "/fetch/" }, { "Kind", "safe" },
-                    { "TimeoutMs", timeoutMs }, { "TargetLatencyMs", 150 }, { "Priority", 2 },
-                    { "Service", "desk" }, { "MaxAttempts", 2 }, { "Anonymous", true } } } },
+                    { "TimeoutMs", 1000 }, { "TargetLatencyMs", 150 }, { "Priority", 2 }, { "Service", "desk" },
+                    { "MaxAttempts", 2 }, { "Anonymous", true } } } },
             { "Services", { { { "Name", "desk" }, { "HealthPath", "/health" }, { "MaxConnections", 110 } } } },
             { "Limits", limitsOf() }, { "Tenants", Json::array() } }
             .dump());
-    std::atomic<bool> stop { false }, stopRough { false };
+    std::atomic<bool> stop { false };
     std::thread heartbeats([&] {
         for (long sequence = 1; !stop; ++sequence) {
             store.put("servers", "i-1", serverSpec("desk", first.address, 6, sequence));
@@ -131,59 +97,71 @@
         heartbeats.join();
         return 2;
     }
-    RECORD("%d machines are ready", machineCount);
+    RECORD("%d machines of %d MB are ready, each at %ld KB", machineCount, fleet.machines[0].memoryMb,
+        fleet.machines[0].memoryKb());
     Counters counters;
-    bool inTrouble = false;
-    std::atomic<int> roughAnswers { 0 };
-    std::vector<std::thread> callers, rough;
-    int number = 0;
+    std::vector<std::thread> callers;
     for (const Machine& machine : fleet.machines)
-        for (int i = 0; i < 3; ++i)
-            callers.emplace_back(
-                callerLoop, std::cref(machine), number++, std::ref(stop), std::ref(counters), std::ref(inTrouble));
-    auto waitUntil = [](double at) {
-        std::this_thread::sleep_until(startTime() + std::chrono::milliseconds(static_cast<int>(at * 1000)));
-    };
-    waitUntil(troubleAt);
-    if (troubled())
-        for (const Machine& machine : fleet.machines)
-            for (int i = 0; i < roughConnections; ++i)
-                rough.emplace_back(roughLoop, std::cref(machine), i, std::ref(stopRough), std::ref(roughAnswers));
-    RECORD("%zu connections send requests with heads of %zu bytes: %d names in Connection, %d other fields",
-        rough.size(), roughHead("r0-0").size(), connectionNames, otherFields);
-    waitUntil(troubleAt + 1);
-    inTrouble = true;
-    std::vector<int> missed(machineCount, 0), probes(machineCount, 0), twice(machineCount, 0);
-    std::vector<int> inRow(machineCount, 0);
-    while (nowS() < troubleEnd) {
-        for (std::size_t i = 0; i < machineCount; ++i) {
-            int status = fleet.machines[i].status(1000);
-            ++probes[i];
-            missed[i] += status == 200 ? 0 : 1;
-            inRow[i] = status == 200 ? 0 : inRow[i] + 1;
-            twice[i] += inRow[i] == 2 ? 1 : 0;
+        callers.emplace_back(callerLoop, std::cref(machine), std::ref(stop), std::ref(counters));
+
+    std::vector<int> ends(machineCount, 0);
+    std::vector<double> restartAt(machineCount, 0);
+    std::vector<long> peak(machineCount, 0);
+    bool written = false;
+    double nextReport = 0;
+    while (nowS() < end) {
+        if (troubled() && !written && nowS() >= troubleAt) {
+            written = true;
+            std::string spec = foreignSpec();
+            for (int i = 0; i < entries; ++i)
+                store.put("servers", "other-" + std::to_string(100 + i), spec);
+            RECORD("another writer created %d entries of %zu bytes each", entries, spec.size());
+        }
+        for (int i = 0; i < machineCount; ++i) {
+            Machine& machine = fleet.machines[static_cast<std::size_t>(i)];
+            auto& at = restartAt[static_cast<std::size_t>(i)];
+            if (machine.pid > 0 && !machine.running()) {
+                RECORD("%s ended by itself", machine.name.c_str());
+                machine.pid = -1;
+                ++ends[static_cast<std::size_t>(i)];
+                at = nowS() + restartDelayMs / 1000.0;
+            }
+            if (machine.pid > 0) {
+                long used = machine.memoryKb();
+                peak[static_cast<std::size_t>(i)] = std::max(peak[static_cast<std::size_t>(i)], used);
+                if (used > machine.memoryMb * 1024L) {
+                    RECORD("%s uses %ld KB, over its %d MB: the platform kills it", machine.name.c_str(), used,
+                        machine.memoryMb);
+                    machine.signal(SIGKILL);
+                    waitpid(machine.pid, nullptr, 0);
+                    machine.pid = -1;
+                    ++ends[static_cast<std::size_t>(i)];
+                    at = nowS() + restartDelayMs / 1000.0;
+                }
+            } else if (nowS() >= at) {
+                fleet.start(machine);
+            }
+        }
+        if (nowS() >= nextReport) {
+            RECORD("requests sent %d, answered %d, failed %d, run %d; ready %d %d %d", counters.sent.load(),
+                counters.answered.load(), counters.failed.load(), run.load(), fleet.machines[0].status(300),
+                fleet.machines[1].status(300), fleet.machines[2].status(300));
+            nextReport = nowS() + 3;
         }
-        sleepMs(300);
+        sleepMs(5);
     }
-    inTrouble = false;
-    stopRough = true;
-    waitUntil(end);
     stop = true;
     for (std::thread& caller : callers)
         caller.join();
-    fleet.stopAll();
-    for (std::thread& thread : rough)
-        thread.join();
     heartbeats.join();
-    for (std::size_t i = 0; i < machineCount; ++i)
-        RECORD("%s: %d of %d readiness questions without a 200; two in a row %d times", fleet.machines[i].name.c_str(),
-            missed[i], probes[i], twice[i]);
-    int atTimeout = counters.atTimeout, later = counters.halfSecondLater;
-    RECORD("the rough connections got %d answers; ordinary requests: %d sent, %d answered 200 in time, %d unanswered at "
-           "TimeoutMs, %d of these half a second later; servers ran %d",
-        roughAnswers.load(), counters.sent.load(), counters.answeredInTime.load(), atTimeout, later, run.load());
-    bool broken = atTimeout >= 8 && 2 * later > atTimeout;
-    RECORD("%s: of the requests that are unanswered at TimeoutMs, %s half have no answer half a second later",
-        broken ? "BROKEN" : "held", broken ? "more than" : "not more than");
-    return broken ? 1 : 0;
+    fleet.stopAll();
+    int threeTimes = 0;
+    for (int i = 0; i < machineCount; ++i) {
+        RECORD("%s ended by itself %d times; its memory was %ld KB at most", fleet.machines[static_cast<std::size_t>(i)].name.c_str(),
+            ends[static_cast<std::size_t>(i)], peak[static_cast<std::size_t>(i)]);
+        threeTimes += ends[static_cast<std::size_t>(i)] >= 3 ? 1 : 0;
+    }
+    bool broken = threeTimes >= 2;
+    RECORD("%s: on %d machines a process ended by itself three times or more", broken ? "BROKEN" : "held", threeTimes);
+    finish(fleet, work, broken ? 1 : 0);
 }
--- a/review/standins-2/rig.hpp
+++ b/review/standins-2/rig.hpp
@@ -25,6 +25,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <poll.h>
+#include <set>
 #include <sstream>
 #include <string>
 #include <sys/prctl.h>
@@ -303,11 +304,27 @@
     bool ok() const { return m_listener >= 0; }
     Address address;
 
+    // Ends as a process does that exits: closes the listening socket and all channels.
+    void stop()
+    {
+        std::lock_guard lock(m_mutex);
+        m_stopped = true;
+        shutdown(m_listener, SHUT_RDWR);
+        for (int fd : m_channels)
+            shutdown(fd, SHUT_RDWR);
+    }
+
 private:
     void acceptAll()
     {
         for (;;) {
             int fd = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+            if (m_stopped) {
+                if (fd >= 0)
+                    close(fd);
+                close(m_listener);
+                return;
+            }
             if (fd < 0) {
                 if (errno == EINTR || errno == ECONNABORTED || errno == EMFILE) {
                     sleepMs(1);
@@ -317,11 +334,17 @@
             }
             int on = 1;
             setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+            {
+                std::lock_guard lock(m_mutex);
+                m_channels.insert(fd);
+            }
             std::thread([this, fd] {
                 Channel channel(fd);
                 while (auto request = channel.read())
-                    if (!m_handler(*request, channel))
+                    if (m_stopped || !m_handler(*request, channel))
                         break;
+                std::lock_guard lock(m_mutex);
+                m_channels.erase(fd);
                 close(fd);
             }).detach();
         }
@@ -329,6 +352,9 @@
 
     Handler m_handler;
     int m_listener = -1;
+    std::atomic<bool> m_stopped { false };
+    std::mutex m_mutex;
+    std::set<int> m_channels;
 };
 
 // The platform's store: objects by kind and name, lists in pages, watches, conditional writes.
@@ -366,7 +392,7 @@
 
     std::string render(const std::string& name, const Object& object) const
     {
-        return "{\"Metadata\":{\"Name\":" + Json(name).dump() + ",\"Revision\":" + std::to_string(object.revision)
+        return "{\"Metadata\":{\"Name\":\"" + name + "\"" + ",\"Revision\":" + std::to_string(object.revision)
             + ",\"CreatedRev\":" + std::to_string(object.created)
             + ",\"Finalizers\":[],\"Deleting\":false},\"Spec\":" + object.spec + ",\"Status\":null}";
     }
@@ -447,7 +473,7 @@
         return true;
     }
 
-    // A page has about 500 objects or 1 MB.
+    // A page has at most 500 objects or 1 MB, but always one object.
     std::string list(const std::string& kind, const std::string& after)
     {
         std::string items;
@@ -456,7 +482,7 @@
         const auto& objects = m_kinds[kind];
         for (auto object = objects.upper_bound(after); object != objects.end(); ++object) {
             std::string text = render(object->first, object->second);
-            if (count > 0 && (count >= 500 || items.size() + text.size() > 1100000)) {
+            if (count > 0 && (count >= 500 || items.size() + text.size() > 1048576)) {
                 more = true;
                 break;
             }
@@ -785,7 +811,8 @@
         char pattern[] = "/tmp/review2-XXXXXX";
         path = mkdtemp(pattern);
     }
-    ~WorkFolder()
+    ~WorkFolder() { remove(); }
+    void remove()
     {
         if (std::getenv("KEEP"))
             return;
@@ -795,4 +822,12 @@
     std::string path;
 };
 
+// Ends the script at once: the threads of the stand-ins are still running.
+[[noreturn]] inline void finish(Fleet& fleet, WorkFolder& work, int status)
+{
+    fleet.stopAll();
+    work.remove();
+    std::_Exit(status);
+}
+
 } // namespace rig
