Keep only what a reader needs of the entries that the store lists

Cause: a list kept the whole parsed content of every object until its last page, and a watch that of every event. A parsed value takes up to 30 times its text. One entry alone is harmless (27 MB), so the sum is at fault, not maxJsonValues.

Change: a reader states which members of the content it needs; the rest is checked and dropped, and so is an object that the reader rejects, page by page. Ruled out: leaving entries out by their length, since an upstream whose entry becomes large must count as removed.

--- a/base/json.h
+++ b/base/json.h
@@ -22,6 +22,10 @@
 // values).
 Result<Json> parseJson(std::string_view text, std::string_view what);
 
+// Whether parseJson() would accept the text; the same errors. Builds no values: what it allocates is bounded
+// by the longest string.
+Status checkJson(std::string_view text, std::string_view what);
+
 // Serializes without exceptions: invalid UTF-8 is replaced by U+FFFD.
 std::string dumpJson(const Json&);
 
--- a/base/jsonscan.cc
+++ b/base/jsonscan.cc
@@ -120,30 +120,47 @@
         return std::string(quoted.substr(1, quoted.size() - 2));
     }
 
-    // `takeElement` reads one element and returns false if there is none at the position.
-    template <typename Element, typename TakeElement>
-    Result<std::vector<Element>> split(
-        std::string_view text, char opening, char closing, TakeElement takeElement)
+    // Calls `takeElement` at each element of an object or array. It reads the element and returns ok(), or
+    // the error with which the walk ends.
+    template <typename TakeElement>
+    Status walk(std::string_view text, char opening, char closing, TakeElement takeElement)
     {
-        std::vector<Element> elements;
         JsonSplitter splitter(text);
         if (!splitter.take(opening))
             return malformed("it has another type");
         bool isComplete = splitter.take(closing);
         while (!isComplete) {
-            if (elements.size() == maxJsonValues)
-                return Error { ErrorKind::TooLarge,
-                    "the JSON text has more than " + std::to_string(maxJsonValues)
-                        + " values: send it in parts" };
-            if (!takeElement(splitter, elements.emplace_back()))
-                return malformed("a member has no name or no value");
+            Status taken = takeElement(splitter);
+            if (!taken)
+                return taken;
             isComplete = splitter.take(closing);
             if (!isComplete && !splitter.take(','))
                 return malformed("it ends early");
         }
-        if (!splitter.atEnd())
-            return malformed("it goes on after its end");
-        return elements;
+        return splitter.atEnd() ? ok() : Status(malformed("it goes on after its end"));
+    }
+
+    struct QuotedMember {
+        std::string_view name; // with its quotation marks
+        std::string_view text;
+    };
+
+    Result<QuotedMember> takeMember(JsonSplitter& splitter)
+    {
+        QuotedMember member;
+        member.name = splitter.takeString();
+        if (member.name.size() < 2 || !splitter.take(':'))
+            return malformed("a member has no name or no value");
+        member.text = splitter.takeValue();
+        return member;
+    }
+
+    Status checkCount(std::size_t elements)
+    {
+        if (elements < maxJsonValues)
+            return ok();
+        return Error { ErrorKind::TooLarge,
+            "the JSON text has more than " + std::to_string(maxJsonValues) + " values: send it in parts" };
     }
 
 } // namespace
@@ -181,22 +198,50 @@
 
 Result<JsonMembers> splitJsonObject(std::string_view text)
 {
-    return split<JsonMember>(text, '{', '}', [](JsonSplitter& splitter, JsonMember& member) {
-        std::string_view quoted = splitter.takeString();
-        if (quoted.size() < 2 || !splitter.take(':'))
-            return false;
-        member.name = memberName(quoted);
-        member.text = splitter.takeValue();
-        return true;
+    JsonMembers members;
+    Status walked = walk(text, '{', '}', [&members](JsonSplitter& splitter) -> Status {
+        Status counted = checkCount(members.size());
+        if (!counted)
+            return counted;
+        auto member = takeMember(splitter);
+        if (!member)
+            return member.error();
+        members.push_back({ memberName(member.value().name), member.value().text });
+        return ok();
     });
+    if (!walked)
+        return walked.error();
+    return members;
 }
 
 Result<std::vector<std::string_view>> splitJsonArray(std::string_view text)
 {
-    return split<std::string_view>(text, '[', ']', [](JsonSplitter& splitter, std::string_view& element) {
-        element = splitter.takeValue();
-        return true;
+    std::vector<std::string_view> elements;
+    Status walked = walk(text, '[', ']', [&elements](JsonSplitter& splitter) {
+        elements.push_back(splitter.takeValue());
+        return checkCount(elements.size() - 1);
+    });
+    if (!walked)
+        return walked.error();
+    return elements;
+}
+
+Result<std::vector<std::string_view>> findJsonMembers(
+    std::string_view text, const std::vector<std::string_view>& names)
+{
+    std::vector<std::string_view> texts(names.size());
+    Status walked = walk(text, '{', '}', [&](JsonSplitter& splitter) -> Status {
+        auto member = takeMember(splitter);
+        if (!member)
+            return member.error();
+        auto found = std::find(names.begin(), names.end(), memberName(member.value().name));
+        if (found != names.end())
+            texts[static_cast<std::size_t>(found - names.begin())] = member.value().text;
+        return ok();
     });
+    if (!walked)
+        return walked.error();
+    return texts;
 }
 
 std::string_view memberText(const JsonMembers& members, std::string_view name)
--- a/base/jsonscan.h
+++ b/base/jsonscan.h
@@ -42,4 +42,10 @@
 // The text of the last member of that name, which is the one that parseJson() keeps; empty if there is none.
 std::string_view memberText(const JsonMembers&, std::string_view name);
 
+// The same for some members of an object, without a list of all of them: the memory used does not grow with
+// the text. Returns one text for each name, in the order of the names. Errors: as splitJsonObject(), except
+// TooLarge.
+Result<std::vector<std::string_view>> findJsonMembers(
+    std::string_view text, const std::vector<std::string_view>& names);
+
 } // namespace briarwharf
--- a/base/testing/decoders.h
+++ b/base/testing/decoders.h
@@ -23,10 +23,13 @@
     auto members = splitJsonObject(bytes);
     auto elements = splitJsonArray(bytes);
     require(!members || !elements);
-    if (!json)
+    if (!json) {
+        require(!checkJson(bytes, "fuzz"));
         return;
+    }
     require(!dumpJson(json.value()).empty());
     require(members.has_value() == json.value().is_object());
+    require(checkJson(bytes, "fuzz").has_value());
     require(elements.has_value() == json.value().is_array());
     if (elements) {
         require(elements.value().size() == json.value().size());
@@ -35,7 +38,8 @@
     }
     if (members) {
         for (const auto& [name, value] : json.value().items())
-            require(parseJson(memberText(members.value(), name), "member").value() == value);
+            require(parseJson(memberText(members.value(), name), "member").value() == value
+                && findJsonMembers(bytes, { name, "" }).value().front() == memberText(members.value(), name));
     }
 }
 
--- a/connection/httpcall.cc
+++ b/connection/httpcall.cc
@@ -1,5 +1,6 @@
 #include "connection/httpcall.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace briarwharf {
@@ -31,6 +32,8 @@
     {
         m_answer.status = head.status;
         m_answer.fields = head.fields;
+        if (head.framing == BodyFraming::Length)
+            m_answer.body.reserve(std::min<std::uint64_t>(head.contentLength, m_maxAnswerBytes));
     }
 
     void answerBody(std::string_view bytes) override
