Apply changed limits to requests on open connections

Cause: a connection gave the limit of heads to its parser when it was opened. The other limits were read anew, the limit of bodies at each piece, so that a lowered one cut a request that was proper when it began.

Change: a request gets the limits in force when it begins, and larger ones at once. http_parser's own limit of 80 KiB, above which a head was malformed whatever the configuration allows, is lifted. A reload of the settings applies max_connections at once; it waited for the next configuration.

Test: connection/testing/ingress_test.cc, two cases; on seven of their nine checks fail (431, 413, and 200 for a head over the lowered limit).

--- a/connection/httpmessage.cc
+++ b/connection/httpmessage.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 #include <strings.h>
 
 namespace briarwharf {
@@ -136,6 +137,8 @@
     : m_kind(kind)
     , m_maxHeadBytes(maxHeadBytes)
 {
+    // http_parser has a limit of its own, for the process, above which a head counts as malformed.
+    http_parser_set_max_header_size(std::numeric_limits<std::uint32_t>::max());
     next();
 }
 
--- a/connection/httpmessage.h
+++ b/connection/httpmessage.h
@@ -122,6 +122,10 @@
     // Prepares for the next message on the connection.
     void next();
 
+    // Takes effect at once, also in the middle of a head.
+    void setMaxHeadBytes(std::size_t bytes) { m_maxHeadBytes = bytes; }
+    std::size_t maxHeadBytes() const { return m_maxHeadBytes; }
+
     bool failed() const { return m_failed; }
     bool headTooLarge() const { return m_headTooLarge; }
     bool complete() const { return m_complete; }
--- a/connection/ingress.h
+++ b/connection/ingress.h
@@ -137,8 +137,10 @@
     // address is in use).
     Result<std::uint16_t> listen(const Endpoint&);
 
-    // The idle timeout applies to connections that become idle from now on. Connections that are idle already
-    // get the longer of the old and the new timeout, because their callers may still rely on the old one.
+    // Limits of size apply to requests that begin from now on, on open connections, too; requests that have
+    // begun get the larger of the old and the new limits. The idle timeout applies to connections that become
+    // idle from now on. Connections that are idle already get the longer of the old and the new timeout,
+    // because their callers may still rely on the old one.
     void setLimits(const IngressLimits&);
 
     // From now on each answer carries Connection: close, and its connection is closed after it.
--- a/connection/ingressconnection.cc
+++ b/connection/ingressconnection.cc
@@ -188,8 +188,7 @@
 void IngressConnection::messageHead(const HttpHead& head)
 {
     m_progress.start(clockNow());
-    bool tooLarge
-        = head.framing == BodyFraming::Length && head.contentLength > m_ingress.m_limits.maxBodyBytes;
+    bool tooLarge = head.framing == BodyFraming::Length && head.contentLength > m_maxBodyBytes;
     if (tooLarge) {
         m_bodyTooLarge = true;
         return;
@@ -201,13 +200,12 @@
 void IngressConnection::messageBody(std::string_view bytes)
 {
     m_progress.advance(bytes.size(), clockNow());
-    if (m_body.size() + bytes.size() > m_ingress.m_limits.maxBodyBytes)
+    if (m_body.size() + bytes.size() > m_maxBodyBytes)
         m_bodyTooLarge = true;
     if (m_bodyTooLarge || m_overloaded)
         return;
     const HttpHead& head = m_parser.head();
-    std::size_t longest
-        = head.framing == BodyFraming::Length ? head.contentLength : m_ingress.m_limits.maxBodyBytes;
+    std::size_t longest = head.framing == BodyFraming::Length ? head.contentLength : m_maxBodyBytes;
     if (std::size_t needed = m_body.bytesToAllocate(bytes.size(), longest)) {
         const MemoryBudget& memory = *m_ingress.m_memory;
         auto enough = [&] { return memory.hasRoomForBody(needed, m_body.size() + bytes.size()); };
@@ -275,6 +273,7 @@
         m_firstByteTime = clockNow();
         m_progress.start(m_firstByteTime);
     }
+    applyLimits();
     std::size_t used = m_parser.feed(bytes, *this);
     if (m_bodyTooLarge)
         return refuse(413, "the body is over the limit of this deployment: send a shorter one");
@@ -291,6 +290,18 @@
     dispatch();
 }
 
+// The limits may change while the connection is open. A request keeps those under which it began, unless they
+// were raised since.
+void IngressConnection::applyLimits()
+{
+    const IngressLimits& limits = m_ingress.m_limits;
+    bool begins = !m_parser.started();
+    if (begins || limits.maxHeadBytes > m_parser.maxHeadBytes())
+        m_parser.setMaxHeadBytes(limits.maxHeadBytes);
+    if (begins || limits.maxBodyBytes > m_maxBodyBytes)
+        m_maxBodyBytes = limits.maxBodyBytes;
+}
+
 // Counts the head, which has been allocated already: a part of it is at most one read.
 bool IngressConnection::reserveHead()
 {
--- a/connection/ingressconnection.h
+++ b/connection/ingressconnection.h
@@ -62,6 +62,7 @@
     };
 
     void parse(std::string_view);
+    void applyLimits();
     bool reserveHead();
     void dispatch();
     void keepInput(std::string_view);
@@ -91,6 +92,7 @@
     MonotonicTime m_firstByteTime; // when the first byte of the request arrived
     ProgressMeter m_progress; // of the body that is read, or of the output that is sent
     Milliseconds m_idleLimit;
+    std::size_t m_maxBodyBytes = 0; // of the request that is read
     GrowingBody m_body;
     std::string m_pipelinedInput; // buffered bytes of later requests
     CallerEvents* m_events = nullptr;
--- a/connection/testing/ingress_test.cc
+++ b/connection/testing/ingress_test.cc
@@ -210,3 +210,104 @@
     CHECK(ingress.counters().malformed == 0);
     CHECK(targets == std::vector<std::string> { "/1", "/2", "/3" });
 }
+
+namespace {
+
+struct Limits {
+    std::size_t head;
+    std::size_t body;
+};
+
+std::string requestOf(std::size_t fieldBytes, std::size_t bodyBytes)
+{
+    return "POST / HTTP/1.1\r\nHost: test\r\nX-Context: " + std::string(fieldBytes, 'c')
+        + "\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'x');
+}
+
+// A connection that has carried a request, and a listener whose limits change.
+struct LimitChange {
+    explicit LimitChange(Limits limits)
+        : ingress(base.get(), ingressLimits(limits), &answerOk)
+    {
+        auto port = ingress.listen({ "127.0.0.1", 0 });
+        REQUIRE(port);
+        caller = std::make_unique<RawCaller>(base.get(), port.value(), requestOf(10, 10));
+        CHECK(nextStatus() == "200");
+    }
+
+    static void answerOk(const IngressRequest&, CallerExchange& exchange) { exchange.answer(200, "", "ok"); }
+
+    static IngressLimits ingressLimits(Limits limits)
+    {
+        return { .maxHeadBytes = limits.head, .maxBodyBytes = limits.body };
+    }
+
+    void change(Limits limits) { ingress.setLimits(ingressLimits(limits)); }
+
+    // Sends a part of a request and waits until it has been read.
+    void sendPart(std::string_view part)
+    {
+        caller->write(part);
+        bool isOver = false;
+        Timer timer(base.get(), [&isOver] { isOver = true; });
+        timer.start(Milliseconds(50));
+        runUntil(base.get(), [&isOver] { return isOver; });
+    }
+
+    std::string nextStatus()
+    {
+        runUntil(base.get(), [this] { return !caller->received.empty(); });
+        return std::exchange(caller->received, {}).substr(9, 3);
+    }
+
+    Base base = makeBase();
+    Ingress ingress;
+    std::unique_ptr<RawCaller> caller;
+};
+
+} // namespace
+
+// Guards against refusals, which callers do not repeat, by limits that were in force when the connection was
+// opened.
+TEST_CASE("DENIED: changed limits hold for the next request on an open connection")
+{
+    struct Change {
+        Limits before, after;
+        std::size_t fieldBytes, bodyBytes;
+        const char* status;
+    };
+    for (const Change& change : {
+             Change { { 8192, 4096 }, { 16384, 4096 }, 10000, 10, "200" },
+             Change { { 8192, 4096 }, { 262144, 4096 }, 200000, 10, "200" },
+             Change { { 16384, 4096 }, { 8192, 4096 }, 10000, 10, "431" },
+             Change { { 8192, 4096 }, { 8192, 65536 }, 10, 50000, "200" },
+             Change { { 8192, 65536 }, { 8192, 4096 }, 10, 50000, "413" },
+         }) {
+        CAPTURE(change.after.head);
+        CAPTURE(change.after.body);
+        LimitChange connection(change.before);
+        connection.change(change.after);
+        connection.sendPart(requestOf(change.fieldBytes, change.bodyBytes));
+        CHECK(connection.nextStatus() == change.status);
+    }
+}
+
+// Guards against the refusal of a request that was proper when its caller began to send it.
+TEST_CASE("DENIED: a request that has begun gets the larger of the limits before and after a change")
+{
+    std::string large = requestOf(10000, 50000);
+    Limits low { 8192, 4096 }, high { 16384, 65536 };
+    for (std::size_t sentBefore : { std::size_t { 100 }, std::size_t { 7000 }, std::size_t { 20000 } }) {
+        CAPTURE(sentBefore);
+        LimitChange lowered(high);
+        lowered.sendPart(large.substr(0, sentBefore));
+        lowered.change(low);
+        lowered.sendPart(large.substr(sentBefore));
+        CHECK(lowered.nextStatus() == "200");
+    }
+    LimitChange raised(low);
+    raised.sendPart(large.substr(0, 7000));
+    raised.change(high);
+    raised.sendPart(large.substr(7000));
+    CHECK(raised.nextStatus() == "200");
+}
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -298,17 +298,25 @@
         .field("from", from);
     m_relay.setRouting(config.version, std::move(document));
     auto table = std::make_shared<const RoutingTable>(std::move(config));
-    IngressLimits limits = ingressLimits(m_settings);
-    const CallerLimits& configured = table->config().limits;
-    limits.maxHeadBytes = static_cast<std::size_t>(configured.maxHeaderBytes);
-    limits.maxBodyBytes = static_cast<std::size_t>(configured.maxBodyBytes);
-    limits.headTimeout = configured.headerTimeout;
-    limits.idleTimeout = configured.idleTimeout;
-    m_callers.setLimits(limits);
+    m_configuredLimits = table->config().limits;
+    applyCallerLimits();
     m_forwarder.setRouting(std::move(table));
     logReadiness();
 }
 
+// The settings hold until there is a configuration, and for what it does not limit.
+void ForwardDaemon::applyCallerLimits()
+{
+    IngressLimits limits = ingressLimits(m_settings);
+    if (m_configuredLimits) {
+        limits.maxHeadBytes = static_cast<std::size_t>(m_configuredLimits->maxHeaderBytes);
+        limits.maxBodyBytes = static_cast<std::size_t>(m_configuredLimits->maxBodyBytes);
+        limits.headTimeout = m_configuredLimits->headerTimeout;
+        limits.idleTimeout = m_configuredLimits->idleTimeout;
+    }
+    m_callers.setLimits(limits);
+}
+
 void ForwardDaemon::applyChanges(const DirectoryChanges& changes, std::string_view from)
 {
     std::uint64_t before = m_directory.revision();
@@ -610,6 +618,7 @@
     m_settings.store.endpoint = next.store.endpoint;
     m_settings.fleet = next.fleet;
     m_settings.limits = next.limits;
+    applyCallerLimits();
     m_memory->setLimit(memoryBudgetBytes(m_settings.limits.memoryMb));
     m_forwarder.setMaxBufferedBytes(maxUnfinishedAnswerBytes(m_settings));
     m_settings.log = next.log;
--- a/process/forwarddaemon.h
+++ b/process/forwarddaemon.h
@@ -48,6 +48,7 @@
     void applyUpdate(DirectoryUpdate, std::string_view peer);
     void logUnusable(std::string_view peer, const Error&);
     void applyRouting(RoutingConfig, std::string document, std::string_view from);
+    void applyCallerLimits();
     void applyChanges(const DirectoryChanges&, std::string_view from);
     void registryRestored();
     void exchangeDepartures();
@@ -64,6 +65,7 @@
 
     event_base* m_base;
     Settings m_settings;
+    std::optional<CallerLimits> m_configuredLimits; // of the configuration in force
     std::string m_file;
     std::int64_t m_fileModifiedNs = 0; // Unix time of the settings file's modification; 0: no file
     std::unique_ptr<DirectorySource> m_source;
