Start on machines that do not state every value of the settings

Cause: the template named values that a platform may not state (memory, descriptors, bounds of evacuations and cold servers), partly in sections.

The line "started" of the log has these values. Weighed: environment variables (a misspelt one is no error), ignoring lines that cannot be read (so is a misspelt limit).

--- a/daemon/briarwharfd_main.cc
+++ b/daemon/briarwharfd_main.cc
@@ -7,6 +7,9 @@
 #include <boost/program_options.hpp>
 #include <csignal>
 #include <iostream>
+#include <string>
+#include <utility>
+#include <vector>
 
 namespace {
 
@@ -50,7 +53,7 @@
     return 0;
 }
 
-int runForwarding(event_base* base, const Settings& settings, const std::string& file)
+int runForwarding(event_base* base, const Settings& settings, const SettingsSource& source)
 {
     platform::SourceOptions options;
     options.store = settings.store.endpoint;
@@ -58,12 +61,12 @@
     options.evacuations = settings.directory.evacuations;
     std::string peers = printEndpoint(settings.listen.peers);
     options.self = { peers, peers, settings.instance.failureDomain };
-    ForwardDaemon daemon(base, settings, file, std::make_unique<platform::PlatformSource>(base, options));
+    ForwardDaemon daemon(base, settings, source, std::make_unique<platform::PlatformSource>(base, options));
     SignalEvent reload = onSignal(base, SIGHUP, &handleReload, &daemon);
     return runLoop(base, daemon);
 }
 
-int run(const Settings& settings, const std::string& file)
+int run(const Settings& settings, const SettingsSource& source)
 {
     ignoreBrokenPipes();
     configureAllocator();
@@ -71,7 +74,7 @@
     std::unique_ptr<event_base, BaseDeleter> base(event_base_new());
     if (settings.directory.source == "platform") {
         configureLogging(settings.log.level, LogFlush::Buffered);
-        return runForwarding(base.get(), settings, file);
+        return runForwarding(base.get(), settings, source);
     }
     configureLogging(settings.log.level);
     auto hints = HintSigner::create({ settings.hint.key, settings.hint.previousKey });
@@ -83,11 +86,29 @@
     return runLoop(base.get(), daemon);
 }
 
+Result<SettingsSource> settingsSource(const options::variables_map& arguments)
+{
+    SettingsSource source;
+    source.file = arguments["settings"].as<std::string>();
+    if (!arguments.count("set"))
+        return source;
+    for (const std::string& text : arguments["set"].as<std::vector<std::string>>()) {
+        auto parsed = parseOverride(text);
+        if (!parsed)
+            return parsed.error();
+        source.overrides.push_back(std::move(parsed.value()));
+    }
+    return source;
+}
+
 int runWithArguments(int argc, char** argv)
 {
-    options::options_description description("briarwharfd [--check] SETTINGS.ini");
-    description.add_options()("help", "print this help")("version", "print the version")(
-        "check", "check the settings and exit")("print-example", "print a settings file with every key")(
+    options::options_description description(
+        "briarwharfd [--check] [--set SECTION.KEY=VALUE]... SETTINGS.ini");
+    description.add_options()("help", "print this help")("version", "print the version")("check",
+        "check the settings and exit")("print-example", "print a settings file with every key")("set",
+        options::value<std::vector<std::string>>(),
+        "SECTION.KEY=VALUE: goes before the settings file, unless VALUE is empty; may be repeated")(
         "settings", options::value<std::string>(), "settings file");
     options::positional_options_description positional;
     positional.add("settings", 1);
@@ -110,8 +131,12 @@
         std::cerr << "briarwharfd: no settings file: name one, or see --help\n";
         return exitUsage;
     }
-    std::string file = arguments["settings"].as<std::string>();
-    auto settings = loadSettings(file);
+    auto source = settingsSource(arguments);
+    if (!source) {
+        std::cerr << "briarwharfd: " << source.error().message << "\n";
+        return exitUsage;
+    }
+    auto settings = loadSettings(source.value());
     if (!settings) {
         std::cerr << "briarwharfd: " << settings.error().message << "\n";
         return exitUsage;
@@ -120,7 +145,7 @@
         std::cout << "settings are valid\n";
         return 0;
     }
-    return run(settings.value(), file);
+    return run(settings.value(), source.value());
 }
 
 } // namespace
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -164,12 +164,12 @@
 
 } // namespace
 
-ForwardDaemon::ForwardDaemon(
-    event_base* base, Settings settings, std::string file, std::unique_ptr<DirectorySource> source)
+ForwardDaemon::ForwardDaemon(event_base* base, Settings settings, SettingsSource settingsSource,
+    std::unique_ptr<DirectorySource> source)
     : m_base(base)
     , m_settings(std::move(settings))
-    , m_file(std::move(file))
-    , m_fileModifiedNs(modificationTimeNs(m_file))
+    , m_settingsSource(std::move(settingsSource))
+    , m_fileModifiedNs(modificationTimeNs(m_settingsSource.file))
     , m_source(std::move(source))
     , m_memory(std::make_shared<MemoryBudget>(memoryBudgetBytes(m_settings.limits.memoryMb)))
     , m_mesh(
@@ -224,7 +224,10 @@
         .field("callers", printEndpoint(m_settings.listen.callers))
         .field("peers", m_mesh.membership().self().address)
         .field("store", printEndpoint(m_settings.store.endpoint))
-        .field("seeds", m_settings.fleet.seeds.size());
+        .field("seeds", m_settings.fleet.seeds.size())
+        .field("memory_mb", m_settings.limits.memoryMb)
+        .field("max_fds", m_settings.limits.maxFds)
+        .field("evacuations", m_settings.directory.evacuations);
     seedFromSettings();
     m_source->start({ [this](RoutingConfig config, std::string document) {
                          applyRouting(std::move(config), std::move(document), "source");
@@ -594,16 +597,16 @@
 
 void ForwardDaemon::checkSettingsFile()
 {
-    if (modificationTimeNs(m_file) != m_fileModifiedNs)
+    if (modificationTimeNs(m_settingsSource.file) != m_fileModifiedNs)
         reload();
 }
 
 void ForwardDaemon::reload()
 {
-    if (m_file.empty())
+    if (m_settingsSource.file.empty())
         return;
-    m_fileModifiedNs = modificationTimeNs(m_file);
-    auto loaded = loadSettings(m_file);
+    m_fileModifiedNs = modificationTimeNs(m_settingsSource.file);
+    auto loaded = loadSettings(m_settingsSource);
     if (!loaded) {
         LogLine(LogLevel::Error, "process", "reload-failed").field("message", loaded.error().message);
         return;
--- a/process/forwarddaemon.h
+++ b/process/forwarddaemon.h
@@ -21,7 +21,7 @@
 class ForwardDaemon {
 public:
     // `file`: settings file that reload() reads again; empty: reload() does nothing.
-    ForwardDaemon(event_base*, Settings, std::string file, std::unique_ptr<DirectorySource>);
+    ForwardDaemon(event_base*, Settings, SettingsSource, std::unique_ptr<DirectorySource>);
     ~ForwardDaemon();
     ForwardDaemon(const ForwardDaemon&) = delete;
     ForwardDaemon& operator=(const ForwardDaemon&) = delete;
@@ -66,7 +66,7 @@
     event_base* m_base;
     Settings m_settings;
     std::optional<CallerLimits> m_configuredLimits; // of the configuration in force
-    std::string m_file;
+    SettingsSource m_settingsSource;
     std::int64_t m_fileModifiedNs = 0; // Unix time of the settings file's modification; 0: no file
     std::unique_ptr<DirectorySource> m_source;
     std::shared_ptr<MemoryBudget> m_memory;
--- a/process/settings.cc
+++ b/process/settings.cc
@@ -369,13 +369,28 @@
         return buffer;
     }
 
+    std::string keyPath(std::string_view section, std::string_view name)
+    {
+        return "[" + std::string(section) + "] " + std::string(name);
+    }
+
+    std::string unknownKey(const std::string& path)
+    {
+        return "unknown key " + path + ": remove it, or see --print-example for all keys";
+    }
+
+    std::string notAllowed(const std::string& path, const std::string& value, const std::string& allowed)
+    {
+        return path + " = \"" + value + "\" is not allowed: give " + allowed;
+    }
+
     int handleValue(void* user, const char* section, const char* name, const char* value)
     {
         auto* parse = static_cast<ParseState*>(user);
         const Key* key = findKey(section, name);
-        std::string path = "[" + std::string(section) + "] " + name;
+        std::string path = keyPath(section, name);
         if (!key) {
-            parse->report("unknown key " + path + ": remove it, or see --print-example for all keys");
+            parse->report(unknownKey(path));
             return 1;
         }
         if (!parse->seen.insert(key).second) {
@@ -384,10 +399,26 @@
         }
         std::string allowed = key->assign(parse->settings, value);
         if (!allowed.empty())
-            parse->report(path + " = \"" + value + "\" is not allowed: give " + allowed);
+            parse->report(notAllowed(path, value, allowed));
         return 1;
     }
 
+    void applyOverride(const SettingsOverride& given, ParseState& parse)
+    {
+        const Key* key = findKey(given.section, given.key);
+        std::string path = "--set " + keyPath(given.section, given.key);
+        if (!key) {
+            parse.problems.push_back(unknownKey(path));
+            return;
+        }
+        if (given.value.empty())
+            return;
+        parse.seen.insert(key);
+        std::string allowed = key->assign(parse.settings, given.value);
+        if (!allowed.empty())
+            parse.problems.push_back(notAllowed(path, given.value, allowed));
+    }
+
     void checkRequiredKeys(ParseState& parse)
     {
         // Operators' commands and residence hints are only used if the log is the source of the
@@ -406,16 +437,31 @@
 
 } // namespace
 
-Result<Settings> parseSettings(std::string_view text, const std::string& file)
+Result<SettingsOverride> parseOverride(std::string_view text)
+{
+    std::size_t equals = text.find('=');
+    std::size_t dot = text.substr(0, equals).find('.');
+    bool hasNames = dot != std::string_view::npos && dot > 0 && dot + 1 < equals;
+    if (equals == std::string_view::npos || !hasNames)
+        return Error { ErrorKind::InvalidArgument,
+            "\"" + std::string(text)
+                + "\" names no setting: give SECTION.KEY=VALUE, such as log.level=info" };
+    return SettingsOverride { std::string(text.substr(0, dot)),
+        std::string(text.substr(dot + 1, equals - dot - 1)), std::string(text.substr(equals + 1)) };
+}
+
+Result<Settings> parseSettings(std::string_view text, const SettingsSource& source)
 {
     ParseState parse;
     parse.rest = text;
-    parse.file = file;
+    parse.file = source.file;
     int firstBadLine = ini_parse_stream(&readLine, &parse, &handleValue, &parse);
     if (firstBadLine > 0) {
         parse.line = firstBadLine;
         parse.report("is neither a section, a \"key = value\" nor a comment: correct the line");
     }
+    for (const SettingsOverride& given : source.overrides)
+        applyOverride(given, parse);
     checkRequiredKeys(parse);
     if (parse.problems.empty())
         return parse.settings;
@@ -425,15 +471,15 @@
     return Error { ErrorKind::InvalidArgument, message };
 }
 
-Result<Settings> loadSettings(const std::string& file)
+Result<Settings> loadSettings(const SettingsSource& source)
 {
-    std::ifstream stream(file);
+    std::ifstream stream(source.file);
     if (!stream)
         return Error { ErrorKind::NotFound,
-            "cannot read settings file " + file + ": check the path and its permissions" };
+            "cannot read settings file " + source.file + ": check the path and its permissions" };
     std::ostringstream text;
     text << stream.rdbuf();
-    return parseSettings(text.str(), file);
+    return parseSettings(text.str(), source);
 }
 
 std::string exampleSettings()
--- a/process/settings.h
+++ b/process/settings.h
@@ -93,12 +93,28 @@
     } log;
 };
 
-// Parses INI text. `file` is the name that errors show. Errors: InvalidArgument; the message has one line for
-// each problem, with file, line number, key, allowed range and remedy.
-Result<Settings> parseSettings(std::string_view text, const std::string& file);
+// A value from the command line, which goes before that of the file.
+struct SettingsOverride {
+    std::string section;
+    std::string key;
+    std::string value; // empty: the file's value, or the default, stays
+};
+
+// Parses "SECTION.KEY=VALUE". Errors: InvalidArgument.
+Result<SettingsOverride> parseOverride(std::string_view text);
+
+// Where the settings of a process come from.
+struct SettingsSource {
+    std::string file;
+    std::vector<SettingsOverride> overrides;
+};
+
+// Parses INI text. `source.file` is the name that errors show. Errors: InvalidArgument; the message has one
+// line for each problem, with file, line number, key, allowed range and remedy.
+Result<Settings> parseSettings(std::string_view text, const SettingsSource&);
 
 // Errors: NotFound if the file cannot be read, otherwise as parseSettings().
-Result<Settings> loadSettings(const std::string& file);
+Result<Settings> loadSettings(const SettingsSource&);
 
 // An INI file with every key, its default and its range; --print-example prints it.
 std::string exampleSettings();
--- a/process/testing/decoders.h
+++ b/process/testing/decoders.h
@@ -47,7 +47,7 @@
 // Settings files. The error for an invalid file must have a message.
 inline void exerciseSettings(std::string_view bytes)
 {
-    auto settings = parseSettings(bytes, "fuzz.ini");
+    auto settings = parseSettings(bytes, { "fuzz.ini", {} });
     require(settings.has_value() || !settings.error().message.empty());
 }
 
--- a/process/testing/forwardfixture.cc
+++ b/process/testing/forwardfixture.cc
@@ -177,8 +177,8 @@
         settings.fleet.seeds = m_peerAddresses;
     settings.limits.shutdownGrace = shutdownGrace;
     settings.fleet.hedgeRatio = hedgeRatio;
-    m_daemons.push_back(std::make_unique<ForwardDaemon>(
-        m_base.get(), settings, settingsFile, std::make_unique<FakeSource>(other ? *other : directory)));
+    m_daemons.push_back(std::make_unique<ForwardDaemon>(m_base.get(), settings,
+        SettingsSource { settingsFile, {} }, std::make_unique<FakeSource>(other ? *other : directory)));
     Status started = m_daemons.back()->start();
     REQUIRE(started);
     return *m_daemons.back();
--- a/process/testing/shutdown_test.cc
+++ b/process/testing/shutdown_test.cc
@@ -197,7 +197,7 @@
     auto answer = fixture.send(daemon, "/book/x", "x");
     wait(fixture, Milliseconds(100));
     daemon.shutDown();
-    REQUIRE(loadSettings(file.path()));
+    REQUIRE(loadSettings({ file.path(), {} }));
     daemon.reload();
     // An exit stops the event loop.
     fixture.runUntil([&] { return answer->done() || event_base_got_break(fixture.base()) != 0; });
