End an answer at the close only when the whole request was taken

MIXED, reported from other systems: a 200 without a length to a long upload, cut by a reset while the upload was being written, reached the client as a complete answer.

Cause: the end of the input ended such an answer. Where a server shuts its direction down before it resets the connection, the end comes first.

Change: at that end, the exchange waits until the other side has acknowledged the whole request, or has reset the connection, which breaks the answer. A write that meets a reset no longer lets a read report an orderly end. Ruled out: refusing all such answers, since a server may end its direction and read on.

Test: connection/testing/httpfaults_test.cc, four sizes of upload x five ends x three framings.

--- a/connection/httppool.cc
+++ b/connection/httppool.cc
@@ -16,6 +16,9 @@
     // A body up to this size is appended to the head, so that both are sent in one write.
     constexpr std::size_t maxJoinedBodyBytes = 16 * 1024;
 
+    // Between two looks at whether the other side took the rest of a request after it had ended its answer.
+    constexpr Milliseconds deliveryCheckInterval { 5 };
+
     // What a connection without a head or buffers takes: the objects and the three events of its stream.
     constexpr std::size_t connectionBytes = 2048;
 
@@ -156,8 +159,10 @@
 
     void streamEnded() override
     {
-        if (m_exchange && m_parser.feedEnd(*this))
-            return finishMessage(true);
+        bool endsAnswer
+            = m_exchange && m_parser.headDone() && m_parser.head().framing == BodyFraming::UntilClose;
+        if (endsAnswer && !m_parser.failed())
+            return finishAtClose();
         handleClosed("closed by the other side before the answer was whole");
     }
 
@@ -189,6 +194,33 @@
     void messageEnd() override { }
 
 private:
+    // An answer that ends with its connection is whole only if the other side closed it on purpose. One that
+    // gave up while the request was still being sent resets the connection, which may show only afterwards:
+    // the answer ends when the whole request was taken.
+    void finishAtClose()
+    {
+        switch (m_stream->outputState()) {
+        case TcpStream::OutputState::Failed:
+            return handleClosed("reset by the other side while the request was being sent");
+        case TcpStream::OutputState::Pending:
+            return checkDeliveryLater();
+        case TcpStream::OutputState::Delivered:
+            break;
+        }
+        m_parser.feedEnd(*this);
+        finishMessage(true);
+    }
+
+    void checkDeliveryLater()
+    {
+        if (!m_deliveryTimer)
+            m_deliveryTimer = std::make_unique<Timer>(m_pool.m_base, [this] {
+                if (m_exchange && !m_closed)
+                    finishAtClose();
+            });
+        m_deliveryTimer->start(deliveryCheckInterval);
+    }
+
     // On a connection that carried an earlier request, an answer without an identifier may be the answer to
     // that request, written again. The other side is known to send the identifier: the connection was kept
     // only because its earlier answers had one.
@@ -292,6 +324,7 @@
     MonotonicTime m_idleSince;
     MonotonicTime m_idleUntil;
     Milliseconds m_idleTimeout { 0 };
+    std::unique_ptr<Timer> m_deliveryTimer; // null: not needed
     bool m_keepAlive = false;
     bool m_skippingAnswer = false; // the answer being parsed belongs to another request
     bool m_strayAnswerReceived = false; // an answer to another request arrived on this connection
--- a/connection/tcpstream.cc
+++ b/connection/tcpstream.cc
@@ -5,8 +5,10 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -220,6 +222,19 @@
     stream->fail(stream->m_deferredError);
 }
 
+TcpStream::OutputState TcpStream::outputState() const
+{
+    int error = m_deferredError;
+    socklen_t length = sizeof error;
+    if (error == 0)
+        getsockopt(m_socket, SOL_SOCKET, SO_ERROR, &error, &length);
+    if (error != 0)
+        return OutputState::Failed;
+    int unacknowledged = 0;
+    ioctl(m_socket, SIOCOUTQ, &unacknowledged);
+    return pendingBytes() > 0 || unacknowledged > 0 ? OutputState::Pending : OutputState::Delivered;
+}
+
 // Reads once per wake-up: the event is level-triggered, so the remaining input wakes the loop again.
 void TcpStream::readInput()
 {
@@ -232,6 +247,9 @@
             fail(errno);
         return;
     }
+    // A reset that a write has met is not met again: the end of the input then looks orderly.
+    if (m_deferredError != 0)
+        return;
     pauseReading();
     m_ended = true;
     m_events.streamEnded();
--- a/connection/tcpstream.h
+++ b/connection/tcpstream.h
@@ -64,6 +64,14 @@
 
     // Output bytes that the socket has not accepted yet.
     std::size_t pendingBytes() const { return m_output.size() - m_outputSent + pendingSharedBytes(); }
+    // How far the output has got once the other side has closed its direction. Asks the system, and takes a
+    // pending error from it.
+    enum class OutputState {
+        Failed, // the connection was reset or timed out
+        Pending, // bytes are not sent, or not acknowledged
+        Delivered,
+    };
+    OutputState outputState() const;
     // Memory allocated for output, shared bytes excepted.
     std::size_t heldOutputBytes() const;
     bool isConnected() const { return !m_connecting; }
--- a/connection/testing/httpfaults_test.cc
+++ b/connection/testing/httpfaults_test.cc
@@ -1,4 +1,5 @@
 #include "connection/connection.h"
+#include "connection/testing/earlyanswerserver.h"
 #include "connection/testing/loop.h"
 #include "standins/scriptedserver.h"
 #include <doctest/doctest.h>
@@ -421,3 +422,53 @@
     CHECK(later.body == "ok");
     CHECK(pool.connections(first.endpoint()) == 0);
 }
+
+namespace {
+
+struct EarlyFraming {
+    const char* what;
+    std::string fields;
+    std::string body;
+    bool endsByItself;
+};
+
+const std::vector<EarlyFraming> earlyFramings {
+    { "until the close", "", "part", false },
+    { "a length", "Content-Length: 4\r\n", "part", true },
+    { "chunks", "Transfer-Encoding: chunked\r\n", "4\r\npart\r\n0\r\n\r\n", true },
+};
+
+} // namespace
+
+// Guards against a part of an answer that counts as the whole: a server answers at once, without a length,
+// and gives up while the request is still being sent. Its end looks orderly until the reset comes.
+TEST_CASE("MIXED: an answer that ends with its connection is complete only if the whole request was taken")
+{
+    for (std::size_t bodyBytes :
+        { std::size_t { 0 }, std::size_t { 20000 }, std::size_t { 200000 }, std::size_t { 16000000 } }) {
+        for (EarlyEnd end : { EarlyEnd::Reset, EarlyEnd::CloseUnread, EarlyEnd::HalfCloseThenReset,
+                 EarlyEnd::HalfCloseThenRead, EarlyEnd::ReadThenClose }) {
+            for (const EarlyFraming& framing : earlyFramings) {
+                CAPTURE(bodyBytes);
+                CAPTURE(static_cast<int>(end));
+                CAPTURE(framing.what);
+                OutgoingRequest request = requestNamed("1", std::string(bodyBytes, 'b'));
+                EarlyAnswerServer server(
+                    "HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + framing.fields + "\r\n" + framing.body, end,
+                    request.head.size() + bodyBytes);
+                Base base = makeBase();
+                HttpPool pool(base.get(), {});
+                Client client;
+                auto exchange = pool.start(server.endpoint(), request, client);
+                REQUIRE(exchange);
+                runUntil(base.get(), [&] { return client.end != End::None; });
+                // A request without a body is read at once, so that only a reset breaks its answer.
+                bool isTaken = end == EarlyEnd::HalfCloseThenRead || end == EarlyEnd::ReadThenClose
+                    || (bodyBytes == 0 && end != EarlyEnd::Reset);
+                CHECK((client.end == End::Complete) == (framing.endsByItself || isTaken));
+                if (client.end == End::Failed)
+                    CHECK(client.failure.kind == ExchangeFailureKind::Broken);
+            }
+        }
+    }
+}
