Read the names in Connection fields once for each head

Cause: the Connection field was split again for each field of the head, so that the work grew with their product. Only the first Connection field counted, which let fields through that a second one names.

Change: the names of all Connection fields are read once and sorted.

--- a/process/forwardheaders.cc
+++ b/process/forwardheaders.cc
@@ -6,7 +6,9 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace briarwharf {
 
@@ -23,16 +25,43 @@
             [name](const auto& candidate) { return equalHeaderNames(candidate, name); });
     }
 
-    // Whether the value of the Connection field lists `name`, which then concerns only this connection.
-    bool namedByConnection(std::string_view connection, std::string_view name)
+    std::string lowerCase(std::string_view text)
     {
-        while (!connection.empty()) {
-            if (equalHeaderNames(takeUntil(connection, ','), name))
-                return true;
-        }
-        return false;
+        std::string lower(text);
+        std::transform(lower.begin(), lower.end(), lower.begin(),
+            [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; });
+        return lower;
     }
 
+    // The names that a message's Connection fields list: those fields concern one connection only. They are
+    // sorted, because a caller may list as many names as its head has room for.
+    class ConnectionOptions {
+    public:
+        explicit ConnectionOptions(const HttpFields& fields)
+        {
+            for (std::size_t index = 0; index < fields.size(); ++index) {
+                HttpFields::Field field = fields.at(index);
+                if (equalHeaderNames(field.name, "Connection"))
+                    add(field.value);
+            }
+            std::sort(m_names.begin(), m_names.end());
+        }
+
+        bool contains(std::string_view name) const
+        {
+            return !m_names.empty() && std::binary_search(m_names.begin(), m_names.end(), lowerCase(name));
+        }
+
+    private:
+        void add(std::string_view list)
+        {
+            while (!list.empty())
+                m_names.push_back(lowerCase(takeUntil(list, ',')));
+        }
+
+        std::vector<std::string> m_names; // in lower case
+    };
+
     // Far more than any prompt or answer has. Sums and products of such numbers do not overflow.
     constexpr std::int64_t maxTokens = 1'000'000'000;
 
@@ -125,12 +154,12 @@
     out += ' ';
     out += caller.target;
     out += " HTTP/1.1\r\n";
-    std::string_view connection = caller.fields.find("Connection");
+    ConnectionOptions connection(caller.fields);
     for (std::size_t index = 0; index < caller.fields.size(); ++index) {
         HttpFields::Field field = caller.fields.at(index);
         bool replaced = fields.lastEvent && equalHeaderNames(field.name, headers.lastEvent);
         if (replaced || contains(connectionFields, field.name) || isSetByForwarder(headers, field.name)
-            || (!connection.empty() && namedByConnection(connection, field.name)))
+            || connection.contains(field.name))
             continue;
         appendField(out, field.name, field.value);
     }
@@ -156,14 +185,13 @@
     constexpr int firstServerError = 500;
     std::string out;
     out.reserve(512);
-    std::string_view connection = answer.fields.find("Connection");
+    ConnectionOptions connection(answer.fields);
     for (std::size_t index = 0; index < answer.fields.size(); ++index) {
         HttpFields::Field field = answer.fields.at(index);
         bool isInternal = equalHeaderNames(field.name, headers.leaving)
             || equalHeaderNames(field.name, headers.coldFor) || contains(headers.internal, field.name)
             || (answer.status >= firstServerError && equalHeaderNames(field.name, "Retry-After"));
-        if (isInternal || contains(connectionFields, field.name)
-            || (!connection.empty() && namedByConnection(connection, field.name)))
+        if (isInternal || contains(connectionFields, field.name) || connection.contains(field.name))
             continue;
         appendField(out, field.name, field.value);
     }
--- a/process/testing/forwardheaders_test.cc
+++ b/process/testing/forwardheaders_test.cc
@@ -1,7 +1,12 @@
 #include "process/forwardheaders.h"
 #include "process/promptsegments.h"
 
+#include <algorithm>
+#include <chrono>
+#include <ctime>
 #include <doctest/doctest.h>
+#include <string>
+#include <utility>
 
 using namespace briarwharf;
 
@@ -198,3 +203,68 @@
     for (const char* none : { "", "0", "-1", "nan", "soon", "1 s", "-inf" })
         CHECK_FALSE(parseColdTime(none));
 }
+
+namespace {
+
+// A head of about this size: a Connection field with short names, and as many short fields.
+HttpHead headWithOptions(std::size_t bytes)
+{
+    HttpHead head;
+    head.method = "GET";
+    head.target = "/";
+    std::string options;
+    for (std::size_t number = 0; options.size() < bytes / 2; ++number) {
+        options += "o" + std::to_string(number) + ",";
+        head.fields.add("f" + std::to_string(number), "");
+    }
+    head.fields.add("Connection", options);
+    return head;
+}
+
+// Processor time of the forwarded head, the least of a few tries.
+std::chrono::nanoseconds forwardingTime(const HttpHead& head)
+{
+    auto least = std::chrono::nanoseconds::max();
+    for (int run = 0; run < 5; ++run) {
+        timespec before {};
+        timespec after {};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &before);
+        REQUIRE(!upstreamHead(head, {}, {}, 0).empty());
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &after);
+        least = std::min(least,
+            std::chrono::nanoseconds(std::chrono::seconds(after.tv_sec - before.tv_sec))
+                + std::chrono::nanoseconds(after.tv_nsec - before.tv_nsec));
+    }
+    return least;
+}
+
+} // namespace
+
+// Guards against callers that keep the loop busy with heads of a size that is allowed: the work grew with the
+// product of the names in Connection and the fields.
+TEST_CASE("CONFIG: the work for a head grows with its size, whatever its Connection field lists")
+{
+    constexpr int sizeRatio = 16;
+    constexpr int maxWorkRatio = 4 * sizeRatio; // 256 if it grew with the square
+    auto small = forwardingTime(headWithOptions(4096));
+    auto large = forwardingTime(headWithOptions(std::size_t { sizeRatio } * 4096));
+    CHECK(large <= maxWorkRatio * small);
+}
+
+// Guards against fields that concern one connection only, and that another one gets.
+TEST_CASE("the names in all Connection fields are left out, in any case of letters")
+{
+    HttpHead head;
+    head.method = "GET";
+    head.target = "/";
+    for (auto [name, value] : { std::pair("Connection", "X-One, close"), std::pair("X-ONE", "1"),
+             std::pair("x-two", "2"), std::pair("connection", " ,X-Two"), std::pair("X-Three", "3") })
+        head.fields.add(name, value);
+    std::string forwarded = upstreamHead(head, {}, {}, 0);
+    CHECK(forwarded.find("1\r\n") == forwarded.find("1.1\r\n") + 2);
+    CHECK(forwarded.find("x-two") == std::string::npos);
+    CHECK(forwarded.find("X-Three: 3\r\n") != std::string::npos);
+    head.status = 200;
+    std::string answered = callerHeaderLines(head, {});
+    CHECK(answered == "X-Three: 3\r\n");
+}
