Bound what is kept of the segments that callers send

Cause: the estimate of an engine's cache kept an entry for each segment, bounded by the segments' tokens only.

Change: the estimates of all upstreams share about 131,072 entries (12 MB), at least 64 for each upstream. That also bounds them in a large fleet with ordinary prompts.

--- a/request/costplacement.cc
+++ b/request/costplacement.cc
@@ -240,7 +240,23 @@
     auto found = m_cacheEstimates.find(upstream);
     if (found == m_cacheEstimates.end())
         found = m_cacheEstimates.emplace(upstream, PromptCacheEstimate(cacheTokens)).first;
-    found->second.recordUse(item.segments);
+    found->second.recordUse(item.segments, maxCachedSegments());
+}
+
+// Of one upstream, so that the estimates together stay within a bound, whatever prompts callers send.
+std::size_t CostPlacement::maxCachedSegments() const
+{
+    constexpr std::size_t maxSegments = 128 * 1024; // of all upstreams, about 90 bytes each
+    constexpr std::size_t minSegments = 64; // of one upstream
+    return std::max(minSegments, maxSegments / m_cacheEstimates.size());
+}
+
+std::size_t CostPlacement::cachedSegments() const
+{
+    std::size_t segments = 0;
+    for (const auto& [upstream, estimate] : m_cacheEstimates)
+        segments += estimate.segments();
+    return segments;
 }
 
 void CostPlacement::removeUpstream(std::uint32_t upstream)
--- a/request/costplacement.h
+++ b/request/costplacement.h
@@ -139,8 +139,11 @@
     void removeUpstream(std::uint32_t upstream);
 
     const CostSettings& settings() const { return m_settings; }
+    // Entries of the estimates of what the upstreams cache.
+    std::size_t cachedSegments() const;
 
 private:
+    std::size_t maxCachedSegments() const;
     std::int64_t expectedCachedTokens(const WorkItem&, std::uint32_t upstream, std::size_t rank) const;
     std::optional<std::size_t> copySource(const WorkItem&, const std::vector<UpstreamCandidate>&,
         std::span<const std::pair<double, std::size_t>> ranked, std::size_t chosen) const;
--- a/request/partmemory.cc
+++ b/request/partmemory.cc
@@ -14,7 +14,7 @@
     return cached;
 }
 
-void PromptCacheEstimate::recordUse(const std::vector<PromptSegment>& segments)
+void PromptCacheEstimate::recordUse(const std::vector<PromptSegment>& segments, std::size_t maxSegments)
 {
     // From the last segment to the first: a segment is useless without those before it, so it must be evicted
     // before them.
@@ -27,7 +27,7 @@
         m_entries.emplace(segment->id, Entry { segment->tokens, m_order.insert(m_order.end(), segment->id) });
         m_cachedTokens += segment->tokens;
     }
-    while (m_cachedTokens > m_capacity && !m_order.empty()) {
+    while ((m_cachedTokens > m_capacity || m_entries.size() > maxSegments) && !m_order.empty()) {
         auto oldest = m_entries.find(m_order.front());
         m_cachedTokens -= oldest->second.tokens;
         m_entries.erase(oldest);
--- a/request/partmemory.h
+++ b/request/partmemory.h
@@ -18,8 +18,9 @@
 };
 
 // Estimates what an engine caches of the prompts that this instance sent to it. The least recently used
-// segments are evicted when the capacity of the engine's cache is exceeded. The engine also serves other
-// instances, whose prompts are not known here, so the estimate can differ from the real cache.
+// segments are evicted when the capacity of the engine's cache is exceeded, or when there are more of them
+// than may be kept: callers choose how many segments a prompt has, and how short they are. The engine also
+// serves other instances, whose prompts are not known here, so the estimate can differ from the real cache.
 class PromptCacheEstimate {
 public:
     explicit PromptCacheEstimate(std::int64_t capacityTokens = 0)
@@ -31,9 +32,11 @@
     // segments before it are cached.
     std::int64_t cachedTokens(const std::vector<PromptSegment>&) const;
 
-    void recordUse(const std::vector<PromptSegment>&);
+    // `maxSegments`: how many may be kept from now on.
+    void recordUse(const std::vector<PromptSegment>&, std::size_t maxSegments);
     void clear();
     std::int64_t tokens() const { return m_cachedTokens; }
+    std::size_t segments() const { return m_entries.size(); }
 
 private:
     struct Entry {
--- a/request/testing/costplacement_test.cc
+++ b/request/testing/costplacement_test.cc
@@ -228,15 +228,16 @@
     WorkItem first = chat(1, 1);
     WorkItem second = chat(2, 2);
     WorkItem third = chat(3, 3);
-    estimate.recordUse(first.segments);
-    estimate.recordUse(second.segments);
+    constexpr std::size_t manySegments = 1000;
+    estimate.recordUse(first.segments, manySegments);
+    estimate.recordUse(second.segments, manySegments);
     CHECK(estimate.cachedTokens(first.segments) == 11812);
-    estimate.recordUse(third.segments);
+    estimate.recordUse(third.segments, manySegments);
     CHECK(estimate.tokens() <= 25000);
     CHECK(estimate.cachedTokens(third.segments) == 11812);
     CHECK(estimate.cachedTokens(first.segments) <= 512);
     PromptCacheEstimate withoutFirstSegment(100000);
-    withoutFirstSegment.recordUse({ first.segments[1] });
+    withoutFirstSegment.recordUse({ first.segments[1] }, manySegments);
     CHECK(withoutFirstSegment.cachedTokens(first.segments) == 0);
 }
 
@@ -328,3 +329,35 @@
     }
     CHECK(toCold < 200);
 }
+
+// Guards against prompts that bring a machine over its memory: each new segment kept an entry, as long as the
+// segments' tokens fit into the engine's cache.
+TEST_CASE("FAULT: what is kept of prompts is bounded, however many segments they have and however short")
+{
+    constexpr std::size_t maxKept = 300000; // at 90 bytes a quarter of the smallest machine's memory, 112 MB
+    for (std::int64_t tokens : { 0, 1 }) {
+        for (std::uint32_t upstreams : { 1U, 12U, 600U }) {
+            CAPTURE(tokens);
+            CAPTURE(upstreams);
+            CostPlacement placement((CostSettings()));
+            std::uint64_t segment = 0;
+            for (int prompt = 0; prompt < 2000; ++prompt) {
+                WorkItem item;
+                for (int part = 0; part < 1000; ++part)
+                    item.segments.push_back({ ++segment, tokens });
+                placement.recordPlacement(item, static_cast<std::uint32_t>(prompt) % upstreams, 697428);
+            }
+            CHECK(placement.cachedSegments() <= maxKept);
+        }
+    }
+}
+
+TEST_CASE("a prompt's first segments are kept longest when there are too many")
+{
+    PromptCacheEstimate estimate(100000);
+    std::vector<PromptSegment> segments { { 1, 10 }, { 2, 10 }, { 3, 10 }, { 4, 10 } };
+    estimate.recordUse(segments, 2);
+    CHECK(estimate.segments() == 2);
+    CHECK(estimate.cachedTokens(segments) == 20);
+    CHECK(estimate.tokens() == 20);
+}
