--- a/connection/httpstore.h
+++ b/connection/httpstore.h
@@ -29,7 +29,7 @@
     bool leaving = false;
 };
 
-// Totals since the start. Bytes are those of requests and of answers' bodies.
+// Totals since the start. Bytes are those of requests, and of the fields and bodies of answers.
 struct HttpStoreCounters {
     std::uint64_t reads = 0;
     std::uint64_t creates = 0;
--- a/connection/testing/brokenanswers_test.cc
+++ b/connection/testing/brokenanswers_test.cc
@@ -2,6 +2,7 @@
 #include "connection/testing/brokenanswers.h"
 #include <doctest/doctest.h>
 #include <string>
+#include <vector>
 
 using namespace briarwharf;
 
@@ -52,22 +53,22 @@
 // Guards against a check that refuses what servers may send.
 TEST_CASE("answers in less common forms are read")
 {
-    for (const std::string bytes : {
-             "HTTP/1.1 200 \r\nContent-Length: 5\r\n\r\nbytes",
-             "HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nbytes",
-             "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nbytes",
-             "HTTP/1.0 200 OK\r\n\r\nbytes",
-             "HTTP/1.1 599 Some Error\r\nContent-Length:5\r\n\r\nbytes",
-             "HTTP/1.1 200 \xc3\x84rger\tja\r\nContent-Length: \t5  \r\n\r\nbytes",
-             "HTTP/1.1 200 OK\nContent-Length: 5\n\nbytes",
-             "\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nbytes",
-             "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09aZ: \xc3\xa4\t:\r\nX:\r\nContent-Length: 5\r\n\r\nbytes",
-             "HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n05;a=\"b\"\r\nbytes\r\n0\r\nX-One: "
-             "1\r\n\r\n",
-             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2 \r\nby\r\n3\r\ntes\r\n000;x\r\n\r\n",
-             "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
-             "Content-Length: 5\r\n\r\nbytes",
-         }) {
+    const std::vector<std::string> answers {
+        "HTTP/1.1 200 \r\nContent-Length: 5\r\n\r\nbytes",
+        "HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nbytes",
+        "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nbytes",
+        "HTTP/1.0 200 OK\r\n\r\nbytes",
+        "HTTP/1.1 599 Some Error\r\nContent-Length:5\r\n\r\nbytes",
+        "HTTP/1.1 200 \xc3\x84rger\tja\r\nContent-Length: \t5  \r\n\r\nbytes",
+        "HTTP/1.1 200 OK\nContent-Length: 5\n\nbytes",
+        "\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nbytes",
+        "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09aZ: \xc3\xa4\t:\r\nX:\r\nContent-Length: 5\r\n\r\nbytes",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n05;a=\"b\"\r\nbytes\r\n0\r\nX: 1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2 \r\nby\r\n3\r\ntes\r\n000;x\r\n\r\n",
+        std::string("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n")
+            + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nbytes",
+    };
+    for (const std::string& bytes : answers) {
         for (std::size_t pieceBytes : { std::size_t { 1 }, std::size_t { 3 }, std::size_t { 4096 } }) {
             CAPTURE(bytes);
             HttpParser parser(HttpParser::Kind::Answer, maxHead);
--- a/process/testing/decoders.h
+++ b/process/testing/decoders.h
@@ -72,8 +72,8 @@
     require(atOnce == bytewise);
 }
 
-// HTTP messages and event streams. The result must not depend on how the bytes are split. Whatever is reported
-// as a message must be one in the protocol.
+// HTTP messages and event streams. The result must not depend on how the bytes are split. Whatever is
+// reported as a message must be one in the protocol.
 inline void exerciseHttp(std::string_view bytes)
 {
     struct Collected : HttpMessageSink {
