--- a/connection/httpmessage.cc
+++ b/connection/httpmessage.cc
@@ -283,9 +283,8 @@
     m_firstLineDone = piece.back() == '\n';
 }
 
-// http_parser takes any byte for the line feed
-// after the carriage return of some lines, and would lose the first byte of an answer that follows a head
-// without its last byte.
+// http_parser takes any byte for the line feed after the carriage return of some lines, and would lose the
+// first byte of an answer that follows a head without its last byte.
 bool HttpParser::takeLineEnd(std::string_view piece)
 {
     if (m_carriageReturnPending && piece.front() != '\n')
