Take placeholders that nobody rendered for values that are not stated

Cause (of one way to that): the daemon ends with status 2 at a placeholder or a section of the template that is left in the file or in an option.

Change: a placeholder left in the value of a key with a default, and a whole section, leave the default and are reported. In place of a required value, or if a section does not end, the error names them. memory_mb and max_fds accept what large machines state. Ruled out: ignoring all lines that cannot be read, which would hide misspelt keys.

--- a/process/settings.cc
+++ b/process/settings.cc
@@ -1,6 +1,7 @@
 #include "process/settings.h"
 
 #include "base/number.h"
+#include "process/unrendered.h"
 #include <algorithm>
 #include <cmath>
 #include <cstring>
@@ -279,14 +280,14 @@
             { "limits", "max_connections", "Maximum number of open connections from callers, 1 to 100000.",
                 "10000", false, integer(&S::limits, &S::Limits::maxConnections, 1, 100000) },
             { "limits", "memory_mb",
-                "Memory of the machine, 64 to 65536; empty or 0 if it is not stated. The memory budget "
+                "Memory of the machine, 64 to 16777216; empty or 0 if it is not stated. The memory budget "
                 "follows "
                 "from it.",
-                "256", false, statedInteger(&S::limits, &S::Limits::memoryMb, 64, 65536) },
+                "256", false, statedInteger(&S::limits, &S::Limits::memoryMb, 64, 16777216) },
             { "limits", "max_fds",
-                "File descriptors of the process, 512 to 1000000; empty or 0 if they are not stated. They "
+                "File descriptors of the process, 512 to 2147483647; empty or 0 if they are not stated. They "
                 "may lower max_connections and limit the connections to upstreams.",
-                "0", false, statedInteger(&S::limits, &S::Limits::maxFds, 512, 1000000) },
+                "0", false, statedInteger(&S::limits, &S::Limits::maxFds, 512, 2147483647) },
             { "limits", "max_answer_bytes",
                 "Maximum size of an answer that is not streamed, 1024 to 268435456.", "16777216", false,
                 integer(&S::limits, &S::Limits::maxAnswerBytes, 1024, 256 * mebibyte) },
@@ -344,12 +345,11 @@
         int line = 0;
         Settings settings;
         std::set<const Key*> seen;
+        LeftSections leftSections;
         std::vector<std::string> problems;
 
-        void report(const std::string& problem)
-        {
-            problems.push_back(file + ":" + std::to_string(line) + ": " + problem);
-        }
+        std::string at() const { return file + ":" + std::to_string(line) + ": "; }
+        void report(const std::string& problem) { problems.push_back(at() + problem); }
     };
 
     char* readLine(char* buffer, int size, void* stream)
@@ -360,6 +360,13 @@
         ++parse->line;
         std::size_t end = parse->rest.find('\n');
         std::size_t length = end == std::string_view::npos ? parse->rest.size() : end + 1;
+        if (parse->leftSections.skips(parse->rest.substr(0, length))) {
+            if (auto section = parse->leftSections.begun())
+                parse->settings.unrendered.push_back(parse->at() + "section " + *section);
+            parse->rest.remove_prefix(length);
+            std::strcpy(buffer, "\n");
+            return buffer;
+        }
         std::size_t copied = std::min(length, static_cast<std::size_t>(size - 1));
         if (copied < length)
             parse->report("line is longer than " + std::to_string(size - 2) + " characters: shorten it");
@@ -384,6 +391,24 @@
         return path + " = \"" + value + "\" is not allowed: give " + allowed;
     }
 
+    // Stores a value, or returns what is wrong with it. A placeholder that is left in the value of a key with
+    // a default means that the value is not stated: whoever rendered the template does not know it.
+    std::string assign(ParseState& parse, const Key& key, const std::string& path, const std::string& value,
+        const std::string& place)
+    {
+        auto placeholder = leftPlaceholder(value);
+        if (placeholder && !key.required) {
+            parse.settings.unrendered.push_back(place + path + " = " + *placeholder);
+            return {};
+        }
+        parse.seen.insert(&key);
+        if (placeholder)
+            return path + " holds the placeholder " + *placeholder
+                + ", which was not filled in: render the template with this value, or write the value";
+        std::string allowed = key.assign(parse.settings, value);
+        return allowed.empty() ? std::string() : notAllowed(path, value, allowed);
+    }
+
     int handleValue(void* user, const char* section, const char* name, const char* value)
     {
         auto* parse = static_cast<ParseState*>(user);
@@ -393,13 +418,13 @@
             parse->report(unknownKey(path));
             return 1;
         }
-        if (!parse->seen.insert(key).second) {
+        if (parse->seen.count(key)) {
             parse->report(path + " is set twice: remove one of the lines");
             return 1;
         }
-        std::string allowed = key->assign(parse->settings, value);
-        if (!allowed.empty())
-            parse->report(notAllowed(path, value, allowed));
+        std::string problem = assign(*parse, *key, path, value, parse->at());
+        if (!problem.empty())
+            parse->report(problem);
         return 1;
     }
 
@@ -413,10 +438,9 @@
         }
         if (given.value.empty())
             return;
-        parse.seen.insert(key);
-        std::string allowed = key->assign(parse.settings, given.value);
-        if (!allowed.empty())
-            parse.problems.push_back(notAllowed(path, given.value, allowed));
+        std::string problem = assign(parse, *key, path, given.value, {});
+        if (!problem.empty())
+            parse.problems.push_back(problem);
     }
 
     void checkRequiredKeys(ParseState& parse)
@@ -460,6 +484,8 @@
         parse.line = firstBadLine;
         parse.report("is neither a section, a \"key = value\" nor a comment: correct the line");
     }
+    if (auto section = parse.leftSections.open())
+        parse.report("the section " + *section + " of the template does not end: render the template");
     for (const SettingsOverride& given : source.overrides)
         applyOverride(given, parse);
     checkRequiredKeys(parse);
--- a/process/settings.h
+++ b/process/settings.h
@@ -91,6 +91,9 @@
     struct Log {
         std::string level = "info";
     } log;
+
+    // Values and sections of the template that were left unrendered and keep their defaults, one text each.
+    std::vector<std::string> unrendered;
 };
 
 // A value from the command line, which goes before that of the file.
