Start from a process that closes its standard streams or blocks signals

A daemon whose parent blocks signals never ends on SIGTERM: a planned stop takes until SIGKILL, and all its requests in progress are lost. A daemon whose standard streams are closed gives their descriptors to its first sockets, to which the log is then written.

Change: the daemon unblocks signals and opens /dev/null in place of closed streams before all else; without an event loop it ends with a message in place of a signal 11. The rig of hostile_test ends a daemon that does not become ready; it stayed before.

--- a/base/base.h
+++ b/base/base.h
@@ -15,6 +15,7 @@
 #include "base/endpoint.h"
 #include "base/error.h"
 #include "base/hash.h"
+#include "base/inherited.h"
 #include "base/json.h"
 #include "base/jsonscan.h"
 #include "base/log.h"
--- a/daemon/briarwharfd_main.cc
+++ b/daemon/briarwharfd_main.cc
@@ -68,10 +68,15 @@
 
 int run(const Settings& settings, const SettingsSource& source)
 {
+    unblockSignals();
     ignoreBrokenPipes();
     configureAllocator();
     installCrashReport();
     std::unique_ptr<event_base, BaseDeleter> base(event_base_new());
+    if (!base) {
+        std::cerr << "briarwharfd: cannot create an event loop: raise the limits of memory and open files\n";
+        return exitCannotStart;
+    }
     if (settings.directory.source == "platform") {
         configureLogging(settings.log.level, LogFlush::Buffered);
         return runForwarding(base.get(), settings, source);
@@ -142,6 +147,8 @@
         return exitUsage;
     }
     if (arguments.count("check")) {
+        for (const std::string& value : settings.value().unrendered)
+            std::cerr << "briarwharfd: left unrendered, keeps its default: " << value << "\n";
         std::cout << "settings are valid\n";
         return 0;
     }
@@ -152,6 +159,7 @@
 
 int main(int argc, char** argv)
 {
+    openClosedStandardStreams();
     try {
         return runWithArguments(argc, argv);
     } catch (const options::error& error) {
--- a/hostile/testing/rig.cc
+++ b/hostile/testing/rig.cc
@@ -137,11 +137,17 @@
     m_store.put("servers", "i-1", platform::encodeUpstream(upstream));
     m_store.put("config", "main", platform::encodeRouting(routing()));
     writeSettings(options, m_store.listen().value());
-    startDaemon();
-    waitUntilReady();
+    m_store.faults().delay = options.storeDelay;
+    startDaemon(options);
+    if (waitUntilReady())
+        return;
+    endDaemon(); // the destructor of a rig that was not constructed does not run
+    FAIL("the daemon did not become ready");
 }
 
-HostileRig::~HostileRig()
+HostileRig::~HostileRig() { endDaemon(); }
+
+void HostileRig::endDaemon()
 {
     if (isAlive()) {
         kill(m_pid, SIGKILL);
@@ -162,7 +168,7 @@
          << "\nmemory_mb = " << options.memoryMb << "\n";
 }
 
-void HostileRig::startDaemon()
+void HostileRig::startDaemon(const Options& options)
 {
     std::string settings = m_folder + "/entry.ini";
     std::string log = m_folder + "/entry.log";
@@ -173,19 +179,21 @@
     int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(output, STDOUT_FILENO);
     dup2(output, STDERR_FILENO);
+    if (options.prepare)
+        options.prepare();
     execl(daemonPath().c_str(), daemonPath().c_str(), settings.c_str(), nullptr);
     _exit(127);
 }
 
-void HostileRig::waitUntilReady()
+bool HostileRig::waitUntilReady()
 {
     constexpr int tries = 100;
     for (int attempt = 0; attempt < tries; ++attempt) {
         run(Milliseconds(100));
         if (call("GET", "/ordinary/") == 200)
-            return;
+            return true;
     }
-    FAIL("the daemon did not become ready");
+    return false;
 }
 
 void HostileRig::run(Milliseconds duration)
@@ -248,12 +256,22 @@
     return statusOf(caller);
 }
 
-int HostileRig::checkHealth()
+int HostileRig::checkAdmin(const std::string& path)
 {
-    ScriptedCaller caller(m_base.get(), m_admin, { .opening = fullRequest("GET", "/healthz", {}) });
+    ScriptedCaller caller(m_base.get(), m_admin, { .opening = fullRequest("GET", path, {}) });
     return statusOf(caller);
 }
 
+void HostileRig::signal(int number) { kill(m_pid, number); }
+
+bool HostileRig::waitForEnd()
+{
+    constexpr int steps = 100;
+    for (int step = 0; step < steps && isAlive(); ++step)
+        run(Milliseconds(100));
+    return !isAlive();
+}
+
 std::size_t HostileRig::callTogether(std::size_t requests, const std::string& body)
 {
     std::list<ScriptedCaller> callers;
--- a/hostile/testing/rig.h
+++ b/hostile/testing/rig.h
@@ -61,6 +61,10 @@
     struct Options {
         int memoryMb = 112; // of the machine
         int maxConnections = 1500;
+        // Runs in the daemon's process before its program begins; only with functions that are safe after
+        // fork().
+        void (*prepare)() = nullptr;
+        Milliseconds storeDelay { 0 }; // before each answer of the store
     };
     explicit HostileRig(const Options&);
     ~HostileRig(); // ends the daemon, by its process id
@@ -73,7 +77,12 @@
     // Sends one request and returns the status of its answer; 0: none came in time.
     int call(const std::string& method, const std::string& target, const std::string& body = {});
     // Status of the answer to a health check; 0: none came in time.
-    int checkHealth();
+    int checkHealth() { return checkAdmin("/healthz"); }
+    int checkAdmin(const std::string& path);
+    // Sends the signal to the daemon.
+    void signal(int number);
+    // Runs until the daemon has ended, for 10 s at most. Returns whether it has.
+    bool waitForEnd();
     // Starts requests with this body at once and returns how many were answered with 200.
     std::size_t callTogether(std::size_t requests, const std::string& body);
     void run(Milliseconds);
@@ -87,8 +96,9 @@
 
 private:
     void writeSettings(const Options&, const Endpoint& store);
-    void startDaemon();
-    void waitUntilReady();
+    void startDaemon(const Options&);
+    void endDaemon();
+    bool waitUntilReady();
     int statusOf(ScriptedCaller&);
     std::string fullRequest(const std::string& method, const std::string& target, const std::string& body);
 
