Say in the ready answer and in the metrics what an instance lacks

Cause: the answer was the same for every missing condition, and the metrics had one gauge for all. An installation that applies none of deploy/wire.toml asks at /readiness and got 404.

Change: process/readiness.*: the body names each missing condition and the last failure of the source's call, or what is wrong with the configuration; one gauge for each condition. The source names the platform's own path, which is answered like /readyz.

--- a/process/directorysource.h
+++ b/process/directorysource.h
@@ -41,6 +41,14 @@
     std::uint64_t unusableEntries = 0; // each counted once for each of its revisions
 };
 
+// Why the latest read of a part of the directory did not succeed or could not be used; empty: it did, and
+// could.
+struct DirectoryProblems {
+    std::string routing;
+    std::string upstreams;
+    std::string evacuations;
+};
+
 // Supplies the configuration of forwarded routes, the list of upstreams and the list of instances from the
 // interfaces of one platform.
 class DirectorySource {
@@ -73,6 +81,9 @@
     virtual Result<RoutingConfig> decodeRouting(std::string_view document) const = 0;
 
     virtual bool reachable() const = 0;
+    virtual DirectoryProblems problems() const { return {}; }
+    // The path at which the platform queries readiness, besides /readyz; empty: no other one.
+    virtual std::string_view readinessPath() const { return {}; }
     virtual DirectoryCounters counters() const = 0;
 };
 
--- a/process/forwarddaemon.h
+++ b/process/forwarddaemon.h
@@ -5,6 +5,7 @@
 #include "process/forwarder.h"
 #include "process/peermesh.h"
 #include "process/quarantinearchive.h"
+#include "process/readiness.h"
 #include "process/settings.h"
 #include <memory>
 #include <optional>
@@ -40,6 +41,7 @@
     std::uint16_t callerPort() const { return m_callerPort; }
     std::uint16_t adminPort() const { return m_adminPort; }
     bool isReady() const { return m_forwarder.isReady() && !m_stopping; }
+    Readiness readiness() const;
     const Forwarder& forwarder() const { return m_forwarder; }
     const PeerMesh& mesh() const { return m_mesh; }
 
--- a/process/forwarder.h
+++ b/process/forwarder.h
@@ -109,9 +109,11 @@
     void setBudget(const FleetRetryBudgetSettings& settings) { m_budget.setSettings(settings); }
     void setHedging(const HedgeSettings& settings) { m_hedging.setSettings(settings); }
 
-    bool hasRoutingAndUpstreams() const { return m_routing && m_directoryRevision > 0; }
+    bool hasUpstreamList() const { return m_directoryRevision > 0; }
+    bool hasRoutingAndUpstreams() const { return m_routing && hasUpstreamList(); }
+    bool knowsEvacuatedDomains() const { return !m_awaitsEvacuatedDomains; }
     // Whether a configuration, a list of upstreams and, if awaited, the evacuated domains are in force.
-    bool isReady() const { return hasRoutingAndUpstreams() && !m_awaitsEvacuatedDomains; }
+    bool isReady() const { return hasRoutingAndUpstreams() && knowsEvacuatedDomains(); }
     bool isEvacuated(const UpstreamEntry& entry) const
     {
         return m_evacuatedDomains.count(entry.failureDomain) == 1;
--- a/process/testing/forward_test.cc
+++ b/process/testing/forward_test.cc
@@ -71,7 +71,11 @@
     auto answer = fixture.call(daemon, "/read/x");
     CHECK(answer->head.status == 503);
     CHECK(answer->head.fields.has("Retry-After"));
-    CHECK(fixture.admin(daemon, "/readyz")->head.status == 503);
+    auto ready = fixture.admin(daemon, "/readyz");
+    CHECK(ready->head.status == 503);
+    CHECK(ready->body.find("missing: routing") != std::string::npos);
+    CHECK(ready->body.find("missing: upstreams") != std::string::npos);
+    CHECK(fixture.admin(daemon, "/metrics")->body.find("briarwharf_ready_routing 0\n") != std::string::npos);
     CHECK(fixture.admin(daemon, "/healthz")->head.status == 200);
 }
 
