Serve and refuse requests as RFC 9110 and 9112 say

Seen from outside on: a target in absolute form gets 404; two Host fields are served for the first; HTTP/1.0 with chunks is served, and so is the next request on that connection. The table made of these found more: Connection: Upgrade (clients that offer h2c) gets 400; several spaces in the request line, other protocols' names, missing and malformed Hosts, bytes that no URI has and broken percent encodings are accepted; callers of HTTP/1.0 get 100 Continue; OPTIONS * gets 404.

Cause: http_parser reads request lines leniently as Debian builds it, and nothing behind it checked target and Host.

Change: connection/requesttarget.* reads the forms of a target; HttpParser requires one valid Host (callers' HTTP/1.1 requests), checks the request line byte by byte, and takes chunks in HTTP/1.0 for an error. Offers to change the protocol are not taken up. Unsupported methods get 501. Ruled out: requiring Host on the admin interface, where simple health checks ask.

--- a/connection/httpmessage.cc
+++ b/connection/httpmessage.cc
@@ -1,6 +1,7 @@
 #include "connection/httpmessage.h"
 
 #include "base/number.h"
+#include "connection/requesttarget.h"
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -26,6 +27,8 @@
     // "HTTP/1.1 200", and the byte after it.
     constexpr std::size_t statusLineBytes = 13;
 
+    constexpr std::size_t versionBytes = 8; // of "HTTP/1.1"
+
     // Whether the beginning of a status line has a version of this protocol and a status from 100 to 599.
     // http_parser also takes statuses of fewer digits, leading zeros and up to 999.
     bool isStatusLine(std::string_view line)
@@ -131,6 +134,18 @@
     m_entries.push_back(entry);
 }
 
+void HttpFields::set(std::string_view name, std::string_view value)
+{
+    HttpFields fields;
+    for (std::size_t index = 0; index < size(); ++index) {
+        Field field = at(index);
+        if (!equalHeaderNames(field.name, name))
+            fields.add(field.name, field.value);
+    }
+    fields.add(name, value);
+    *this = std::move(fields);
+}
+
 void HttpFields::clear()
 {
     m_bytes.clear();
@@ -187,6 +202,8 @@
 {
     m_head = HttpHead {};
     m_firstLine.clear();
+    m_firstLineEnd.clear();
+    m_firstLineBytes = 0;
     m_reason.clear();
     m_firstLineDone = false;
     m_valueSeen = true;
@@ -221,7 +238,10 @@
         return 0;
     }
     std::size_t used = http_parser_execute(&m_parser, &callbacks(), piece.data(), piece.size());
-    m_failed = HTTP_PARSER_ERRNO(&m_parser) != HPE_OK || m_parser.upgrade != 0;
+    // A request to change the protocol may be served as an ordinary one (RFC 9110, section 7.8).
+    bool changesProtocol
+        = m_parser.upgrade != 0 && (m_kind == Kind::Answer || m_parser.method == HTTP_CONNECT);
+    m_failed = HTTP_PARSER_ERRNO(&m_parser) != HPE_OK || changesProtocol;
     bool isEmpty = m_head.framing == BodyFraming::None
         || (m_head.framing == BodyFraming::Length && m_head.contentLength == 0);
     if (m_headDone && !m_failed && isEmpty)
@@ -280,6 +300,9 @@
         return;
     if (m_firstLine.size() < statusLineBytes)
         m_firstLine += piece.substr(start, statusLineBytes - m_firstLine.size());
+    m_firstLineBytes += piece.size() - start;
+    m_firstLineEnd += piece.substr(piece.size() - std::min(piece.size() - start, versionBytes + 2));
+    m_firstLineEnd.erase(0, m_firstLineEnd.size() - std::min(m_firstLineEnd.size(), versionBytes + 2));
     m_firstLineDone = piece.back() == '\n';
 }
 
@@ -294,6 +317,15 @@
     return at == std::string_view::npos || m_carriageReturnPending || piece[at + 1] == '\n';
 }
 
+bool HttpParser::hasUnsupportedMethod() const
+{
+    if (!m_failed || m_kind != Kind::Request || m_headDone)
+        return false;
+    std::string_view method = std::string_view(m_firstLine).substr(0, m_firstLine.find(' '));
+    bool isKnown = HTTP_PARSER_ERRNO(&m_parser) != HPE_INVALID_METHOD && method != "CONNECT";
+    return !isKnown && method.size() < m_firstLine.size() && isToken(method);
+}
+
 bool HttpParser::feedEnd(HttpMessageSink& sink)
 {
     if (m_failed || m_complete || !m_headDone || m_head.framing != BodyFraming::UntilClose)
@@ -404,6 +436,42 @@
     return !isJoinedHead();
 }
 
+// Whether the parts are separated by one space each, and the version is one of this protocol. http_parser
+// takes more spaces, and other names of protocols.
+bool HttpParser::isRequestLine() const
+{
+    std::string_view version = m_firstLineEnd;
+    version = version.substr(0, version.find_last_not_of("\r\n") + 1);
+    std::size_t endBytes = m_firstLineEnd.size() - version.size();
+    version.remove_prefix(version.size() - std::min(version.size(), versionBytes));
+    std::size_t partBytes = m_head.method.size() + m_head.target.size() + versionBytes;
+    return version.starts_with("HTTP/1.") && m_firstLineBytes == partBytes + 2 + endBytes;
+}
+
+// Returns false if the target or the Host field is not valid.
+bool HttpParser::readTarget()
+{
+    std::optional<std::string_view> host;
+    for (std::size_t index = 0; index < m_head.fields.size(); ++index) {
+        HttpFields::Field field = m_head.fields.at(index);
+        if (!equalHeaderNames(field.name, "Host"))
+            continue;
+        if (host)
+            return false;
+        host = trimEnd(field.value);
+    }
+    bool lacksHost = !host && m_requiresHost && m_head.minorVersion > 0;
+    if (lacksHost || (host && !isHostValue(*host)))
+        return false;
+    auto target = parseRequestTarget(m_head.method, m_head.target);
+    if (!target)
+        return false;
+    if (!target->authority.empty())
+        m_head.fields.set("Host", target->authority);
+    m_head.target = std::move(target->path);
+    return true;
+}
+
 // Returns false if the fields do not say in one way only where the body ends.
 bool HttpParser::readFraming()
 {
@@ -422,6 +490,12 @@
     }
     if (coding && !equalHeaderNames(*coding, "chunked"))
         return false;
+    // HTTP/1.0 has no chunks: something between has passed on a coding that it does not know (RFC 9112, 6.1).
+    if (coding && m_head.minorVersion == 0) {
+        if (m_kind == Kind::Request)
+            return false;
+        m_head.keepAlive = false;
+    }
     auto bytes = length ? parseNumber<std::uint64_t>(*length) : std::nullopt;
     if (length && !bytes)
         return false;
@@ -449,7 +523,10 @@
         m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
     else
         m_head.status = static_cast<int>(m_parser.status_code);
+    m_head.minorVersion = m_parser.http_minor;
     m_head.keepAlive = http_should_keep_alive(&m_parser) != 0;
+    if (m_kind == Kind::Request && !(isRequestLine() && readTarget()))
+        return failed;
     if (!readFraming())
         return failed;
     m_headDone = true;
--- a/connection/httpmessage.h
+++ b/connection/httpmessage.h
@@ -33,6 +33,8 @@
     bool has(std::string_view name) const;
 
     void add(std::string_view name, std::string_view value);
+    // Replaces all fields with that name by one, which comes last.
+    void set(std::string_view name, std::string_view value);
     void clear();
 
     // Memory allocated for the fields.
@@ -62,7 +64,8 @@
 // The start line and header lines of a message.
 struct HttpHead {
     std::string method; // requests
-    std::string target; // requests: path and query
+    std::string target; // requests: path and query, or "*" for OPTIONS
+    int minorVersion = 1; // of HTTP/1
     int status = 0; // answers
     HttpFields fields;
     BodyFraming framing = BodyFraming::None;
@@ -98,7 +101,8 @@
 // (one request hidden in another), and because bytes that a faulty server wrote by mistake are no answer. So
 // is a status that is not three digits from 100 to 599, and an answer's head in which another one begins: a
 // faulty server wrote a part of an earlier answer before it, and fields of one answer would count with the
-// status of the other.
+// status of the other. Of a request, the target must be valid, and the Host field in it at most once; a
+// target in absolute form is split into target and Host.
 //
 // http_parser reads the head, with further checks here, since it is lenient as Debian builds it; the body is
 // read here.
@@ -131,11 +135,16 @@
     // Whether the answers end with their head, whatever their fields say: they answer a HEAD request.
     void expectNoBody(bool expected) { m_expectsNoBody = expected; }
 
+    // Whether an HTTP/1.1 request without a Host field is an error.
+    void requireHost(bool required) { m_requiresHost = required; }
+
     // Takes effect at once, also in the middle of a head.
     void setMaxHeadBytes(std::size_t bytes) { m_maxHeadBytes = bytes; }
     std::size_t maxHeadBytes() const { return m_maxHeadBytes; }
 
     bool failed() const { return m_failed; }
+    // Whether it failed at a request whose method is valid, but not supported.
+    bool hasUnsupportedMethod() const;
     bool headTooLarge() const { return m_headTooLarge; }
     bool complete() const { return m_complete; }
     // Whether any byte of the message has been parsed.
@@ -164,6 +173,8 @@
     void extendName(std::string_view);
     void extendValue(std::string_view);
     bool checkHead();
+    bool isRequestLine() const;
+    bool readTarget();
     bool readFraming();
     int finishHead();
     void finishMessage();
@@ -178,6 +189,8 @@
     std::size_t m_bytesWithoutBody = 0; // since the message began or the last byte of its body
     HttpHead m_head;
     std::string m_firstLine; // its beginning, up to the reason phrase of an answer
+    std::string m_firstLineEnd; // the version and line end of a request
+    std::size_t m_firstLineBytes = 0;
     std::string m_reason; // the answer's reason phrase
     std::uint64_t m_bodyLeft = 0; // with BodyFraming::Length
     ChunkDecoder m_chunks; // with BodyFraming::Chunked
@@ -192,6 +205,7 @@
     bool m_lineBegins = true; // the next byte is the first one of a line
     bool m_carriageReturnPending = false; // the last byte of the head so far is a carriage return
     bool m_expectsNoBody = false;
+    bool m_requiresHost = false;
     bool m_bodyReceived = false; // in the current call of feed()
 };
 
--- a/connection/ingress.h
+++ b/connection/ingress.h
@@ -24,6 +24,7 @@
     Milliseconds headTimeout { 5000 }; // from the first byte of a request to the end of its head
     Milliseconds idleTimeout { 75000 }; // for a connection between two requests
     std::size_t maxConnections = 3000; // beyond it, unused connections or the new one are closed
+    bool requiresHost = false; // refuse HTTP/1.1 requests without a Host field
     // Limit of the memory budget, if the constructor gets none.
     std::size_t maxBufferedBytes = 48 * 1024 * 1024;
 };
--- a/connection/ingressconnection.cc
+++ b/connection/ingressconnection.cc
@@ -193,7 +193,7 @@
         m_bodyTooLarge = true;
         return;
     }
-    if (equalHeaderNames(head.fields.find("Expect"), "100-continue"))
+    if (head.minorVersion > 0 && equalHeaderNames(head.fields.find("Expect"), "100-continue"))
         m_stream->write("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
@@ -282,6 +282,8 @@
         return refuseOverloaded();
     if (m_parser.headTooLarge())
         return refuse(431, "the header lines are over the limit of this deployment: send fewer");
+    if (m_parser.hasUnsupportedMethod())
+        return refuse(501, "the method is not supported: use one that HTTP defines");
     if (m_parser.failed())
         return refuse(400, "the request is not valid HTTP/1.1: correct its syntax");
     if (!m_parser.complete())
@@ -297,6 +299,7 @@
 {
     const IngressLimits& limits = m_ingress.m_limits;
     bool begins = !m_parser.started();
+    m_parser.requireHost(limits.requiresHost);
     if (begins || limits.maxHeadBytes > m_parser.maxHeadBytes())
         m_parser.setMaxHeadBytes(limits.maxHeadBytes);
     if (begins || limits.maxBodyBytes > m_maxBodyBytes)
@@ -323,6 +326,8 @@
     m_keepAlive = request.head.keepAlive;
     m_answersHead = request.head.method == "HEAD";
     countHeld();
+    if (request.head.target == "*")
+        return answer(200, "Allow: GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS\r\n", {});
     m_ingress.m_handler(std::move(request), *this);
 }
 
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -117,6 +117,7 @@
         limits.maxHeadBytes = static_cast<std::size_t>(settings.limits.maxHeaderBytes);
         limits.maxBodyBytes = static_cast<std::size_t>(settings.limits.maxBodyBytes);
         limits.maxConnections = maxCallerConnections(settings);
+        limits.requiresHost = true;
         return limits;
     }
 
