Listen for peers without options that the system may refuse

Cause: libevent's listener sets SO_KEEPALIVE on the listening socket of the peers' links and fails if that is refused.

Change: the peers' links use TcpListener, as callers and the admin interface do; it now takes IPv6 addresses, and its errors name the system's reason. A copy of toTimeval() is gone.

--- a/connection/ingress.cc
+++ b/connection/ingress.cc
@@ -1,5 +1,6 @@
 #include "connection/ingress.h"
 
+#include "base/hash.h"
 #include "base/log.h"
 #include "connection/ingressconnection.h"
 #include <algorithm>
@@ -21,6 +22,20 @@
 
     constexpr Milliseconds overloadLogInterval { 1000 };
 
+    // The caller's address; of IPv6 a hash of the network's part, as a host has many addresses in its network.
+    std::uint32_t sourceOf(int socket)
+    {
+        sockaddr_storage name {};
+        socklen_t length = sizeof name;
+        getpeername(socket, reinterpret_cast<sockaddr*>(&name), &length);
+        if (name.ss_family != AF_INET6)
+            return ntohl(reinterpret_cast<const sockaddr_in&>(name).sin_addr.s_addr);
+        constexpr std::size_t networkBytes = 8;
+        const auto& address = reinterpret_cast<const sockaddr_in6&>(name).sin6_addr;
+        std::string_view network(reinterpret_cast<const char*>(address.s6_addr), networkBytes);
+        return static_cast<std::uint32_t>(hash64(network));
+    }
+
 } // namespace
 
 Ingress::Ingress(
@@ -71,10 +86,7 @@
 
 void Ingress::accept(int socket)
 {
-    sockaddr_in name {};
-    socklen_t length = sizeof name;
-    getpeername(socket, reinterpret_cast<sockaddr*>(&name), &length);
-    Source source = ntohl(name.sin_addr.s_addr);
+    Source source = sourceOf(socket);
     if (!makeRoomFor(source)) {
         ++m_counters.refused;
         ::close(socket);
--- a/connection/peerlink.cc
+++ b/connection/peerlink.cc
@@ -1,11 +1,12 @@
 #include "connection/peerlink.h"
+
+#include "connection/tcpstream.h"
 #include <arpa/inet.h>
 #include <array>
 #include <charconv>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/listener.h>
 #include <event2/util.h>
 #include <map>
 #include <netinet/in.h>
@@ -16,21 +17,12 @@
 
 namespace {
 
-    constexpr int listenBacklog = 128;
-
     // Maximum size of the first frame. Anyone may connect, so the full size counts only after the Hello.
     constexpr std::size_t maxHelloBytes = 16 * 1024;
 
     // What a link without frames takes: its objects, events and the first blocks of its buffers.
     constexpr std::size_t linkBytes = 4096;
 
-    timeval toTimeval(Milliseconds duration)
-    {
-        constexpr int millisecondsPerSecond = 1000;
-        return { static_cast<time_t>(duration.count() / millisecondsPerSecond),
-            static_cast<suseconds_t>((duration.count() % millisecondsPerSecond) * 1000) };
-    }
-
     struct SocketAddress {
         sockaddr_storage storage {};
         int length = sizeof(sockaddr_storage);
@@ -38,6 +30,32 @@
         sockaddr* get() { return reinterpret_cast<sockaddr*>(&storage); }
     };
 
+    void setPort(SocketAddress& address, std::uint16_t port)
+    {
+        if (address.storage.ss_family == AF_INET6)
+            reinterpret_cast<sockaddr_in6&>(address.storage).sin6_port = htons(port);
+        else
+            reinterpret_cast<sockaddr_in&>(address.storage).sin_port = htons(port);
+    }
+
+    std::uint16_t portOf(const SocketAddress& address)
+    {
+        if (address.storage.ss_family == AF_INET6)
+            return ntohs(reinterpret_cast<const sockaddr_in6&>(address.storage).sin6_port);
+        return ntohs(reinterpret_cast<const sockaddr_in&>(address.storage).sin_port);
+    }
+
+    // Without brackets.
+    std::string hostOf(const SocketAddress& address)
+    {
+        std::array<char, INET6_ADDRSTRLEN> text {};
+        const void* number = &reinterpret_cast<const sockaddr_in&>(address.storage).sin_addr;
+        if (address.storage.ss_family == AF_INET6)
+            number = &reinterpret_cast<const sockaddr_in6&>(address.storage).sin6_addr;
+        evutil_inet_ntop(address.storage.ss_family, number, text.data(), text.size());
+        return text.data();
+    }
+
     // libevent's parser rejects port 0, so the port is parsed separately.
     Result<SocketAddress> parseAddress(const std::string& text)
     {
@@ -55,24 +73,15 @@
         auto host = text.substr(0, colon);
         if (evutil_parse_sockaddr_port(host.c_str(), address.get(), &address.length) != 0)
             return malformed;
-        if (address.storage.ss_family == AF_INET6)
-            reinterpret_cast<sockaddr_in6&>(address.storage).sin6_port = htons(port);
-        else
-            reinterpret_cast<sockaddr_in&>(address.storage).sin_port = htons(port);
+        setPort(address, port);
         return address;
     }
 
     std::string formatAddress(const SocketAddress& address)
     {
-        std::array<char, INET6_ADDRSTRLEN> text {};
-        if (address.storage.ss_family == AF_INET6) {
-            const auto& ipv6 = reinterpret_cast<const sockaddr_in6&>(address.storage);
-            evutil_inet_ntop(AF_INET6, &ipv6.sin6_addr, text.data(), text.size());
-            return '[' + std::string(text.data()) + "]:" + std::to_string(ntohs(ipv6.sin6_port));
-        }
-        const auto& ipv4 = reinterpret_cast<const sockaddr_in&>(address.storage);
-        evutil_inet_ntop(AF_INET, &ipv4.sin_addr, text.data(), text.size());
-        return std::string(text.data()) + ':' + std::to_string(ntohs(ipv4.sin_port));
+        std::string host = hostOf(address);
+        bool isVersion6 = address.storage.ss_family == AF_INET6;
+        return (isVersion6 ? "[" + host + "]" : host) + ":" + std::to_string(portOf(address));
     }
 
     void disableDelay(evutil_socket_t socket)
@@ -92,12 +101,6 @@
     {
     }
 
-    ~Impl()
-    {
-        if (m_listener)
-            evconnlistener_free(m_listener);
-    }
-
     Result<std::string> listen(const std::string& address);
     Result<LinkId> connect(const std::string& address);
     bool send(LinkId, PeerFrameT&&);
@@ -130,7 +133,7 @@
         void countHeld();
     };
 
-    static void handleAccept(evconnlistener*, evutil_socket_t, sockaddr*, int, void* self);
+    void accept(evutil_socket_t);
     static void handleRead(bufferevent*, void* link);
     static void handleEvent(bufferevent*, short events, void* link);
     static void handleTimer(evutil_socket_t, short, void* link);
@@ -147,7 +150,7 @@
     event_base* m_base;
     PeerLinkOptions m_options;
     PeerLinkCallbacks m_callbacks;
-    evconnlistener* m_listener = nullptr;
+    std::unique_ptr<TcpListener> m_listener;
     LinkId m_nextId = 1;
     std::map<LinkId, std::unique_ptr<Link>> m_links;
 };
@@ -200,30 +203,28 @@
     auto address = parseAddress(text);
     if (!address)
         return address.error();
-    constexpr unsigned flags = LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC;
-    m_listener = evconnlistener_new_bind(m_base, &Impl::handleAccept, this, flags, listenBacklog,
-        address.value().get(), address.value().length);
-    if (!m_listener)
+    SocketAddress& bound = address.value();
+    auto listener
+        = TcpListener::listen(m_base, hostOf(bound), portOf(bound), [this](int socket) { accept(socket); });
+    if (!listener)
         return Error { ErrorKind::Unavailable,
-            "peer address " + text + " cannot be bound: free the port or set another one" };
-    SocketAddress bound;
-    auto length = static_cast<socklen_t>(bound.length);
-    getsockname(evconnlistener_get_fd(m_listener), bound.get(), &length);
+            "peer address " + text + " cannot be bound: " + listener.error().message };
+    m_listener = std::move(listener.value());
+    setPort(bound, m_listener->port());
     return formatAddress(bound);
 }
 
-void PeerLinks::Impl::handleAccept(evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* argument)
+void PeerLinks::Impl::accept(evutil_socket_t socket)
 {
-    auto& self = *static_cast<Impl*>(argument);
-    if (self.m_links.size() >= self.m_options.maxLinks) {
-        ++self.counters.handshakesFailed;
+    if (m_links.size() >= m_options.maxLinks) {
+        ++counters.handshakesFailed;
         evutil_closesocket(socket);
         return;
     }
     disableDelay(socket);
-    auto& link = self.addLink(socket, false);
+    auto& link = addLink(socket, false);
     bufferevent_enable(link.transport, EV_READ | EV_WRITE);
-    self.sendHello(link);
+    sendHello(link);
 }
 
 Result<LinkId> PeerLinks::Impl::connect(const std::string& text)
--- a/connection/tcpstream.cc
+++ b/connection/tcpstream.cc
@@ -47,17 +47,6 @@
         }
     }
 
-    Result<sockaddr_in> socketAddress(const std::string& address, std::uint16_t port)
-    {
-        sockaddr_in result {};
-        result.sin_family = AF_INET;
-        result.sin_port = htons(port);
-        if (inet_pton(AF_INET, address.c_str(), &result.sin_addr) != 1)
-            return Error { ErrorKind::InvalidArgument,
-                "\"" + address + "\" is not an IPv4 number: give one such as 10.0.0.1" };
-        return result;
-    }
-
     // Of an address of either family.
     struct SocketName {
         sockaddr_storage storage {};
@@ -360,15 +349,15 @@
 Result<std::unique_ptr<TcpListener>> TcpListener::listen(
     event_base* base, const std::string& address, std::uint16_t port, Accepted accepted)
 {
-    auto name = socketAddress(address, port);
+    auto name = parseSocketName(address, port);
     if (!name)
         return name.error();
-    int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const SocketName& value = name.value();
+    int socket = ::socket(value.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (socket < 0)
         return systemError("cannot open a listening socket");
     setOption(socket, SOL_SOCKET, SO_REUSEADDR, 1);
-    const sockaddr_in& value = name.value();
-    if (::bind(socket, reinterpret_cast<const sockaddr*>(&value), sizeof value) < 0
+    if (::bind(socket, reinterpret_cast<const sockaddr*>(&value.storage), value.size) < 0
         || ::listen(socket, listenBacklog) < 0) {
         Error error = systemError("cannot listen on " + address + ":" + std::to_string(port)
             + " (stop the process that holds it, or choose another address)");
@@ -394,10 +383,11 @@
 
 std::uint16_t TcpListener::port() const
 {
-    sockaddr_in name {};
+    sockaddr_storage name {};
     socklen_t length = sizeof name;
     getsockname(m_socket, reinterpret_cast<sockaddr*>(&name), &length);
-    return ntohs(name.sin_port);
+    // The port stands at the same place in addresses of both families.
+    return ntohs(reinterpret_cast<const sockaddr_in&>(name).sin_port);
 }
 
 void TcpListener::onReadable(int, short, void* self)
--- a/connection/tcpstream.h
+++ b/connection/tcpstream.h
@@ -124,7 +124,7 @@
 public:
     using Accepted = std::function<void(int socket)>;
 
-    // Port 0 lets the system choose a port. Errors: InvalidArgument (not an IPv4 address), Unavailable (for
+    // Port 0 lets the system choose a port. Errors: InvalidArgument (not an IP number), Unavailable (for
     // example, the address is in use).
     static Result<std::unique_ptr<TcpListener>> listen(
         event_base*, const std::string& address, std::uint16_t port, Accepted);
--- a/connection/testing/ingress_test.cc
+++ b/connection/testing/ingress_test.cc
@@ -346,3 +346,23 @@
         CHECK(caller.received.rfind("HTTP/1.1 ", 0) == 0);
     }
 }
+
+TEST_CASE("an ingress listens on an IPv6 address, too")
+{
+    Base base = makeBase();
+    Ingress ingress(
+        base.get(), {}, [](const IngressRequest&, CallerExchange& caller) { caller.answer(200, "", "six"); });
+    auto port = ingress.listen({ "::1", 0 });
+    if (!port) {
+        MESSAGE("not checked: this machine has no IPv6 loopback address");
+        return;
+    }
+    HttpPool pool(base.get(), {});
+    ReceivedAnswer answer;
+    OutgoingRequest request;
+    request.head = "GET / HTTP/1.1\r\nHost: test\r\n\r\n";
+    auto exchange = pool.start({ "::1", port.value() }, request, answer);
+    REQUIRE(exchange);
+    runUntil(base.get(), [&] { return answer.complete || answer.failed; });
+    CHECK(answer.bodyBytes == 3);
+}
