Admit another trial at once if one has not run

What callers see: after an outage of all upstreams of a pool, sound requests stay refused with 503 "quarantined" and Retry-After of up to 30 s although the upstreams are back, if the outage (or a quarantine from before) made a segment suspect that they share.

Cause: once the term is over, one request is admitted as a trial. During the outage it finds no upstream, or is refused its connection, and does not run. It still counted: its own second attempt was refused, and so was every other request for 1.5 s (weak) or 30 s (strong suspicion).

Change: SegmentQuarantine::withdrawTrial(), called when an attempt did not run and when a request ends without having reached an upstream. Ruled out: a shorter delay between trials, as each may crash an upstream.

Test: process/testing/quarantine_test.cc, "a trial that reaches no upstream does not delay the next one"; coordination/testing/ quarantine_test.cc.

--- a/coordination/quarantine.cc
+++ b/coordination/quarantine.cc
@@ -156,6 +156,14 @@
     return std::nullopt;
 }
 
+void SegmentQuarantine::withdrawTrial(std::span<const std::uint64_t> segments, MonotonicTime admittedAt)
+{
+    for (auto& [tried, trials] : m_trials) {
+        if (trials.latest == admittedAt && containsAll(segments, tried))
+            trials.latest = MonotonicTime {};
+    }
+}
+
 bool SegmentQuarantine::isQuarantined(std::span<const std::uint64_t> segments) const
 {
     return std::any_of(m_groups.begin(), m_groups.end(),
--- a/coordination/quarantine.h
+++ b/coordination/quarantine.h
@@ -53,6 +53,10 @@
     // a trial, and later every instance one; a crash then starts a longer term, and an answer ends the
     // quarantine everywhere.
     std::optional<Milliseconds> refuse(std::span<const std::uint64_t> segments, MonotonicTime now);
+    // For a request that was admitted at this time and has not run: if it was a trial, another one may be
+    // admitted at once. Otherwise the trials that find no upstream during an outage would delay those after
+    // it.
+    void withdrawTrial(std::span<const std::uint64_t> segments, MonotonicTime admittedAt);
     // Whether requests with these segments are refused, except for trials.
     bool isQuarantined(std::span<const std::uint64_t> segments) const;
 
--- a/coordination/testing/outage_test.cc
+++ b/coordination/testing/outage_test.cc
@@ -234,8 +234,11 @@
     void place(Request request)
     {
         request.engine = routes * m_random.below(m_engines.size() / routes) + request.route;
-        if (!isUp(request.engine))
+        if (!isUp(request.engine)) {
+            if (request.attempts == 0)
+                fleet.nodes[request.instance].quarantine->withdrawTrial(request.segments, fleet.now);
             return;
+        }
         lateBadRequests += isBad(request) && m_fifthCrash && fleet.now > *m_fifthCrash + contactTime ? 1 : 0;
         ++request.attempts;
         request.lifetime = m_engines[request.engine].lifetime;
--- a/coordination/testing/quarantine_test.cc
+++ b/coordination/testing/quarantine_test.cc
@@ -219,6 +219,13 @@
     REQUIRE(trying.size() == 1);
     CHECK(simulation.refusedBy(trying[0])); // one request only
     const std::uint64_t segments[] { bad };
+    MonotonicTime triedAt = fleet.now;
+    fleet.now += Milliseconds(100);
+    fleet.nodes[trying[0]].quarantine->withdrawTrial(segments, fleet.now); // of another request
+    CHECK(simulation.refusedBy(trying[0]));
+    fleet.nodes[trying[0]].quarantine->withdrawTrial(segments, triedAt); // it found no upstream
+    CHECK_FALSE(simulation.refusedBy(trying[0]));
+    CHECK(simulation.refusedBy(trying[0]));
     fleet.nodes[trying[0]].quarantine->recordAnswer(segments, fleet.now, fleet.now);
     for (int round = 0; round < 8; ++round)
         fleet.step();
--- a/process/forwardedanswer.cc
+++ b/process/forwardedanswer.cc
@@ -366,6 +366,9 @@
     if (std::exchange(m_done, true))
         return;
     MonotonicTime now = clockNow();
+    bool reachedUpstream = m_arrivals > 0 || (m_attempt->exchange && m_attempt->exchange->written());
+    if (!reachedUpstream)
+        m_forwarder.m_quarantine.withdrawTrial(m_sharedSegments, m_admittedAt);
     ForwarderCounters& counters = m_forwarder.m_counters;
     if (outcome == "answered")
         ++counters.answered;
--- a/process/forwardedrequest.cc
+++ b/process/forwardedrequest.cc
@@ -214,6 +214,7 @@
     MonotonicTime now = clockNow();
     if (refuseQuarantined(now))
         return;
+    m_admittedAt = now;
     if (!m_mayHaveRun && !m_answerBegun && !endsBeforeShutdown(now))
         return;
     const std::vector<std::string> triedBefore = m_tried;
@@ -455,6 +456,8 @@
         ++m_attempts;
     bool ran = written && !isUncounted && end != AttemptEnd::Refused;
     m_mayHaveRun = m_mayHaveRun || ran;
+    if (!ran)
+        m_forwarder.m_quarantine.withdrawTrial(m_sharedSegments, m_admittedAt);
     if (end == AttemptEnd::Refused && m_attempt->upstream)
         m_attempt->upstream->avoidUntil = now + refusalPause;
     if (end == AttemptEnd::FailureAnswered)
--- a/process/forwardedrequest.h
+++ b/process/forwardedrequest.h
@@ -149,6 +149,7 @@
     int m_attempts = 0; // handed to the network, uncounted attempts excepted
     int m_arrivals = 0; // at upstreams: written to the network, whether they count as attempts or not
     int m_uncountedAttempts = 0; // without a connection, or at an address that is another upstream's now
+    MonotonicTime m_admittedAt; // by the quarantine, latest
     bool m_mayHaveRun = false; // an earlier attempt may have run the request
     std::vector<std::string> m_tried; // ids of the upstreams of all attempts so far, the latest last
     std::string m_reachable; // id of the one of them that may be tried again; empty if none
--- a/process/testing/quarantine_test.cc
+++ b/process/testing/quarantine_test.cc
@@ -198,3 +198,39 @@
     runUntil(
         [&] { return directory.quarantines.size() == 1 && directory.quarantines[0].segments == segments; });
 }
+
+// Guards against sound requests that stay refused after an outage, because the trial that would have cleared
+// their segments found no upstream.
+TEST_CASE("LOST: a trial that reaches no upstream does not delay the next one")
+{
+    ForwardFixture fixture;
+    fixture.directory.routing.pools[0].engine.emplace();
+    auto answer = [](const ScriptedRequest& request) {
+        return Script { ScriptStep::send(streamHead(request) + streamEvents(1, 3) + streamEnd()) };
+    };
+    Endpoint refusing;
+    {
+        ScriptedServer ended(fixture.base(), answer);
+        refusing = ended.endpoint();
+    }
+    constexpr std::uint64_t segment = 0xf1;
+    constexpr std::chrono::minutes afterTerm { 10 };
+    fixture.directory.quarantines
+        = { { { segment }, { 7, 8, 9 }, std::chrono::system_clock::now() - afterTerm } };
+    fixture.addEntry("engine-1", refusing);
+    fixture.addEntry("engine-2", refusing);
+    ForwardDaemon& daemon = fixture.startDaemon();
+    const std::string lines = "X-Briarwharf-Tokens: 900,20\r\nX-Briarwharf-Prompt-Parts: f1:500,2:300\r\n";
+    fixture.runUntil(
+        [&] { return fixture.admin(daemon, "/show/quarantine")->body.find("\"f1\"") != std::string::npos; });
+    for (int round = 0; round < 2; ++round) {
+        auto refused = fixture.call(daemon, "/ask/x", "prompt", lines);
+        CHECK(refused->head.status == 503);
+        CHECK(refused->body.find("quarantined") == std::string::npos);
+    }
+    fixture.addUpstream("engine-3", answer);
+    fixture.directory.publishUpstreams();
+    fixture.runUntil(
+        [&] { return fixture.admin(daemon, "/show/upstreams")->body.find("engine-3") != std::string::npos; });
+    CHECK(fixture.call(daemon, "/ask/x", "prompt", lines)->head.status == 200);
+}
