Keep the times of answers whose news come before those of the crashes

What callers see: some requests with a segment that crashes upstreams still reach upstreams (502) after five crashes, as one instance holds a weak suspicion where the others hold a strong one.

Cause, by trace: six crashes within 68 ms are one incident unless an answer began between them. News of such answers that came before those of the crashes were dropped, since nothing accused their segment yet.

Change: the time of an answer that a peer tells of is kept in any case; times are dropped by age, not when no segment is accused.

Test: coordination/testing/quarantine_test.cc, "the order of the news of crashes and answers does not change a suspicion": fails without addAnswerTime() in accept(), passes with it.

--- a/coordination/crashevidence.cc
+++ b/coordination/crashevidence.cc
@@ -98,8 +98,7 @@
     Times ends = endTimes();
     for (auto entry = m_segments.begin(); entry != m_segments.end();)
         entry = expire(entry->second, ends, now) ? m_segments.erase(entry) : std::next(entry);
-    if (m_segments.empty())
-        m_answerTimes.clear();
+    m_answerTimes.erase(m_answerTimes.begin(), m_answerTimes.lower_bound(now - 2 * m_options.crashRetention));
 }
 
 // Returns whether nothing is left of the segment.
--- a/coordination/crashevidence.h
+++ b/coordination/crashevidence.h
@@ -98,6 +98,9 @@
     // Both return false if the record adds nothing to what is known.
     bool add(const SegmentCrash&);
     bool add(const SegmentAnswer&);
+    // Another instance saw an answer of an accused segment begin then. Its news may come before those of the
+    // crashes, and still tell incidents from each other.
+    void addAnswerTime(MonotonicTime at) { recordAnswerTime(at); }
 
     // Forgets evidence that is too old.
     void expire(MonotonicTime now);
--- a/coordination/quarantine.cc
+++ b/coordination/quarantine.cc
@@ -229,8 +229,12 @@
 {
     for (const PeerSegmentCrash& crash : heartbeat.segmentCrashes)
         addCrash({ crash.segment(), crash.upstream(), now - Milliseconds(crash.ageMs()) });
-    for (const PeerSegmentAnswer& answer : heartbeat.segmentAnswers)
-        add(SegmentAnswer { answer.segment(), now - Milliseconds(answer.ageMs()) });
+    for (const PeerSegmentAnswer& sent : heartbeat.segmentAnswers) {
+        SegmentAnswer answer { sent.segment(), now - Milliseconds(sent.ageMs()) };
+        m_evidence.addAnswerTime(answer.at);
+        m_changed = true;
+        add(answer);
+    }
     updateGroups(now);
 }
 
--- a/coordination/testing/quarantine_test.cc
+++ b/coordination/testing/quarantine_test.cc
@@ -285,3 +285,32 @@
     REQUIRE(retryAfter);
     CHECK(*retryAfter <= std::chrono::minutes(1));
 }
+
+// Guards against an instance that takes separate crashes for one incident, and admits requests that crash
+// upstreams, because the news of the answers between them came before those of the crashes.
+TEST_CASE("BUDGET: the order of the news of crashes and answers does not change a suspicion")
+{
+    constexpr std::uint32_t crashAgesMs[] { 68, 54, 44, 32, 12, 0 };
+    constexpr std::uint32_t answerAgesMs[] { 29, 27 };
+    const std::string peer = "peer";
+    HeartbeatT crashes;
+    for (std::uint32_t age : crashAgesMs)
+        crashes.segmentCrashes.emplace_back(bad, age + 1, age);
+    HeartbeatT answers;
+    for (std::uint32_t age : answerAgesMs)
+        answers.segmentAnswers.emplace_back(1, age);
+    HeartbeatT firstCrash;
+    firstCrash.segmentCrashes.emplace_back(1, crashAgesMs[0] + 1, crashAgesMs[0]);
+    for (const std::vector<HeartbeatT*>& order : std::vector<std::vector<HeartbeatT*>> {
+             { &firstCrash, &crashes, &answers }, { &answers, &crashes, &firstCrash },
+             { &crashes, &answers, &firstCrash }, { &answers, &firstCrash, &crashes } }) {
+        ProgressFleet fleet(1);
+        SegmentQuarantine& quarantine = *fleet.nodes.begin()->second.quarantine;
+        for (const HeartbeatT* heartbeat : order) {
+            quarantine.accept({ peer }, *heartbeat, fleet.now);
+            quarantine.tick(fleet.now);
+        }
+        REQUIRE(quarantine.groups().size() == 1);
+        CHECK(quarantine.groups()[0].isStrong);
+    }
+}
