--- a/connection/ingress.cc
+++ b/connection/ingress.cc
@@ -22,7 +22,8 @@
 
     constexpr Milliseconds overloadLogInterval { 1000 };
 
-    // The caller's address; of IPv6 a hash of the network's part, as a host has many addresses in its network.
+    // The caller's address; of IPv6 a hash of the network's part, as a host has many addresses in its
+    // network.
     std::uint32_t sourceOf(int socket)
     {
         sockaddr_storage name {};
