--- a/connection/httpmessage.cc
+++ b/connection/httpmessage.cc
@@ -28,6 +28,12 @@
     constexpr std::size_t statusLineBytes = 13;
 
     constexpr std::size_t versionBytes = 8; // of "HTTP/1.1"
+    constexpr std::size_t requestLineEndBytes = versionBytes + 2; // with the line end
+
+    std::string_view lastBytes(std::string_view text, std::size_t count)
+    {
+        return text.substr(text.size() - std::min(text.size(), count));
+    }
 
     // Whether the beginning of a status line has a version of this protocol and a status from 100 to 599.
     // http_parser also takes statuses of fewer digits, leading zeros and up to 999.
@@ -298,11 +304,12 @@
     std::size_t start = m_firstLine.empty() ? piece.find_first_not_of("\r\n") : 0;
     if (start == std::string_view::npos)
         return;
+    std::string_view line = piece.substr(start);
     if (m_firstLine.size() < statusLineBytes)
-        m_firstLine += piece.substr(start, statusLineBytes - m_firstLine.size());
-    m_firstLineBytes += piece.size() - start;
-    m_firstLineEnd += piece.substr(piece.size() - std::min(piece.size() - start, versionBytes + 2));
-    m_firstLineEnd.erase(0, m_firstLineEnd.size() - std::min(m_firstLineEnd.size(), versionBytes + 2));
+        m_firstLine += line.substr(0, statusLineBytes - m_firstLine.size());
+    m_firstLineBytes += line.size();
+    m_firstLineEnd += lastBytes(line, requestLineEndBytes);
+    m_firstLineEnd = lastBytes(m_firstLineEnd, requestLineEndBytes);
     m_firstLineDone = piece.back() == '\n';
 }
 
@@ -443,7 +450,7 @@
     std::string_view version = m_firstLineEnd;
     version = version.substr(0, version.find_last_not_of("\r\n") + 1);
     std::size_t endBytes = m_firstLineEnd.size() - version.size();
-    version.remove_prefix(version.size() - std::min(version.size(), versionBytes));
+    version = lastBytes(version, versionBytes);
     std::size_t partBytes = m_head.method.size() + m_head.target.size() + versionBytes;
     return version.starts_with("HTTP/1.") && m_firstLineBytes == partBytes + 2 + endBytes;
 }
--- a/process/settings.cc
+++ b/process/settings.cc
@@ -345,7 +345,7 @@
         int line = 0;
         Settings settings;
         std::set<const Key*> seen;
-        LeftSections leftSections;
+        UnrenderedSections unrenderedSections;
         std::vector<std::string> problems;
 
         std::string at() const { return file + ":" + std::to_string(line) + ": "; }
@@ -360,8 +360,8 @@
         ++parse->line;
         std::size_t end = parse->rest.find('\n');
         std::size_t length = end == std::string_view::npos ? parse->rest.size() : end + 1;
-        if (parse->leftSections.skips(parse->rest.substr(0, length))) {
-            if (auto section = parse->leftSections.begun())
+        if (parse->unrenderedSections.skips(parse->rest.substr(0, length))) {
+            if (auto section = parse->unrenderedSections.begun())
                 parse->settings.unrendered.push_back(parse->at() + "section " + *section);
             parse->rest.remove_prefix(length);
             std::strcpy(buffer, "\n");
@@ -396,7 +396,7 @@
     std::string assign(ParseState& parse, const Key& key, const std::string& path, const std::string& value,
         const std::string& place)
     {
-        auto placeholder = leftPlaceholder(value);
+        auto placeholder = unrenderedPlaceholder(value);
         if (placeholder && !key.required) {
             parse.settings.unrendered.push_back(place + path + " = " + *placeholder);
             return {};
@@ -484,7 +484,7 @@
         parse.line = firstBadLine;
         parse.report("is neither a section, a \"key = value\" nor a comment: correct the line");
     }
-    if (auto section = parse.leftSections.open())
+    if (auto section = parse.unrenderedSections.open())
         parse.report("the section " + *section + " of the template does not end: render the template");
     for (const SettingsOverride& given : source.overrides)
         applyOverride(given, parse);
--- a/process/unrendered.cc
+++ b/process/unrendered.cc
@@ -33,7 +33,7 @@
 
 } // namespace
 
-std::optional<std::string> leftPlaceholder(std::string_view value)
+std::optional<std::string> unrenderedPlaceholder(std::string_view value)
 {
     std::size_t begin = value.find(opening);
     if (begin == std::string_view::npos)
@@ -44,7 +44,7 @@
     return std::string(value.substr(begin, end + closing.size() - begin));
 }
 
-bool LeftSections::skips(std::string_view line)
+bool UnrenderedSections::skips(std::string_view line)
 {
     m_begun.reset();
     auto tag = sectionTag(line);
@@ -61,7 +61,7 @@
     return true;
 }
 
-std::optional<std::string> LeftSections::open() const
+std::optional<std::string> UnrenderedSections::open() const
 {
     return m_depth > 0 ? std::optional(m_name) : std::nullopt;
 }
--- a/process/unrendered.h
+++ b/process/unrendered.h
@@ -8,11 +8,11 @@
 
 // The first placeholder, such as {{Limits.MemoryMb}}, that is left in a value from a template; nullopt: none
 // is.
-std::optional<std::string> leftPlaceholder(std::string_view value);
+std::optional<std::string> unrenderedPlaceholder(std::string_view value);
 
 // Finds the sections of a template, from {{#NAME}} or {{^NAME}} to {{/NAME}} on lines of their own, that are
 // left in a settings file. Whether their condition holds is not known.
-class LeftSections {
+class UnrenderedSections {
 public:
     // Takes the next line. Returns whether it belongs to such a section and is to be passed over.
     bool skips(std::string_view line);
