--- a/hostile/testing/start_test.cc
+++ b/hostile/testing/start_test.cc
@@ -56,8 +56,8 @@
 
 } // namespace
 
-// Guards against log lines in the sockets that take the descriptors of closed streams: SIGHUP, SIGTERM and
-// the restart of a store make the daemon write some.
+// Guards against log lines in the sockets that take the descriptors of closed streams: SIGHUP and SIGTERM
+// make the daemon write some.
 TEST_CASE("LOST: a daemon whose standard streams are closed becomes ready and serves")
 {
     HostileRig rig({ .prepare = &closeStandardStreams });
