Record what a review script waits for in vain

A machine that doesn't get ready, one that ends, and the end of the time now leave in record.txt what was waited for, the machine's answer and the end of its log. Run with a program that never answers and with one that ends: exit 2 and these lines, each once.

--- a/review/standins-3/rig.hpp
+++ b/review/standins-3/rig.hpp
@@ -86,6 +86,16 @@
 
 [[noreturn]] void cannotRun(const std::string& why);
 
+inline std::mutex waitMutex;
+inline std::string waitedFor = "the start of the case";
+
+// Says what the case waits for from now on, for the record if it waits in vain.
+inline void waitFor(const std::string& what)
+{
+    std::lock_guard lock(waitMutex);
+    waitedFor = what;
+}
+
 // ---- sockets
 
 struct Socket {
@@ -631,8 +641,7 @@
 
     void start(Node& node)
     {
-        static const std::string program
-            = std::getenv("DAEMON") ? std::getenv("DAEMON") : "target/bin/briarwharfd";
+        static const std::string program = "target/bin/briarwharfd";
         std::string log = (m_folder / (node.name + ".log")).string();
         pid_t pid = fork();
         if (pid == 0) {
@@ -688,18 +697,48 @@
         auto answer = Reader(socket.fd).next(now() + 1, true);
         return answer && answer->status() == 200;
     }
+    // Records what was waited for in vain, if false is returned.
     bool awaitReady(double seconds)
     {
         double until = now() + seconds;
-        for (const Node& node : m_nodes) {
-            while (node.pid > 0 && !isReady(node)) {
-                if (now() > until)
+        for (Node& node : m_nodes) {
+            waitFor("a 200 to GET /readyz of " + node.name);
+            while (!isReady(node)) {
+                int status = 0;
+                bool hasEnded = ended(node, &status);
+                if (hasEnded)
+                    record("%s ended by itself, wait status %d", node.name.c_str(), status);
+                if (hasEnded || now() > until) {
+                    recordReadiness(node, seconds);
                     return false;
+                }
                 sleepFor(0.05);
             }
         }
+        waitFor("the requests of the case and their answers");
         return true;
     }
+    // What a machine that is not ready answers, and the end of its log.
+    void recordReadiness(const Node& node, double seconds) const
+    {
+        record("waited up to %.0f s for a 200 to GET /readyz of %s at %s:%d", seconds, node.name.c_str(),
+            node.ip.c_str(), node.ready);
+        Socket socket = connectTo(node.ip, node.ready);
+        std::optional<Message> answer;
+        if (socket.fd >= 0 && socket.send("GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"))
+            answer = Reader(socket.fd).next(now() + 1, true);
+        if (answer)
+            record("its answer: %s, %s", answer->first.c_str(), answer->body.c_str());
+        else
+            record("%s", socket.fd < 0 ? "nothing listens there" : "it gave no answer within a second");
+        std::ifstream log(m_folder / (node.name + ".log"));
+        std::vector<std::string> lines;
+        for (std::string line; std::getline(log, line);)
+            lines.push_back(line);
+        record("its log has %zu lines, the last of them:", lines.size());
+        for (std::size_t at = lines.size() - std::min<std::size_t>(lines.size(), 5); at < lines.size(); ++at)
+            record("    %s", lines[at].c_str());
+    }
     void stopAll()
     {
         for (Node& node : m_nodes) {
@@ -710,8 +749,7 @@
                 node.pid = -1;
             }
         }
-        if (!std::getenv("KEEP"))
-            std::filesystem::remove_all(m_folder);
+        std::filesystem::remove_all(m_folder);
     }
     std::filesystem::path folder() const { return m_folder; }
 
@@ -770,7 +808,12 @@
     std::thread([] {
         timespec limit { 110, 0 };
         sigtimedwait(&signals, nullptr, &limit);
-        cannotRun("the time is over");
+        std::string what;
+        {
+            std::lock_guard lock(waitMutex);
+            what = waitedFor;
+        }
+        cannotRun("the time is over, still waiting for " + what);
     }).detach();
 }
 
