--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -23,6 +23,7 @@
 #include "coordination/recentanswers.h"
 #include "coordination/registryrevision.h"
 #include "coordination/relay.h"
+#include "coordination/reportorder.h"
 #include "coordination/store.h"
 #include "coordination/tree.h"
 #include "coordination/upstreamhealth.h"
--- a/coordination/directory.cc
+++ b/coordination/directory.cc
@@ -8,6 +8,39 @@
 
 namespace briarwharf {
 
+namespace {
+
+    constexpr MonotonicTime noEnd = MonotonicTime::max();
+
+    // Whether the upstream wrote the entry after its departure.
+    bool isNewer(const UpstreamEntry& entry, const UpstreamDeparture& departure)
+    {
+        if (departure.draining)
+            return precedes(departure.order(), entry.order());
+        return departure.started != 0 && entry.started > departure.started;
+    }
+
+    // Whether the entry is known from a later report than the listed one.
+    bool isLaterReport(const UpstreamEntry& entry, const UpstreamEntry& listed)
+    {
+        return precedes(listed.order(), entry.order()) || entry.draining != listed.draining;
+    }
+
+    bool isSameReport(const UpstreamEntry& entry, const UpstreamDeparture& departure)
+    {
+        return entry.sequence && entry.order() == departure.order();
+    }
+
+    // Whether two reports differ in nothing but their order.
+    bool isSameState(const UpstreamEntry& one, const UpstreamEntry& other)
+    {
+        return one.started == other.started && one.draining == other.draining
+            && one.endpoint == other.endpoint && one.pool == other.pool && one.slots == other.slots
+            && one.failureDomain == other.failureDomain;
+    }
+
+} // namespace
+
 void updateColdRemaining(DirectoryChanges& changes, MonotonicTime now)
 {
     for (UpstreamEntry& entry : changes.entries) {
@@ -83,11 +116,27 @@
         m_held.erase(current);
         changed = true;
     }
-    if (m_doubted.empty() || !isDoubtOver(now))
-        return changed;
-    for (const std::string& id : std::exchange(m_doubted, {}))
-        m_upstreams.at(id).lapsed = false;
-    return true;
+    for (auto doubt = m_doubts.begin(); doubt != m_doubts.end();) {
+        if (now < doubt->second.until) {
+            ++doubt;
+            continue;
+        }
+        const UpstreamEntry& listed = doubt->second.listed;
+        m_departures.erase(hash64(listed.id));
+        accept(listed);
+        m_upstreams.insert_or_assign(listed.id, listed);
+        doubt = m_doubts.erase(doubt);
+        changed = true;
+    }
+    return changed;
+}
+
+void UpstreamDirectory::extendDoubts(MonotonicTime now)
+{
+    for (auto& [id, doubt] : m_doubts) {
+        if (doubt.until != noEnd)
+            doubt.until = now + m_options.doubtPeriod;
+    }
 }
 
 DirectoryChanges UpstreamDirectory::changesSince(std::uint64_t from) const
@@ -100,8 +149,14 @@
     for (const auto& [id, entry] : m_upstreams) {
         // A held entry is missing from the registry. It must not be sent as present, or a peer would restore
         // it.
-        if (!m_held.count(id) && entry.revision > changes.from)
+        if (m_held.count(id) || entry.revision <= changes.from)
+            continue;
+        // The peer judges for itself, by the later report and what the registry lists.
+        auto doubt = m_doubts.find(id);
+        if (doubt == m_doubts.end() || isLaterReport(entry, doubt->second.listed))
             changes.entries.push_back(entry);
+        if (doubt != m_doubts.end())
+            changes.entries.push_back(doubt->second.listed);
     }
     if (changes.from == 0)
         return changes;
@@ -118,105 +173,174 @@
 
 bool UpstreamDirectory::addOrUpdate(const UpstreamEntry& listed, MonotonicTime now)
 {
-    auto held = m_held.find(listed.id);
-    if (held != m_held.end() && listed.revision <= held->second.revision)
+    if (isOutdated(listed))
         return false;
-    if (held != m_held.end())
-        m_held.erase(held);
+    m_held.erase(listed.id);
     auto found = m_upstreams.find(listed.id);
-    if (found != m_upstreams.end() && found->second.revision > listed.revision)
-        return false;
+    const UpstreamEntry* known = found == m_upstreams.end() ? nullptr : &found->second;
     UpstreamEntry entry = listed;
     entry.coldUntil = entry.coldRemaining ? now + *entry.coldRemaining : MonotonicTime {};
     // A remaining time that was read before has been running out since then.
-    if (found != m_upstreams.end() && found->second.revision == listed.revision) {
-        entry.coldRemaining = found->second.coldRemaining;
-        entry.coldUntil = found->second.coldUntil;
+    if (known && known->revision == listed.revision) {
+        entry.coldRemaining = known->coldRemaining;
+        entry.coldUntil = known->coldUntil;
     }
-    bool isEarlierStart = found != m_upstreams.end() && listed.started < found->second.started
-        && generationOf(listed.revision) > generationOf(found->second.revision);
-    if (isEarlierStart && listed.started != 0) {
-        entry = found->second;
+    Verdict verdict = judge(entry, known, now);
+    if (verdict.departure && !isInDoubt(entry))
+        m_contradicted.push_back(*verdict.departure);
+    return enforce(entry, verdict);
+}
+
+// Whether a later revision of the entry, or its removal at a later one, is known.
+bool UpstreamDirectory::isOutdated(const UpstreamEntry& listed) const
+{
+    auto held = m_held.find(listed.id);
+    if (held != m_held.end() && listed.revision <= held->second.revision)
+        return true;
+    auto found = m_upstreams.find(listed.id);
+    return found != m_upstreams.end() && found->second.revision > listed.revision;
+}
+
+UpstreamDirectory::Verdict UpstreamDirectory::judge(
+    const UpstreamEntry& listed, const UpstreamEntry* known, MonotonicTime now) const
+{
+    const UpstreamDeparture* departure = contradictedDeparture(listed, now);
+    Verdict verdict { listed, departure, std::nullopt };
+    UpstreamEntry& entry = verdict.entry;
+    bool isOlderReport = known && precedes(listed.order(), known->order());
+    if (isOlderReport) {
+        entry = *known;
         entry.revision = listed.revision;
     }
-    applyDepartures(entry, now);
+    entry.lapsed = departure && !departure->draining;
+    entry.draining = entry.draining || (departure && departure->draining);
+    bool isOlderThanDeparture = departure && precedes(listed.order(), departure->order());
+    // The drain may be one that another writer set, which a restored registry does not have.
+    bool isReportOfDeparture = departure && departure->draining && isSameReport(listed, *departure);
+    if (isOlderThanDeparture || isReportOfDeparture || (isOlderReport && !isSameState(listed, entry)))
+        verdict.doubtUntil = now + m_options.doubtPeriod;
+    else if (departure)
+        verdict.doubtUntil = entry.lapsed ? m_doubtEnd : noEnd;
+    return verdict;
+}
+
+// Returns true if the upstream in force changed. The doubt period of an entry that was in doubt before goes
+// on.
+bool UpstreamDirectory::enforce(const UpstreamEntry& listed, const Verdict& verdict)
+{
+    const UpstreamEntry& entry = verdict.entry;
+    if (!verdict.doubtUntil) {
+        m_doubts.erase(entry.id);
+        accept(entry);
+    } else if (!isInDoubt(listed)) {
+        m_doubts.insert_or_assign(entry.id, Doubt { listed, *verdict.doubtUntil });
+    }
+    auto found = m_upstreams.find(entry.id);
     if (found != m_upstreams.end() && found->second == entry)
         return false;
     m_upstreams.insert_or_assign(entry.id, entry);
     return true;
 }
 
-// The departure that the entry contradicts, if the entry may be from an older copy of the registry. An entry
-// that changed after the restore is not, but an upstream that announced its draining does not become ready
-// again before it restarts.
+bool UpstreamDirectory::isInDoubt(const UpstreamEntry& listed) const
+{
+    auto doubt = m_doubts.find(listed.id);
+    return doubt != m_doubts.end() && doubt->second.listed.revision == listed.revision;
+}
+
 const UpstreamDeparture* UpstreamDirectory::contradictedDeparture(
     const UpstreamEntry& entry, MonotonicTime now) const
 {
     auto known = m_departures.find(hash64(entry.id));
-    if (known == m_departures.end())
+    if (known == m_departures.end() || !contradicts(entry, known->second, now))
         return nullptr;
-    const UpstreamDeparture& departure = known->second;
+    return &known->second;
+}
+
+// Whether the upstream may have written the entry before its departure. An entry that the order of its
+// reports does not place may be from an older copy of the registry, unless it changed after the restore. But
+// an upstream that announced its draining does not become ready again before it restarts.
+bool UpstreamDirectory::contradicts(
+    const UpstreamEntry& entry, const UpstreamDeparture& departure, MonotonicTime now) const
+{
+    if (entry.draining && departure.draining)
+        return false;
+    if (precedes(entry.order(), departure.order()))
+        return true;
+    if (isNewer(entry, departure))
+        return false;
     bool isOlder = generationOf(departure.revision) < generationOf(entry.revision)
         || (departure.draining && entry.revision <= departure.revision);
-    bool hasRestarted = departure.started != 0 && entry.started > departure.started;
     bool changedSinceRestore = entry.revision > m_generationStart;
     bool isFinal = departure.draining && departure.started != 0;
-    bool isResolved = changedSinceRestore || (!departure.draining && isDoubtOver(now));
-    if (!isOlder || hasRestarted || (isResolved && !isFinal))
-        return nullptr;
-    return departure.draining && entry.draining ? nullptr : &departure;
+    bool isResolved = changedSinceRestore || (!departure.draining && isGenerationDoubtOver(now));
+    return isOlder && (isFinal || !isResolved);
 }
 
-void UpstreamDirectory::applyDepartures(UpstreamEntry& entry, MonotonicTime now)
+// Makes the entry's report the last one of its upstream.
+void UpstreamDirectory::accept(const UpstreamEntry& entry)
 {
-    const UpstreamDeparture* departure = contradictedDeparture(entry, now);
-    entry.lapsed = departure && !departure->draining;
-    if (!departure) {
-        m_doubted.erase(entry.id);
-        if (entry.draining)
-            recordDeparture(entry, entry.revision);
-        else
-            m_departures.erase(hash64(entry.id));
-        return;
-    }
-    m_contradicted.push_back(*departure);
-    if (departure->draining)
-        entry.draining = true;
+    if (entry.draining)
+        recordDeparture(entry, entry.revision);
     else
-        m_doubted.insert(entry.id);
+        m_departures.erase(hash64(entry.id));
 }
 
 void UpstreamDirectory::recordDeparture(const UpstreamEntry& entry, std::uint64_t revision)
 {
-    insertDeparture({ hash64(entry.id), entry.started, revision, entry.draining });
+    insertDeparture({ hash64(entry.id), entry.started, revision, entry.draining, entry.sequence });
 }
 
 void UpstreamDirectory::insertDeparture(const UpstreamDeparture& departure)
 {
-    if (m_departures.insert_or_assign(departure.upstream, departure).second)
+    auto [known, isNew] = m_departures.try_emplace(departure.upstream, departure);
+    if (isNew)
         m_departureOrder.push_back(departure.upstream);
+    else if (!precedes(departure.order(), known->second.order()))
+        known->second = departure;
     while (m_departureOrder.size() > m_options.maxDepartures) {
         m_departures.erase(m_departureOrder.front());
         m_departureOrder.pop_front();
     }
 }
 
-bool UpstreamDirectory::learn(const UpstreamDeparture& departure, MonotonicTime now)
+// Whether the departure says more of its upstream than the one that is known.
+bool UpstreamDirectory::isNews(const UpstreamDeparture& departure) const
 {
     auto known = m_departures.find(departure.upstream);
-    bool isNew = known == m_departures.end() || departure.started > known->second.started
-        || (departure.started == known->second.started && departure.draining && !known->second.draining);
-    if (!isNew || (!departure.draining && isDoubtOver(now)))
+    if (known == m_departures.end())
+        return true;
+    const UpstreamDeparture& before = known->second;
+    if (departure.started != before.started || (departure.draining && before.draining))
+        return precedes(before.order(), departure.order());
+    return departure.draining && !before.draining;
+}
+
+std::map<std::string, UpstreamEntry>::const_iterator UpstreamDirectory::findByHash(std::uint64_t hash) const
+{
+    return std::find_if(m_upstreams.begin(), m_upstreams.end(),
+        [hash](const auto& upstream) { return hash64(upstream.first) == hash; });
+}
+
+bool UpstreamDirectory::learn(const UpstreamDeparture& departure, MonotonicTime now)
+{
+    if (!isNews(departure))
+        return false;
+    auto found = findByHash(departure.upstream);
+    if (found == m_upstreams.end() || m_held.count(found->first)) {
+        insertDeparture(departure);
+        m_contradicted.push_back(departure);
+        return false;
+    }
+    auto doubt = m_doubts.find(found->first);
+    UpstreamEntry listed = doubt == m_doubts.end() ? found->second : doubt->second.listed;
+    bool isContradicted = contradicts(listed, departure, now);
+    bool cameBack = !departure.draining && listed.revision > departure.revision;
+    if (isNewer(found->second, departure) || (cameBack && !isContradicted))
         return false;
     insertDeparture(departure);
     m_contradicted.push_back(departure);
-    auto found = std::find_if(m_upstreams.begin(), m_upstreams.end(),
-        [&](const auto& upstream) { return hash64(upstream.first) == departure.upstream; });
-    if (found == m_upstreams.end() || m_held.count(found->first)
-        || !contradictedDeparture(found->second, now))
-        return false;
-    applyDepartures(found->second, now);
-    return true;
+    return isContradicted && enforce(listed, judge(listed, &found->second, now));
 }
 
 bool UpstreamDirectory::handleRemoval(const std::string& id, std::uint64_t revision, MonotonicTime now)
@@ -233,7 +357,7 @@
     bool isLost = generationOf(revision) > generationOf(found->second.revision);
     if (!isLost)
         recordDeparture(found->second, revision);
-    m_doubted.erase(id);
+    m_doubts.erase(id);
     if (!found->second.draining) {
         found->second.lapsed = true;
         Milliseconds hold = isLost ? m_options.restoreHold : m_options.lapseHold;
--- a/coordination/directorymessage.cc
+++ b/coordination/directorymessage.cc
@@ -24,6 +24,7 @@
         message->slots = static_cast<std::uint32_t>(entry.slots);
         message->draining = entry.draining;
         message->started = entry.started;
+        message->sequence = sequenceField(entry.sequence);
         message->revision = entry.revision;
         // 0: not stated, or no longer cold.
         message->coldMs = static_cast<std::uint32_t>(entry.coldRemaining.value_or(Milliseconds(0)).count());
@@ -44,6 +45,7 @@
         entry.slots = static_cast<int>(std::clamp(message.slots, std::uint32_t { 1 }, maxSlots));
         entry.draining = message.draining;
         entry.started = message.started;
+        entry.sequence = sequenceOf(message.sequence);
         entry.revision = message.revision;
         if (message.coldMs > 0)
             entry.coldRemaining = std::min(maxColdTime, Milliseconds(message.coldMs));
@@ -81,6 +83,15 @@
 
 } // namespace
 
+std::uint64_t sequenceField(std::optional<std::uint64_t> sequence) { return sequence ? *sequence + 1 : 0; }
+
+std::optional<std::uint64_t> sequenceOf(std::uint64_t field)
+{
+    if (field == 0)
+        return std::nullopt;
+    return field - 1;
+}
+
 void addChanges(const DirectoryChanges& changes, DirectoryPushT& push) { fillList(changes, push); }
 
 DirectoryChanges changesOf(const DirectoryPushT& push) { return readList(push); }
--- a/coordination/directoryrelay.cc
+++ b/coordination/directoryrelay.cc
@@ -270,6 +270,7 @@
             const UpstreamDeparture& departure = record.departure;
             heartbeat.departures.emplace_back(
                 departure.upstream, departure.started, departure.revision, departure.draining);
+            heartbeat.departureSequences.push_back(sequenceField(departure.sequence));
         });
 }
 
@@ -281,14 +282,24 @@
         m_departures.add({ departure, now });
 }
 
+// An instance of an older version does not send the sequences.
+void DirectoryRelay::receiveDepartures(const HeartbeatT& heartbeat)
+{
+    const auto& sequences = heartbeat.departureSequences;
+    for (std::size_t index = 0; index < heartbeat.departures.size(); ++index) {
+        const PeerDeparture& departure = heartbeat.departures[index];
+        auto sequence = index < sequences.size() ? sequenceOf(sequences[index]) : std::nullopt;
+        m_receivedDepartures.push_back({ departure.upstream(), departure.started(), departure.revision(),
+            departure.draining(), sequence });
+    }
+}
+
 void DirectoryRelay::accept(const LinkView& link, const HeartbeatT& heartbeat, MonotonicTime now)
 {
     Peer& peer = m_peers[link.peer];
     peer.reportedVersions
         = { heartbeat.routingVersion, heartbeat.directoryRevision, heartbeat.evacuationsRevision };
-    for (const PeerDeparture& departure : heartbeat.departures)
-        m_receivedDepartures.push_back(
-            { departure.upstream(), departure.started(), departure.revision(), departure.draining() });
+    receiveDepartures(heartbeat);
     auto push = m_longPushes.find(link.peer);
     if (push != m_longPushes.end() && peer.reportedVersions.includes(push->second.versions))
         m_longPushes.erase(push);
--- a/coordination/directoryrelay.h
+++ b/coordination/directoryrelay.h
@@ -41,7 +41,7 @@
     // A confirmation that is newer than the peer's by more than this is sent before the next regular
     // heartbeat.
     Milliseconds minConfirmationGain { 400 };
-    std::size_t maxDeparturesPerHeartbeat = 64; // of 32 bytes; the others wait for the following heartbeats
+    std::size_t maxDeparturesPerHeartbeat = 64; // of 40 bytes; the others wait for the following heartbeats
     // Departures are sent to peers with a new link for this time. Later the upstreams have written their
     // entries again.
     Milliseconds departureRetention { 30000 };
@@ -143,6 +143,7 @@
 
     Versions ownVersions() const { return { m_routingVersion, m_directoryRevision, m_evacuations.revision }; }
     bool isAhead(const Versions&) const;
+    void receiveDepartures(const HeartbeatT&);
     void fetchFromPeer(MonotonicTime now);
     void updateDuty(MonotonicTime now);
     void addDocument(const std::string& peer, bool compressed, DirectoryPushT&, MonotonicTime now);
--- a/coordination/peer_generated.h
+++ b/coordination/peer_generated.h
@@ -1349,6 +1349,7 @@
   uint64_t storeEra = 0;
   std::vector<briarwharf::PeerDeparture> departures{};
   uint64_t evacuationsRevision = 0;
+  std::vector<uint64_t> departureSequences{};
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1388,7 +1389,8 @@
     VT_UPSTREAMLIMITS = 56,
     VT_STOREERA = 58,
     VT_DEPARTURES = 60,
-    VT_EVACUATIONSREVISION = 62
+    VT_EVACUATIONSREVISION = 62,
+    VT_DEPARTURESEQUENCES = 64
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1471,6 +1473,9 @@
   uint64_t evacuationsRevision() const {
     return GetField<uint64_t>(VT_EVACUATIONSREVISION, 0);
   }
+  const flatbuffers::Vector<uint64_t> *departureSequences() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_DEPARTURESEQUENCES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1510,6 +1515,8 @@
            VerifyOffset(verifier, VT_DEPARTURES) &&
            verifier.VerifyVector(departures()) &&
            VerifyField<uint64_t>(verifier, VT_EVACUATIONSREVISION, 8) &&
+           VerifyOffset(verifier, VT_DEPARTURESEQUENCES) &&
+           verifier.VerifyVector(departureSequences()) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1602,6 +1609,9 @@
   void add_evacuationsRevision(uint64_t evacuationsRevision) {
     fbb_.AddElement<uint64_t>(Heartbeat::VT_EVACUATIONSREVISION, evacuationsRevision, 0);
   }
+  void add_departureSequences(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> departureSequences) {
+    fbb_.AddOffset(Heartbeat::VT_DEPARTURESEQUENCES, departureSequences);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1641,7 +1651,8 @@
     flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerUpstreamLimit *>> upstreamLimits = 0,
     uint64_t storeEra = 0,
     flatbuffers::Offset<flatbuffers::Vector<const briarwharf::PeerDeparture *>> departures = 0,
-    uint64_t evacuationsRevision = 0) {
+    uint64_t evacuationsRevision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> departureSequences = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_evacuationsRevision(evacuationsRevision);
   builder_.add_storeEra(storeEra);
@@ -1652,6 +1663,7 @@
   builder_.add_revision(revision);
   builder_.add_acknowledged(acknowledged);
   builder_.add_sequence(sequence);
+  builder_.add_departureSequences(departureSequences);
   builder_.add_departures(departures);
   builder_.add_upstreamLimits(upstreamLimits);
   builder_.add_segmentAnswers(segmentAnswers);
@@ -1701,7 +1713,8 @@
     const std::vector<briarwharf::PeerUpstreamLimit> *upstreamLimits = nullptr,
     uint64_t storeEra = 0,
     const std::vector<briarwharf::PeerDeparture> *departures = nullptr,
-    uint64_t evacuationsRevision = 0) {
+    uint64_t evacuationsRevision = 0,
+    const std::vector<uint64_t> *departureSequences = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<briarwharf::Member>>(*members) : 0;
   auto loadReports__ = loadReports ? _fbb.CreateVectorOfStructs<briarwharf::LoadReport>(*loadReports) : 0;
   auto usageSums__ = usageSums ? _fbb.CreateVectorOfStructs<briarwharf::UsageSum>(*usageSums) : 0;
@@ -1711,6 +1724,7 @@
   auto segmentAnswers__ = segmentAnswers ? _fbb.CreateVectorOfStructs<briarwharf::PeerSegmentAnswer>(*segmentAnswers) : 0;
   auto upstreamLimits__ = upstreamLimits ? _fbb.CreateVectorOfStructs<briarwharf::PeerUpstreamLimit>(*upstreamLimits) : 0;
   auto departures__ = departures ? _fbb.CreateVectorOfStructs<briarwharf::PeerDeparture>(*departures) : 0;
+  auto departureSequences__ = departureSequences ? _fbb.CreateVector<uint64_t>(*departureSequences) : 0;
   return briarwharf::CreateHeartbeat(
       _fbb,
       sequence,
@@ -1739,7 +1753,8 @@
       upstreamLimits__,
       storeEra,
       departures__,
-      evacuationsRevision);
+      evacuationsRevision,
+      departureSequences__);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3575,6 +3590,7 @@
   int64_t started = 0;
   uint64_t revision = 0;
   uint32_t coldMs = 0;
+  uint64_t sequence = 0;
 };
 
 struct DirectoryUpstream FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3592,7 +3608,8 @@
     VT_DRAINING = 14,
     VT_STARTED = 16,
     VT_REVISION = 18,
-    VT_COLDMS = 20
+    VT_COLDMS = 20,
+    VT_SEQUENCE = 22
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -3621,6 +3638,9 @@
   uint32_t coldMs() const {
     return GetField<uint32_t>(VT_COLDMS, 0);
   }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -3636,6 +3656,7 @@
            VerifyField<int64_t>(verifier, VT_STARTED, 8) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
            VerifyField<uint32_t>(verifier, VT_COLDMS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            verifier.EndTable();
   }
   DirectoryUpstreamT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3674,6 +3695,9 @@
   void add_coldMs(uint32_t coldMs) {
     fbb_.AddElement<uint32_t>(DirectoryUpstream::VT_COLDMS, coldMs, 0);
   }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(DirectoryUpstream::VT_SEQUENCE, sequence, 0);
+  }
   explicit DirectoryUpstreamBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3695,8 +3719,10 @@
     bool draining = false,
     int64_t started = 0,
     uint64_t revision = 0,
-    uint32_t coldMs = 0) {
+    uint32_t coldMs = 0,
+    uint64_t sequence = 0) {
   DirectoryUpstreamBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
   builder_.add_revision(revision);
   builder_.add_started(started);
   builder_.add_coldMs(coldMs);
@@ -3719,7 +3745,8 @@
     bool draining = false,
     int64_t started = 0,
     uint64_t revision = 0,
-    uint32_t coldMs = 0) {
+    uint32_t coldMs = 0,
+    uint64_t sequence = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
@@ -3734,7 +3761,8 @@
       draining,
       started,
       revision,
-      coldMs);
+      coldMs,
+      sequence);
 }
 
 flatbuffers::Offset<DirectoryUpstream> CreateDirectoryUpstream(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryUpstreamT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4555,7 +4583,8 @@
         upstreamLimits(o.upstreamLimits),
         storeEra(o.storeEra),
         departures(o.departures),
-        evacuationsRevision(o.evacuationsRevision) {
+        evacuationsRevision(o.evacuationsRevision),
+        departureSequences(o.departureSequences) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new briarwharf::MemberT(*members_) : nullptr); }
 }
@@ -4588,6 +4617,7 @@
   std::swap(storeEra, o.storeEra);
   std::swap(departures, o.departures);
   std::swap(evacuationsRevision, o.evacuationsRevision);
+  std::swap(departureSequences, o.departureSequences);
   return *this;
 }
 
@@ -4627,6 +4657,7 @@
   { auto _e = storeEra(); _o->storeEra = _e; }
   { auto _e = departures(); if (_e) { _o->departures.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->departures[_i] = *_e->Get(_i); } } }
   { auto _e = evacuationsRevision(); _o->evacuationsRevision = _e; }
+  { auto _e = departureSequences(); if (_e) { _o->departureSequences.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->departureSequences[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4664,6 +4695,7 @@
   auto _storeEra = _o->storeEra;
   auto _departures = _o->departures.size() ? _fbb.CreateVectorOfStructs(_o->departures) : 0;
   auto _evacuationsRevision = _o->evacuationsRevision;
+  auto _departureSequences = _o->departureSequences.size() ? _fbb.CreateVector(_o->departureSequences) : 0;
   return briarwharf::CreateHeartbeat(
       _fbb,
       _sequence,
@@ -4692,7 +4724,8 @@
       _upstreamLimits,
       _storeEra,
       _departures,
-      _evacuationsRevision);
+      _evacuationsRevision,
+      _departureSequences);
 }
 
 inline PingRequestT *PingRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5373,6 +5406,7 @@
   { auto _e = started(); _o->started = _e; }
   { auto _e = revision(); _o->revision = _e; }
   { auto _e = coldMs(); _o->coldMs = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
 }
 
 inline flatbuffers::Offset<DirectoryUpstream> DirectoryUpstream::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryUpstreamT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5392,6 +5426,7 @@
   auto _started = _o->started;
   auto _revision = _o->revision;
   auto _coldMs = _o->coldMs;
+  auto _sequence = _o->sequence;
   return briarwharf::CreateDirectoryUpstream(
       _fbb,
       _id,
@@ -5402,7 +5437,8 @@
       _draining,
       _started,
       _revision,
-      _coldMs);
+      _coldMs,
+      _sequence);
 }
 
 inline DirectoryRemovalT *DirectoryRemoval::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -29,6 +29,10 @@
     constexpr double callerDescriptorShare = 0.6;
     constexpr double upstreamDescriptorShare = 0.3;
 
+    // An older state may not be the newest one. Longer than a watch in calm; with the time after which a
+    // registry removes a silent entry, shorter than DirectoryOptions::doubtPeriod.
+    constexpr Milliseconds maxConfirmedAge { 6000 };
+
     // Freed memory is returned to the system at most this often: it blocks the event loop.
     constexpr Milliseconds memoryReturnInterval { 2000 };
     // Part of the memory budget that unfinished answers may use.
@@ -352,6 +356,15 @@
         upstreamsChanged("departures");
 }
 
+void ForwardDaemon::expireUpstreams(MonotonicTime now)
+{
+    auto age = m_relay.confirmedAge(now);
+    if (!age || *age > maxConfirmedAge)
+        m_directory.extendDoubts(now);
+    if (m_directory.expire(now))
+        upstreamsChanged("lapse");
+}
+
 void ForwardDaemon::upstreamsChanged(std::string_view from)
 {
     auto counts = [this](bool UpstreamEntry::*member) {
@@ -408,8 +421,7 @@
     m_quarantineArchive.tick(now, std::chrono::system_clock::now());
     m_source->follow(m_stopping ? WatchDuty::OwnOnly : m_relay.duty());
     m_mesh.flush();
-    if (m_directory.expire(now))
-        upstreamsChanged("lapse");
+    expireUpstreams(now);
     m_forwarder.setInstances(m_mesh.membership().expectedInstances());
     if (now - m_memoryReturnedAt > memoryReturnInterval) {
         m_memoryReturnedAt = now;
--- a/process/forwarddaemon.h
+++ b/process/forwarddaemon.h
@@ -54,6 +54,7 @@
     void applyChanges(const DirectoryChanges&, std::string_view from);
     void registryRestored();
     void exchangeDepartures();
+    void expireUpstreams(MonotonicTime now);
     void upstreamsChanged(std::string_view from);
     void seedFromSettings();
     void handleAdmin(const IngressRequest&, CallerExchange&);
