Bind removals in the store to the state that they are about

Cause: a removal had no condition. One that got no answer and is carried out seconds later removed what was written since: the entry of the next process on the same machine, or a quarantine that was saved anew. An entry that is written late, after its instance has left, or that a crash leaves, was never removed; an instance that starts counts it as one of the fleet, and takes a smaller part of the limits.

Change: ObjectStore::remove() names the revision that it has read. An instance's entry states the start of its process, as a write that changes nothing keeps its revision. platform/instanceentries takes the entries out of PlatformSource: instances that watch the store check the list once a minute, write their own entry again if it is missing, and remove entries without an instance. The stand-in store can carry out writes late.

One list call a minute for each watching instance.

--- a/daemon/briarwharfd_main.cc
+++ b/daemon/briarwharfd_main.cc
@@ -58,6 +58,7 @@
     platform::SourceOptions options;
     options.store = settings.store.endpoint;
     options.instanceName = settings.instance.id;
+    options.started = std::chrono::system_clock::now();
     options.evacuations = settings.directory.evacuations;
     std::string peers = printEndpoint(settings.listen.peers);
     options.self = { peers, peers, settings.instance.failureDomain };
--- a/process/directorysource.h
+++ b/process/directorysource.h
@@ -27,6 +27,8 @@
     std::function<void(const DirectoryChanges&)> upstreams;
     // The other instances of the fleet.
     std::function<void(const std::vector<ListedInstance>&)> instances;
+    // Whether an instance with this address takes part in the fleet now.
+    std::function<bool(const std::string& address)> isMember;
     // The saved quarantines, soon after the start and when the source was restored from an older copy.
     std::function<void(const std::vector<SavedQuarantine>&)> quarantines;
     // The evacuated failure domains, or the changes to them; only if the settings ask for them.
--- a/process/forwarddaemon.cc
+++ b/process/forwarddaemon.cc
@@ -236,6 +236,10 @@
                      },
         [this](const DirectoryChanges& changes) { applyChanges(changes, "source"); },
         [this](const std::vector<ListedInstance>& instances) { m_mesh.seed(instances); },
+        [this](const std::string& address) {
+            const auto& usable = m_mesh.membership().usable(); // an instance's id is its address
+            return std::binary_search(usable.begin(), usable.end(), address);
+        },
         [this](const std::vector<SavedQuarantine>& saved) {
             m_quarantineArchive.restore(saved, clockNow(), std::chrono::system_clock::now());
         },
