Keep SIGHUP from ending the process before and after it is handled

Cause: the default of SIGHUP ends a process. It has that until the daemon handles it, and again when the event loop has ended and its signal events are removed; a second SIGTERM in that time ended the process by the signal.

Change: SIGHUP is ignored from the first line of main() on, which is also what the removal of its event restores. SIGTERM and SIGINT are blocked once the loop has ended.

Measured: a new case of hostile_test (SIGHUP pending at the start, then SIGHUP and SIGTERM each millisecond to the end, exit status 0) passes; without the change the daemon does not become ready.

--- a/base/inherited.cc
+++ b/base/inherited.cc
@@ -23,4 +23,15 @@
     sigprocmask(SIG_SETMASK, &none, nullptr);
 }
 
+void ignoreReloads() { std::signal(SIGHUP, SIG_IGN); }
+
+void blockStops()
+{
+    sigset_t stops;
+    sigemptyset(&stops);
+    sigaddset(&stops, SIGTERM);
+    sigaddset(&stops, SIGINT);
+    sigprocmask(SIG_BLOCK, &stops, nullptr);
+}
+
 } // namespace briarwharf
--- a/base/inherited.h
+++ b/base/inherited.h
@@ -10,4 +10,12 @@
 // would not notice SIGTERM.
 void unblockSignals();
 
+// Ignores SIGHUP until the process handles it, and again after that: an operator may send it at any time, and
+// its default is to end the process.
+void ignoreReloads();
+
+// Blocks SIGTERM and SIGINT: the process is ending already, and its exit status is that of a graceful
+// shutdown.
+void blockStops();
+
 } // namespace briarwharf
--- a/daemon/briarwharfd_main.cc
+++ b/daemon/briarwharfd_main.cc
@@ -50,6 +50,7 @@
     SignalEvent terminate = onSignal(base, SIGTERM, &handleStop<AnyDaemon>, &daemon);
     SignalEvent interrupt = onSignal(base, SIGINT, &handleStop<AnyDaemon>, &daemon);
     event_base_dispatch(base);
+    blockStops();
     return 0;
 }
 
@@ -160,6 +161,7 @@
 
 int main(int argc, char** argv)
 {
+    ignoreReloads();
     openClosedStandardStreams();
     try {
         return runWithArguments(argc, argv);
--- a/hostile/testing/rig.cc
+++ b/hostile/testing/rig.cc
@@ -289,7 +289,7 @@
 bool HostileRig::isAlive()
 {
     if (!m_ended)
-        m_ended = waitpid(m_pid, nullptr, WNOHANG) == m_pid;
+        m_ended = waitpid(m_pid, &m_status, WNOHANG) == m_pid;
     return !m_ended;
 }
 
--- a/hostile/testing/rig.h
+++ b/hostile/testing/rig.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <sys/types.h>
+#include <sys/wait.h>
 
 namespace briarwharf {
 
@@ -91,6 +92,8 @@
     std::string requestHead(const std::string& method, const std::string& target);
 
     bool isAlive();
+    // After its end: whether the daemon exited with status 0.
+    bool hasSucceeded() const { return m_ended && WIFEXITED(m_status) && WEXITSTATUS(m_status) == 0; }
     std::size_t peakMemoryBytes() const; // highest resident size so far
     std::size_t openDescriptors() const;
 
@@ -110,6 +113,7 @@
     std::string m_folder;
     pid_t m_pid = 0;
     bool m_ended = false;
+    int m_status = 0; // as by waitpid()
     std::uint64_t m_requests = 0;
     std::list<ScriptedCaller> m_crowd;
 };
--- a/hostile/testing/start_test.cc
+++ b/hostile/testing/start_test.cc
@@ -85,6 +85,27 @@
     CHECK(rig.checkAdmin("/readyz") == 200);
 }
 
+// Guards against a daemon that SIGHUP ends, because it comes before the daemon handles it, or after it has
+// stopped to do so.
+TEST_CASE("a daemon lives through SIGHUP at any time, and ends with status 0 on SIGTERM")
+{
+    void (*sendBefore)() = [] {
+        blockSignals();
+        raise(SIGHUP); // pending until the daemon unblocks it
+    };
+    HostileRig rig({ .prepare = sendBefore });
+    CHECK(rig.checkAdmin("/readyz") == 200);
+    rig.signal(SIGTERM);
+    constexpr int signals = 4000; // one a millisecond, until the daemon has ended
+    for (int sent = 0; sent < signals && rig.isAlive(); ++sent) {
+        rig.signal(SIGHUP);
+        rig.signal(SIGTERM);
+        rig.run(Milliseconds(1));
+    }
+    CHECK(rig.waitForEnd());
+    CHECK(rig.hasSucceeded());
+}
+
 // Guards against an instance that never becomes ready because its store needs longer for an answer than the
 // first timeout allows.
 TEST_CASE("LOST: a daemon becomes ready at a store that takes 2.5 s for each answer")
