--- a/connection/ingressconnection.cc
+++ b/connection/ingressconnection.cc
@@ -30,10 +30,8 @@
     // Closing with unread input would reset the connection, possibly before the caller has read the answer.
     constexpr Milliseconds lingerTimeout { 1000 };
 
-    // Maximum time for sending the last answer on a connection that is to be closed.
-    constexpr Milliseconds closingTimeout { 5000 };
-
     // A connection whose caller acknowledges no bytes of its answer for this long fails (TCP_USER_TIMEOUT).
+    // The same for one that is closed after the answer and whose caller reads nothing.
     constexpr Milliseconds stalledWriteTimeout { 60000 };
 
     // What a connection without a head or buffers takes: the objects and the three events of its stream.
@@ -109,9 +107,11 @@
 {
     const IngressLimits& limits = m_ingress.m_limits;
     countSent(now);
-    if (m_state == State::Closing || m_state == State::Discarding) {
-        Milliseconds limit = m_state == State::Closing ? closingTimeout : lingerTimeout;
-        if (now - m_stateEntered > limit)
+    if (m_state == State::Closing) {
+        if (isStalled(now))
+            close();
+    } else if (m_state == State::Discarding) {
+        if (now - m_stateEntered > lingerTimeout)
             close();
     } else if (m_state == State::Reading && !m_parser.started()) {
         if (isIdle() && now - m_stateEntered > std::max(m_idleLimit, limits.idleTimeout))
@@ -125,6 +125,15 @@
     }
 }
 
+bool IngressConnection::isStalled(MonotonicTime now)
+{
+    std::size_t undelivered = m_stream->undeliveredBytes();
+    if (undelivered < m_undeliveredBytes)
+        m_deliveredAt = now;
+    m_undeliveredBytes = undelivered;
+    return now - std::max(m_deliveredAt, m_stateEntered) > stalledWriteTimeout;
+}
+
 bool IngressConnection::isRefusable() const
 {
     return m_state == State::Reading && m_parser.started() && m_stream->pendingBytes() == 0;
--- a/connection/ingressconnection.h
+++ b/connection/ingressconnection.h
@@ -61,6 +61,8 @@
         Closed,
     };
 
+    // Whether the caller has taken nothing of the last answer for stalledWriteTimeout.
+    bool isStalled(MonotonicTime now);
     void parse(std::string_view);
     void applyLimits();
     bool reserveHead();
@@ -100,6 +102,8 @@
     MemoryHold m_inputMemory;
     MemoryHold m_outputMemory;
     std::size_t m_unsentBytes = 0; // of the output when it was last looked at
+    std::size_t m_undeliveredBytes = 0; // of the last answer, when it was last looked at
+    MonotonicTime m_deliveredAt; // when bytes of it were last seen to have been delivered
     bool m_requested = false; // a whole request has arrived on the connection
     bool m_bodyTooLarge = false;
     bool m_overloaded = false; // no memory was left while the head or the body arrived
--- a/connection/tcpstream.cc
+++ b/connection/tcpstream.cc
@@ -249,9 +249,14 @@
         getsockopt(m_socket, SOL_SOCKET, SO_ERROR, &error, &length);
     if (error != 0)
         return OutputState::Failed;
+    return undeliveredBytes() > 0 ? OutputState::Pending : OutputState::Delivered;
+}
+
+std::size_t TcpStream::undeliveredBytes() const
+{
     int unacknowledged = 0;
     ioctl(m_socket, SIOCOUTQ, &unacknowledged);
-    return pendingBytes() > 0 || unacknowledged > 0 ? OutputState::Pending : OutputState::Delivered;
+    return pendingBytes() + static_cast<std::size_t>(std::max(unacknowledged, 0));
 }
 
 // Reads once per wake-up: the event is level-triggered, so the remaining input wakes the loop again.
--- a/connection/tcpstream.h
+++ b/connection/tcpstream.h
@@ -72,6 +72,8 @@
         Delivered,
     };
     OutputState outputState() const;
+    // Bytes that were written and not acknowledged by the other side.
+    std::size_t undeliveredBytes() const;
     // Memory allocated for output, shared bytes excepted.
     std::size_t heldOutputBytes() const;
     bool isConnected() const { return !m_connecting; }
--- a/connection/testing/ingress_test.cc
+++ b/connection/testing/ingress_test.cc
@@ -48,6 +48,40 @@
     CHECK(answer.bodyBytes == bodyBytes);
 }
 
+// Guards against cutting the answer to a caller that reads slowly before the connection is closed: 5 s after
+// the whole answer was there the connection was closed, with most of it unsent.
+TEST_CASE("LOST: the last answer on a connection is sent whole to a caller that pauses")
+{
+    constexpr std::size_t bodyBytes = std::size_t { 32 } * 1024 * 1024; // more than the sockets buffer
+    constexpr Milliseconds pause { 6500 };
+    IngressLimits limits;
+    limits.maxBufferedBytes = 4 * bodyBytes;
+    Base base = makeBase();
+    Ingress ingress(base.get(), limits, [](const IngressRequest&, CallerExchange& caller) {
+        caller.answer(200, "", std::string(bodyBytes, 'x'));
+    });
+    auto port = ingress.listen({ "127.0.0.1", 0 });
+    REQUIRE(port);
+    RawCaller asksForClose(
+        base.get(), port.value(), "GET / HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n");
+    RawCaller meetsShutdown(base.get(), port.value(), "GET / HTTP/1.1\r\nHost: test\r\n\r\n");
+    RawCaller leaves(base.get(), port.value(), "GET / HTTP/1.1\r\nHost: test\r\n\r\n");
+    asksForClose.stopReading = meetsShutdown.stopReading = leaves.stopReading = true;
+    ingress.startClosing();
+    runUntil(base.get(), [&] { return ingress.counters().requests == 3; });
+    leaves.close();
+    runUntil(base.get(), [&] { return ingress.connections() == 2; });
+    Timer pauseTimer(base.get(), [] {});
+    pauseTimer.start(pause);
+    runUntil(base.get(), [&] { return !pauseTimer.isPending(); });
+    CHECK(ingress.connections() == 2);
+    asksForClose.resumeReading();
+    meetsShutdown.resumeReading();
+    runUntil(base.get(), [&] { return asksForClose.ended && meetsShutdown.ended; });
+    CHECK(asksForClose.received.size() > bodyBytes);
+    CHECK(meetsShutdown.received.size() > bodyBytes);
+}
+
 namespace {
 
 constexpr std::size_t mebibyte = std::size_t { 1024 } * 1024;
--- a/connection/testing/rawcaller.h
+++ b/connection/testing/rawcaller.h
@@ -19,6 +19,8 @@
         m_stream->write(bytes);
     }
 
+    void close() { m_stream.reset(); }
+    void resumeReading() { m_stream->resumeReading(); }
     void write(std::string_view bytes) { m_stream->write(bytes); }
 
     void streamConnected() override
