--- a/coordination/crashevidence.cc
+++ b/coordination/crashevidence.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
 
 namespace briarwharf {
 
@@ -23,7 +22,7 @@
     }
 
     // Whether all of the upstreams are among those of another segment with more crashes.
-    bool isExplained(const Upstreams& upstreams, const std::vector<Upstreams>& others)
+    bool isExplained(const Upstreams& upstreams, const std::set<Upstreams>& others)
     {
         return std::any_of(others.begin(), others.end(), [&](const Upstreams& other) {
             return other.size() > upstreams.size()
@@ -36,12 +35,15 @@
 bool CrashEvidence::add(const SegmentCrash& crash)
 {
     recordEnd(crash);
-    auto found = m_segments.find(crash.segment);
-    if (found == m_segments.end()) {
-        makeRoom();
-        found = m_segments.try_emplace(crash.segment).first;
-    }
-    Segment& segment = found->second;
+    Segment& segment = findOrInsert(crash.segment);
+    bool isNews = insert(crash, segment);
+    updateRank(crash.segment, segment);
+    return isNews;
+}
+
+// Returns false if the crash adds nothing to what is known.
+bool CrashEvidence::insert(const SegmentCrash& crash, Segment& segment) const
+{
     bool isKnown = std::any_of(segment.crashes.begin(), segment.crashes.end(),
         [&](const Crash& known) { return known.upstream == crash.upstream; });
     if (isKnown || crash.at <= segment.answeredAt)
@@ -67,6 +69,7 @@
     segment.answeredAt = std::max(segment.answeredAt, answer.at);
     std::size_t cleared
         = std::erase_if(segment.crashes, [&](const Crash& crash) { return crash.at <= answer.at; });
+    updateRank(answer.segment, segment);
     if (cleared == 0 && !isNews)
         return false;
     recordAnswerTime(answer.at); // only of news, which reach every instance: all weigh the same evidence
@@ -96,8 +99,15 @@
     // Upstreams that ended are kept for longer than the crashes that they help to explain.
     std::erase_if(m_ends, [&](const auto& end) { return now - end.second > 2 * m_options.crashRetention; });
     Times ends = endTimes();
-    for (auto entry = m_segments.begin(); entry != m_segments.end();)
-        entry = expire(entry->second, ends, now) ? m_segments.erase(entry) : std::next(entry);
+    for (auto entry = m_segments.begin(); entry != m_segments.end();) {
+        auto& [id, segment] = *entry;
+        bool isOver = expire(segment, ends, now);
+        if (isOver)
+            m_ranks.erase(segment.rank);
+        else if (segment.rank.crashes != segment.crashes.size())
+            updateRank(id, segment);
+        entry = isOver ? m_segments.erase(entry) : std::next(entry);
+    }
     m_answerTimes.erase(m_answerTimes.begin(), m_answerTimes.lower_bound(now - 2 * m_options.crashRetention));
 }
 
@@ -117,18 +127,31 @@
     return segment.crashes.empty() && now - segment.answeredAt > m_options.answerRetention;
 }
 
-// Removes the segment with the least evidence, and of several the one that crashed longest ago.
+CrashEvidence::Segment& CrashEvidence::findOrInsert(std::uint64_t id)
+{
+    auto found = m_segments.find(id);
+    if (found != m_segments.end())
+        return found->second;
+    makeRoom();
+    return m_segments[id];
+}
+
+void CrashEvidence::updateRank(std::uint64_t id, Segment& segment)
+{
+    MonotonicTime at = segment.crashes.empty() ? segment.answeredAt : segment.crashes.back().at;
+    m_ranks.erase(segment.rank);
+    segment.rank = { segment.crashes.size(), at, ++m_uses };
+    m_ranks.emplace(segment.rank, id);
+}
+
+// Removes the segment with the least evidence, of several the one that crashed longest ago, and of these the
+// one that was not accused again for the longest time: what crashes upstreams is in more than one prompt.
 void CrashEvidence::makeRoom()
 {
     if (m_segments.size() < m_options.maxSegments)
         return;
-    auto weight = [](const auto& entry) {
-        const Segment& segment = entry.second;
-        MonotonicTime at = segment.crashes.empty() ? segment.answeredAt : segment.crashes.back().at;
-        return std::tuple(segment.crashes.size(), at);
-    };
-    m_segments.erase(std::min_element(m_segments.begin(), m_segments.end(),
-        [&](const auto& left, const auto& right) { return weight(left) < weight(right); }));
+    m_segments.erase(m_ranks.begin()->second);
+    m_ranks.erase(m_ranks.begin());
 }
 
 void CrashEvidence::recordEnd(const SegmentCrash& crash)
@@ -233,7 +256,7 @@
         Upstreams upstreams;
     };
     std::vector<Suspect> suspects;
-    std::vector<Upstreams> explaining; // the upstreams of each segment that may explain the crashes of others
+    std::set<Upstreams> explaining; // the upstreams of each segment that may explain the crashes of others
     Times ends = endTimes();
     for (const auto& [id, segment] : m_segments) {
         if (id == noSegment || segment.crashes.size() < m_options.minCrashes)
@@ -241,19 +264,19 @@
         double found = evidence(segment, ends);
         if (found < m_options.weakEvidence)
             continue;
-        explaining.push_back(upstreamsOf(segment.crashes));
+        Upstreams upstreams = upstreamsOf(segment.crashes);
+        explaining.insert(upstreams);
         if (isSuspect(segment, found, now))
-            suspects.push_back({ id, &segment, found, explaining.back() });
+            suspects.push_back({ id, &segment, found, std::move(upstreams) });
     }
     std::map<Upstreams, SuspectGroup> groups; // by the upstreams that crashed
     for (const Suspect& suspect : suspects) {
-        if (isExplained(suspect.upstreams, explaining))
-            continue;
         SuspectGroup& group = groups[suspect.upstreams];
         group.segments.push_back(suspect.id);
         group.lastCrash = std::max(group.lastCrash, suspect.segment->crashes.back().at);
         group.evidence = std::max(group.evidence, suspect.evidence);
     }
+    std::erase_if(groups, [&](const auto& group) { return isExplained(group.first, explaining); });
     std::vector<SuspectGroup> result;
     for (auto& [upstreams, group] : groups) {
         std::sort(group.segments.begin(), group.segments.end());
--- a/coordination/crashevidence.h
+++ b/coordination/crashevidence.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -119,9 +120,21 @@
         std::uint32_t upstream = 0;
         MonotonicTime at;
     };
+    // The segment with the least rank is forgotten first.
+    struct Rank {
+        std::size_t crashes = 0;
+        MonotonicTime at; // of the latest crash, or of the answer
+        std::uint64_t use = 0; // counts the records; of the latest one of the segment
+
+        bool operator<(const Rank& other) const
+        {
+            return std::tie(crashes, at, use) < std::tie(other.crashes, other.at, other.use);
+        }
+    };
     struct Segment {
         std::vector<Crash> crashes; // in order of time
         MonotonicTime answeredAt; // start of the latest answer
+        Rank rank; // in m_ranks
     };
     using Times = std::vector<MonotonicTime>; // in ascending order
 
@@ -135,10 +148,15 @@
     double explainedShare(const Segment&, const Crash&, const Times& ends) const;
     bool isSuspect(const Segment&, double evidence, MonotonicTime now) const;
     Milliseconds term(double evidence) const;
+    Segment& findOrInsert(std::uint64_t segment);
+    bool insert(const SegmentCrash&, Segment&) const;
+    void updateRank(std::uint64_t id, Segment&);
     void makeRoom();
 
     CrashEvidenceOptions m_options;
     std::unordered_map<std::uint64_t, Segment> m_segments;
+    std::map<Rank, std::uint64_t> m_ranks; // segments
+    std::uint64_t m_uses = 0;
     std::unordered_map<std::uint32_t, MonotonicTime>
         m_ends; // by upstream: when it was first seen to have ended
     std::set<MonotonicTime> m_answerTimes; // starts of answers to any accused segment, the latest ones
--- a/coordination/quarantine.cc
+++ b/coordination/quarantine.cc
@@ -10,6 +10,11 @@
 namespace {
 
     constexpr Milliseconds cleanupInterval { 1000 };
+    // Records of segments that were forgotten since are removed when there are more than this, and more than
+    // twice as many as were left the last time.
+    constexpr std::size_t minRecordsToCleanUp = 8192;
+
+    constexpr std::size_t maxLoggedSegments = 32;
     // More crashes than that without an answer come from many requests, so that the owner has some as well.
     constexpr std::size_t maxCrashesForOpenTrials = 4;
 
@@ -21,18 +26,26 @@
         return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, oldest));
     }
 
-    bool containsAll(std::span<const std::uint64_t> segments, const std::vector<std::uint64_t>& wanted)
+    using SortedSegments = std::vector<std::uint64_t>;
+
+    SortedSegments sorted(std::span<const std::uint64_t> segments)
+    {
+        SortedSegments result(segments.begin(), segments.end());
+        std::sort(result.begin(), result.end());
+        return result;
+    }
+
+    // Both in ascending order.
+    bool containsAll(const SortedSegments& segments, const std::vector<std::uint64_t>& wanted)
     {
-        return std::all_of(wanted.begin(), wanted.end(), [&](std::uint64_t segment) {
-            return std::find(segments.begin(), segments.end(), segment) != segments.end();
-        });
+        return std::includes(segments.begin(), segments.end(), wanted.begin(), wanted.end());
     }
 
     std::string printIdentifiers(const std::vector<std::uint64_t>& segments)
     {
         std::string out;
-        for (std::uint64_t segment : segments)
-            out += (out.empty() ? "" : ",") + printHex(segment);
+        for (std::size_t index = 0; index < std::min(segments.size(), maxLoggedSegments); ++index)
+            out += (out.empty() ? "" : ",") + printHex(segments[index]);
         return out;
     }
 
@@ -40,6 +53,7 @@
     {
         LogLine(LogLevel::Warning, "quarantine", event)
             .field("segments", printIdentifiers(group.segments))
+            .field("count", group.segments.size())
             .field("crashes", group.upstreams.size())
             .field("evidence", group.evidence);
     }
@@ -56,6 +70,7 @@
     : m_membership(membership)
     , m_options(options)
     , m_evidence(options.evidence)
+    , m_maxRecords(minRecordsToCleanUp)
 {
 }
 
@@ -142,8 +157,11 @@
 std::optional<Milliseconds> SegmentQuarantine::refuse(
     std::span<const std::uint64_t> segments, MonotonicTime now)
 {
+    if (m_groups.empty())
+        return std::nullopt;
+    SortedSegments prompt = sorted(segments);
     for (const SuspectGroup& group : m_groups) {
-        if (!containsAll(segments, group.segments))
+        if (!containsAll(prompt, group.segments))
             continue;
         if (now < group.termEnd)
             return toMilliseconds(group.termEnd - now);
@@ -158,16 +176,22 @@
 
 void SegmentQuarantine::withdrawTrial(std::span<const std::uint64_t> segments, MonotonicTime admittedAt)
 {
+    if (m_trials.empty())
+        return;
+    SortedSegments prompt = sorted(segments);
     for (auto& [tried, trials] : m_trials) {
-        if (trials.latest == admittedAt && containsAll(segments, tried))
+        if (trials.latest == admittedAt && containsAll(prompt, tried))
             trials.latest = MonotonicTime {};
     }
 }
 
 bool SegmentQuarantine::isQuarantined(std::span<const std::uint64_t> segments) const
 {
+    if (m_groups.empty())
+        return false;
+    SortedSegments prompt = sorted(segments);
     return std::any_of(m_groups.begin(), m_groups.end(),
-        [&](const SuspectGroup& group) { return containsAll(segments, group.segments); });
+        [&](const SuspectGroup& group) { return containsAll(prompt, group.segments); });
 }
 
 void SegmentQuarantine::tick(MonotonicTime now)
@@ -186,6 +210,8 @@
 
 void SegmentQuarantine::updateGroups(MonotonicTime now)
 {
+    if (m_records.size() > m_maxRecords)
+        dropOutdatedRecords(now);
     if (!std::exchange(m_changed, false))
         return;
     std::vector<SuspectGroup> groups = m_evidence.suspects(now);
@@ -212,6 +238,7 @@
             return !m_evidence.contains(*crash);
         return now - std::get<SegmentAnswer>(record).at > m_options.evidence.answerRetention;
     });
+    m_maxRecords = std::max(minRecordsToCleanUp, 2 * m_records.size());
 }
 
 void SegmentQuarantine::fill(const LinkView& link, HeartbeatT& heartbeat, MonotonicTime now)
--- a/coordination/quarantine.h
+++ b/coordination/quarantine.h
@@ -97,6 +97,7 @@
     RecordSpread<Record> m_records;
     bool m_changed = false; // the evidence, since the groups were determined
     MonotonicTime m_lastCleanup;
+    std::size_t m_maxRecords; // more are cleaned up at once
 };
 
 } // namespace briarwharf
--- a/coordination/recordspread.h
+++ b/coordination/recordspread.h
@@ -35,6 +35,8 @@
         return sent == m_sentUpTo.end() || m_records.rbegin()->first > sent->second;
     }
 
+    std::size_t size() const { return m_records.size(); }
+
     // A peer with a new link is sent all records again.
     void linkDown(const std::string& peer) { m_sentUpTo.erase(peer); }
 
--- a/process/crashdetector.cc
+++ b/process/crashdetector.cc
@@ -1,7 +1,7 @@
 #include "process/crashdetector.h"
 
 #include "base/base.h"
-#include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 namespace briarwharf {
@@ -35,7 +35,7 @@
     {
         std::vector<std::uint64_t> added;
         for (std::uint64_t segment : segments) {
-            if (std::find(m_segments.begin(), m_segments.end(), segment) == m_segments.end())
+            if (m_known.insert(segment).second)
                 added.push_back(segment);
         }
         m_segments.insert(m_segments.end(), added.begin(), added.end());
@@ -78,7 +78,8 @@
     MonotonicTime m_brokeAt;
     Timer m_timer;
     std::unique_ptr<TcpStream> m_stream;
-    std::vector<std::uint64_t> m_segments;
+    std::vector<std::uint64_t> m_segments; // of the requests that broke off, in their order
+    std::unordered_set<std::uint64_t> m_known; // the same
     bool m_connecting = false;
     bool m_ended = false; // the upstream refused the connection
 };
