Serve the marks that browsers leave as they are in a query

What callers saw: a GET with a raw "[" or "]" in its query gets 400; it got 200 until request lines were read strictly.

Cause: the strict reader of targets holds the query to RFC 3986. Browsers send brackets, braces, "|", "^" and the backtick as they are.

Change: these bytes are allowed behind "?", and passed on as they came. In a path, and for control bytes, spaces, quotation marks, angle brackets, the backslash, "#" and bytes that are not ASCII, nothing changes.

--- a/connection/requesttarget.cc
+++ b/connection/requesttarget.cc
@@ -39,11 +39,14 @@
 
     bool isPath(std::string_view text) { return consistsOf(text, ":@/"); }
 
+    // RFC 3986 does not allow the brackets and marks behind "?", but browsers send them as they are.
+    bool isQuery(std::string_view text) { return consistsOf(text, ":@/?[]{}|^`"); }
+
     bool isPathAndQuery(std::string_view text)
     {
         std::size_t question = text.find('?');
         bool hasQuery = question != std::string_view::npos;
-        return isPath(text.substr(0, question)) && (!hasQuery || consistsOf(text.substr(question), ":@/?"));
+        return isPath(text.substr(0, question)) && (!hasQuery || isQuery(text.substr(question)));
     }
 
     bool isPort(std::string_view text)
