--- a/coordination/directory.cc
+++ b/coordination/directory.cc
@@ -10,6 +10,7 @@
 
 namespace {
 
+    // End of a doubt that only a change of the entry resolves.
     constexpr MonotonicTime noEnd = MonotonicTime::max();
 
     // Whether the upstream wrote the entry after its departure.
--- a/coordination/testing/quarantine_test.cc
+++ b/coordination/testing/quarantine_test.cc
@@ -23,6 +23,11 @@
     double soundPerSecond = 100;
     Milliseconds contactTime { 3000 };
     std::uint64_t seed = 1;
+    std::size_t firstSegments = 20; // that requests share
+    bool isBadFirst = false; // bad requests have the segment as their first one
+    std::size_t badAtOnce = 0; // bad requests at the start
+    Milliseconds timeToFirstEvent { 100 };
+    Milliseconds restartTime { 3000 };
 };
 
 // Requests arrive at random instances and engines. Each has a first segment that many share, a second one,
@@ -41,6 +46,12 @@
             fleet.step();
     }
 
+    void startAtOnce()
+    {
+        for (std::size_t number = 0; number < m_day.badAtOnce; ++number)
+            place(true);
+    }
+
     void run(Milliseconds duration)
     {
         MonotonicTime end = fleet.now + duration;
@@ -66,9 +77,7 @@
 
 private:
     static constexpr Milliseconds stepDuration { 50 };
-    static constexpr Milliseconds timeToFirstEvent { 100 };
     static constexpr Milliseconds soundAnswerAge { 300 };
-    static constexpr Milliseconds restartTime { 3000 };
 
     struct Engine {
         std::uint32_t lifetime = 0;
@@ -95,7 +104,9 @@
     {
         Request request;
         request.instance = m_ids[m_random.below(m_ids.size())];
-        request.segments = { 1 + m_random.below(20), isBad ? bad : 1000 + m_random.below(167) };
+        request.segments = { 1 + m_random.below(m_day.firstSegments), 1000 + m_random.below(167) };
+        if (isBad)
+            request.segments[m_day.isBadFirst ? 0 : 1] = bad;
         bool refused
             = fleet.nodes[request.instance].quarantine->refuse(request.segments, fleet.now).has_value();
         sound += isBad ? 0 : 1;
@@ -110,22 +121,25 @@
         m_requests.push_back(request);
     }
 
-    bool isBadRequest(const Request& request) const { return request.segments.back() == bad; }
+    bool isBadRequest(const Request& request) const
+    {
+        return request.segments[m_day.isBadFirst ? 0 : 1] == bad;
+    }
 
     void answerRequests()
     {
         for (const Request& request : m_requests) {
-            bool begins = fleet.now >= request.sent + timeToFirstEvent;
+            bool begins = fleet.now >= request.sent + m_day.timeToFirstEvent;
             if (isBadRequest(request) && begins && m_engines[request.engine].lifetime == request.lifetime)
                 crash(request.engine);
         }
         std::erase_if(m_requests, [&](const Request& request) {
             if (m_engines[request.engine].lifetime != request.lifetime)
                 return true;
-            if (fleet.now < request.sent + timeToFirstEvent + soundAnswerAge)
+            if (fleet.now < request.sent + m_day.timeToFirstEvent + soundAnswerAge)
                 return false;
             fleet.nodes[request.instance].quarantine->recordAnswer(
-                request.segments, request.sent + timeToFirstEvent, fleet.now);
+                request.segments, request.sent + m_day.timeToFirstEvent, fleet.now);
             return true;
         });
     }
@@ -139,7 +153,7 @@
                     request.segments, lifetimeHash(engine), fleet.now, fleet.now);
         }
         ++m_engines[engine].lifetime;
-        m_engines[engine].upSince = fleet.now + restartTime;
+        m_engines[engine].upSince = fleet.now + m_day.restartTime;
         if (++crashes == toleratedCrashes)
             m_fifthCrash = fleet.now;
     }
@@ -186,6 +200,39 @@
     }
 }
 
+// Guards against requests that end all engines again when these are back: after an outage of all of them, the
+// segments that most prompts share are as suspect as the one that crashes the engines, and no prompt has them
+// all.
+TEST_CASE("BUDGET: a segment that crashes all engines at once is refused when they are back")
+{
+    constexpr int sizes[] { 2, 9, 87, 295 };
+    constexpr double badPerSecond[] { 0.7, 6, 60 };
+    const Milliseconds restartTimes[] { Milliseconds(1000), Milliseconds(3500), Milliseconds(6000) };
+    for (int instances : sizes) {
+        for (double rate : badPerSecond) {
+            for (Milliseconds restartTime : restartTimes) {
+                CAPTURE(instances);
+                CAPTURE(rate);
+                CAPTURE(restartTime.count());
+                CrashDay day { .instances = instances, .badPerSecond = rate };
+                day.soundPerSecond = 13.0 * instances;
+                day.firstSegments = 3;
+                day.isBadFirst = true;
+                day.badAtOnce = 60;
+                day.timeToFirstEvent = Milliseconds(1000);
+                day.restartTime = restartTime;
+                CrashSimulation simulation(day);
+                simulation.startAtOnce();
+                simulation.run(Milliseconds(12000));
+                simulation.sound = simulation.soundRefused = 0;
+                simulation.run(Milliseconds(8000));
+                CHECK(simulation.lateBadRequests <= maxRequestsAfterContactTime);
+                CHECK(simulation.soundRefused * 100 <= simulation.sound);
+            }
+        }
+    }
+}
+
 // Guards against an instance that sends such requests again after it was restarted or has joined the fleet.
 TEST_CASE("an instance that joins learns from its peers what is in quarantine")
 {
